--- /dev/null
+++ b/rules/door.go
@@ -0,0 +1,126 @@
+package rules
+
+// Tenth is a moment or a span in whole tenths of a millisecond. Positions in
+// the log are moments too, counted from the deployment's zero.
+type Tenth = int64
+
+// Effect says how often a command may run.
+type Effect uint8
+
+const (
+	Replayable Effect = iota
+	Keyed             // carries a mark by which its replica set drops a repeat
+	Mutating          // must never run twice
+)
+
+// Need says what data a command must see.
+type Need uint8
+
+const (
+	Any Need = iota
+	Bounded
+	Session
+	Fresh
+	Write
+)
+
+// Outcome is how a dispatch ended.
+type Outcome uint8
+
+const (
+	Answered  Outcome = iota
+	Errored           // may have had its effect
+	Full              // turned away unseen: never ran
+	TimedOut          // may have run, may run still
+	Unreached         // no connection: never ran
+	Reset             // the connection broke: may have run
+	Cancelled         // may have run
+	Moot              // never sent
+	Missed            // not the primary, or too far behind: never ran
+)
+
+// Role is what a host said it is.
+type Role uint8
+
+const (
+	Unknown Role = iota
+	Primary
+	Replica
+)
+
+// Standing is what the host list says of a host.
+type Standing uint8
+
+const (
+	In Standing = iota
+	Draining
+	Gone
+)
+
+// CmdGroup is a command group as the deployment states it.
+type CmdGroup struct {
+	Effect    Effect
+	Need      Need
+	Bound     Tenth // how old the data of a Bounded read may be
+	Target    Tenth // the response target
+	Timeout   Tenth // the client timeout over all of a client's tries
+	Memory    Tenth // how long a replica set drops repeats of a Keyed command
+	EverySet  bool  // repeats of a Keyed command are dropped everywhere
+	Benefit   float64
+	LateShare float64 // what is left of the benefit past the response target
+
+	latency, count float64
+}
+
+// Share is what one customer may ask of the deployment.
+type Share struct {
+	PerSecond float64
+
+	meter ring
+}
+
+// Deployment is what a deployment states at start.
+type Deployment struct {
+	Seed       uint32
+	Zero       Tenth // where positions are counted from
+	Tick       Tenth // the shortest time between two calls of Woke
+	Routers    int   // how many routers there are, this one included
+	Zone       string
+	Dispatches int // the most that one command may have
+
+	Guarded    bool // hosts turn away a read that they are too far behind for
+	Kept       bool // sessions bring no write time, only this router's memory counts
+	Reports    bool // probes, at least, bring positions
+	Probes     bool
+	Cancel     bool
+	ProbePrice float64 // what a probe a command takes off the service
+	ZonePrice  float64 // what crossing zones once a command takes off the service
+	OverShare  float64 // what a command over its customer's share is still worth
+
+	Comeback   Tenth // the longest wait that a client heeds; 0: none
+	FallFactor float64
+	FallSpan   Tenth
+	ColdFrom   float64
+	ColdFor    Tenth
+	DrainAlone bool // only a drain binds; a host that left the list may be up
+
+	Groups []*CmdGroup
+	Shares []*Share
+}
+
+// Caller is what the module asks of whoever runs it: the drill adapter, or a
+// real router. None of these calls back into the module.
+type Caller interface {
+	Dispatch(c *Cmd, n *Node, timeout Tenth) // timeout 0: until the client gives up
+	Throttle(c *Cmd, comeback Tenth)         // final; comeback 0: none named
+	Fail(c *Cmd)                             // final
+	Cancel(c *Cmd)                           // stop waiting for the dispatch that is out
+	Probe(n *Node)
+	Tell(body string) // to every other router, may be lost
+	Wake(after Tenth) // one call of Router.Woke
+}
+
+// The calls into the module, besides New: Router.Clock before those of a new
+// moment; Router.Host once for each host, Node.Listed for each entry of a list
+// and Router.ListDone after it; Router.Take for a command, then Cmd.Ended and
+// Cmd.Left on its handle; Node.Reported and Node.Probed; Router.Heard; Router.Woke.
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,732 @@
+// Package rules decides where each command of a replicated database goes. The
+// interface is in door.go: a caller makes a Router with New, tells it the time,
+// the host list and what comes in, and carries out what it asks for. Nothing
+// here blocks, and all state belongs to one Router.
+//
+// The design: writes leave a token, the position of their commit; a session's
+// read goes to a replica known at or past its token, else to the primary.
+// Beside the design stand these mechanisms:
+//
+//  1. caps: what is in flight at a host is capped; the cap grows with its
+//     answers and shrinks when they come late
+//  2. silence: a host is left when it is silent for unusually long, or cannot
+//     be reached, and is tried again by one command at a time
+//  3. hold: what has no place waits here, worthiest first, and is given up when
+//     it can no longer be useful
+//  4. cold budget: a host just started gets a share of what warm hosts do
+//  5. expectation: where hosts check reads, a member expected to be new enough
+//     counts as eligible
+package rules
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+	"slices"
+	"sort"
+)
+
+// Router is one router's view of the deployment.
+type Router struct {
+	Deployment
+	caller  Caller
+	now     Tenth
+	draws   uint32
+	sets    map[int64]*Set
+	ordered []*Set
+	tokens  [2]map[string]Tenth // by session: this generation and the last
+	floor   Tenth               // no forgotten token is greater
+	quiet   Tenth               // how long a position stays good: half the least bound
+	credit  float64             // probes that may be spent
+	gaps    ring                // between answers of any one host
+	warm    float64             // the most work that a warm host of size 1 does in a tenth
+}
+
+// Set is a replica set: a primary and the replicas of its data.
+type Set struct {
+	r       *Router
+	members []*Node // in id order
+	primary *Node   // as far as known
+	held    []*Cmd  // worthiest first
+	scout   *Cmd    // the write that looks for the primary
+	lookAt  Tenth   // when the next scout may set out
+}
+
+// Node is a database host.
+type Node struct {
+	Name     string
+	set      *Set
+	standing Standing
+	listed   bool
+	hint     bool // the list says it is the primary
+	zone     string
+	size     float64
+	boot     Tenth // when it last started; 0: long ago
+
+	role          Role
+	roleAt        Tenth
+	known         bool
+	pos, posAt    Tenth // it has applied all up to pos, learned at posAt
+	lag           Tenth // how far it was behind when last heard of
+	probing, dark bool
+
+	out      []*Cmd
+	cap      float64
+	cutAt    Tenth
+	grown    bool // its cap has been cut: grow slowly from here
+	since    Tenth
+	gaps     ring
+	pace     ring // its latencies over those usual for the commands
+	done     ring // work answered
+	given    ring // work sent, taken or not
+	left     bool
+	trialAt  Tenth
+	patience Tenth
+}
+
+// Cmd is the handle of a command.
+type Cmd struct {
+	Name    string
+	set     *Set
+	group   *CmdGroup
+	session string
+	token   Tenth // what a read must see, but for Bounded
+	taken   Tenth
+	target  Tenth
+	timeout Tenth
+	benefit float64
+	node    *Node // where it is out
+	sentAt  Tenth
+	sentFor Tenth // the position asked for then
+	sent    int
+	maybe   Tenth // when the first dispatch that may have run was sent
+	tried   []*Node
+	over    bool
+	held    bool
+	called  bool // its dispatch has been cancelled
+}
+
+// ring measures over time, in fixed buckets that are used again.
+type ring struct {
+	at         [8]Tenth
+	n, sum, sq [8]float64
+}
+
+func (b *ring) add(now, span Tenth, v float64) {
+	i := now / span % 8
+	if b.at[i] != now/span {
+		b.at[i], b.n[i], b.sum[i], b.sq[i] = now/span, 0, 0, 0
+	}
+	b.n[i]++
+	b.sum[i] += v
+	b.sq[i] += v * v
+}
+
+func (b *ring) total(now, span Tenth, buckets Tenth) (n, sum, sq float64) {
+	for i := range b.at {
+		if b.at[i] > now/span-buckets {
+			n, sum, sq = n+b.n[i], sum+b.sum[i], sq+b.sq[i]
+		}
+	}
+	return n, sum, sq
+}
+
+const (
+	second     = Tenth(10000)
+	unusual    = 6.0 // deviations of silence beyond the mean
+	late       = 0.7 // of the response target: an answer that tells of crowding
+	spillShare = 0.125
+	sessions   = 1 << 15 // tokens in a generation
+)
+
+// New starts a router that knows nothing but what its deployment states.
+func New(caller Caller, d Deployment, now Tenth) *Router {
+	r := &Router{Deployment: d, caller: caller, now: now, sets: map[int64]*Set{}, quiet: second / 2}
+	for _, g := range r.Groups {
+		if g.Need == Bounded {
+			r.quiet = min(r.quiet, g.Bound/2)
+		}
+		g.latency, g.count = float64(g.Target)/3, 1
+	}
+	r.tokens = [2]map[string]Tenth{{}, {}}
+	r.Tick = max(r.Tick, 10)
+	r.caller.Wake(2 * r.Tick)
+	return r
+}
+
+// Clock tells the time of the calls that follow.
+func (r *Router) Clock(now Tenth) { r.now = max(r.now, now) }
+
+func (r *Router) chance() float64 {
+	var b [8]byte
+	r.draws++
+	binary.LittleEndian.PutUint32(b[:], r.Seed)
+	binary.LittleEndian.PutUint32(b[4:], r.draws)
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
+func (r *Router) set(id int64) *Set {
+	s := r.sets[id]
+	if s == nil {
+		s = &Set{r: r}
+		r.sets[id] = s
+		r.ordered = append(r.ordered, s)
+	}
+	return s
+}
+
+// Host introduces a host of the list.
+func (r *Router) Host(name string, set int64) *Node {
+	s := r.set(set)
+	n := &Node{Name: name, set: s, cap: 4, size: 1}
+	s.members = append(s.members, n)
+	sort.Slice(s.members, func(i, j int) bool { return s.members[i].Name < s.members[j].Name })
+	return n
+}
+
+// Listed is what the list says of a host. A drain or a removal counts from now.
+func (n *Node) Listed(standing Standing, primary bool, zone string, size float64, boot Tenth) {
+	n.listed, n.hint, n.zone, n.size = true, primary, zone, max(size, 0.1)
+	if boot > n.boot {
+		n.boot, n.cap, n.grown, n.left = boot, 2, false, false
+	}
+	if standing == Gone && n.set.r.DrainAlone && n.standing == In {
+		return // such a list doesn't prove that the host is down
+	}
+	n.standing = standing
+	if standing != In && n.set.primary == n {
+		n.set.primary = nil
+	}
+}
+
+// ListDone ends a list; what a complete one lacks is gone.
+func (r *Router) ListDone(complete bool) {
+	for _, s := range r.ordered {
+		for _, n := range s.members {
+			if complete && !n.listed {
+				n.Listed(Gone, false, n.zone, n.size, n.boot)
+			}
+			n.listed = false
+		}
+	}
+	r.probe()
+}
+
+// Take is the ordinary path of a command, up to its first dispatch.
+func (r *Router) Take(name string, g *CmdGroup, set int64, session string, timeout, since Tenth,
+	share *Share, again bool) *Cmd {
+	s := r.set(set)
+	c := &Cmd{Name: name, set: s, group: g, session: session, taken: r.now, target: r.now + g.Target,
+		timeout: timeout, benefit: g.Benefit}
+	if share != nil {
+		share.meter.add(r.now, second, 1)
+		if n, _, _ := share.meter.total(r.now, second, 3); n > 3*share.PerSecond/float64(r.Routers) {
+			c.benefit *= r.OverShare
+		}
+	}
+	r.credit = min(r.credit+0.005/max(r.ProbePrice, 0.005), 16)
+	switch {
+	case g.Need == Fresh:
+		c.token = r.now - r.Zero
+	case g.Need == Session:
+		c.token = r.token(session)
+		if since > 0 {
+			c.token = max(c.token, r.now-r.Zero-since)
+		}
+	}
+	if !c.route() {
+		c.hold()
+	}
+	return c
+}
+
+// route finds a place for a command and dispatches it, or says that there is
+// none now. Everything is checked anew at each dispatch.
+func (c *Cmd) route() bool {
+	s, r := c.set, c.set.r
+	p := s.primary
+	if c.group.Need == Write {
+		return c.write()
+	}
+	need := c.token
+	if c.group.Need == Bounded {
+		need = r.now - r.Zero - c.group.Bound
+	}
+	var best *Node
+	if c.group.Need != Fresh {
+		// Evenly over the replicas known to be new enough: the least loaded.
+		best = s.least(c, need)
+		if best != nil && p != nil && r.chance() < spillShare && p.open(c, 0.5) && p.slowness() < 1.3 &&
+			p.load() <= best.load() {
+			best = p
+		}
+		if best == nil && r.Guarded && len(c.tried) == 0 {
+			best = s.furthest(c)
+		}
+	}
+	if best == nil && p != nil && p.open(c, 0.7) {
+		best = p
+	}
+	if best == nil {
+		return false
+	}
+	c.dispatch(best, need)
+	return true
+}
+
+// write sends to the primary. With none known, or the known one silent, one
+// write at a time tries the members in id order, once each; the others wait.
+func (c *Cmd) write() bool {
+	s, r := c.set, c.set.r
+	if p := s.primary; p != nil && !p.left {
+		if !p.open(c, 1) {
+			return false
+		}
+		c.dispatch(p, 0)
+		return true
+	}
+	if s.scout != nil && s.scout != c || r.now < s.lookAt || 2*c.sent >= r.Dispatches {
+		return false
+	}
+	for pass := 0; pass < 2; pass++ {
+		for _, n := range s.members {
+			if (n.hint || pass == 1) && !n.left && !c.hasTried(n) && n.open(c, 1) {
+				s.scout = c
+				c.dispatch(n, 0)
+				return true
+			}
+		}
+	}
+	s.scout, s.lookAt = nil, r.now+20*r.Tick // one round was made
+	return false
+}
+
+func (c *Cmd) hasTried(n *Node) bool { return slices.Contains(c.tried, n) }
+
+// least is the least loaded of the replicas at or past need.
+func (s *Set) least(c *Cmd, need Tenth) *Node {
+	var best *Node
+	from := int(s.r.chance() * float64(len(s.members)))
+	for i := range s.members {
+		n := s.members[(from+i)%len(s.members)]
+		if n != s.primary && !c.hasTried(n) && (n.known && n.pos >= need || n.expected(need)) && n.open(c, 1) &&
+			(best == nil || n.load() < best.load()) {
+			best = n
+		}
+	}
+	return best
+}
+
+// expected says that a member which checks reads itself is probably new
+// enough: a wrong guess costs a miss. It guards against members that go unused
+// since their positions have aged, or come by no other way.
+func (n *Node) expected(need Tenth) bool {
+	r := n.set.r
+	return r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || !n.known && len(n.out) == 0)
+}
+
+// furthest is the most advanced replica that can take the read.
+func (s *Set) furthest(c *Cmd) *Node {
+	var best *Node
+	for _, n := range s.members {
+		if n != s.primary && n.known && n.open(c, 1) && (best == nil || n.pos > best.pos) {
+			best = n
+		}
+	}
+	return best
+}
+
+func (n *Node) load() float64 { return float64(len(n.out)+1) * n.slowness() / n.size }
+
+// slowness is how its latencies of late compare with the usual ones.
+func (n *Node) slowness() float64 {
+	count, sum, _ := n.pace.total(n.set.r.now, second/2, 6)
+	return (sum + 2) / (count + 2)
+}
+
+// open says whether the host may be sent the command now, filling part of its cap.
+func (n *Node) open(c *Cmd, part float64) bool {
+	r := n.set.r
+	if n.standing != In || n.dark {
+		return false
+	}
+	if n.left { // one replayable command at a time finds out whether it is back
+		return c.group.Effect == Replayable && r.now >= n.trialAt && len(c.tried) == 0
+	}
+	if float64(len(n.out)) >= n.cap*part {
+		return false
+	}
+	return n.boot == 0 || r.now >= n.boot+r.ColdFor || n.budget(c)
+}
+
+// budget keeps the work sent to a cold host, in any window, under its part of
+// what the host can do then. Every router counts what its own warm hosts do, so
+// that all together keep within the sum. It guards hosts that started for any
+// reason, listed or not; it can hurt where the warm ones have little to do.
+func (n *Node) budget(c *Cmd) bool {
+	r := n.set.r
+	grown := float64(r.now-r.FallSpan-n.boot) / float64(r.ColdFor)
+	part := r.ColdFrom + (1-r.ColdFrom)*max(0, grown)
+	bucket := r.FallSpan/4 + 1
+	_, work, _ := n.given.total(r.now, bucket, 5)
+	most := 0.5 * r.FallFactor * part * r.warm * n.size * float64(r.FallSpan)
+	if work == 0 && len(n.out) == 0 {
+		return true
+	}
+	return work+c.group.latency <= most
+}
+
+func (c *Cmd) dispatch(n *Node, need Tenth) {
+	r := c.set.r
+	if len(n.out) == 0 {
+		n.since = r.now
+	}
+	if n.left {
+		n.patience = min(2*n.patience, 2*second)
+		n.trialAt = r.now + n.patience
+	}
+	n.out = append(n.out, c)
+	n.given.add(r.now, r.FallSpan/4+1, c.group.latency)
+	c.node, c.sentAt, c.sentFor, c.called = n, r.now, need, false
+	c.sent++
+	c.held = false
+	r.caller.Dispatch(c, n, 0)
+}
+
+// hold keeps a command here until there is a place for it.
+func (c *Cmd) hold() {
+	s := c.set
+	c.held = true
+	i := sort.Search(len(s.held), func(i int) bool { return s.held[i].benefit < c.benefit })
+	s.held = slices.Insert(s.held, i, c)
+}
+
+// serve gives what is held its place, worthiest first, and gives up what can
+// no longer be useful.
+func (s *Set) serve(all bool) {
+	kept, failures := s.held[:0], 0
+	for _, c := range s.held {
+		if c.over || !c.held {
+			continue
+		}
+		if (all || failures < 8) && c.useful() && c.route() {
+			continue
+		}
+		failures++
+		if !c.useful() {
+			c.giveUp()
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(s.held[len(kept):])
+	s.held = kept
+}
+
+// useful says whether a held command may still earn its benefit.
+func (c *Cmd) useful() bool {
+	r, g := c.set.r, c.group
+	if r.now+2*r.Tick >= c.timeout {
+		return false
+	}
+	if g.Need == Write {
+		return r.now < c.taken+(c.timeout-c.taken)/4
+	}
+	return r.now+Tenth(g.latency/2) < c.target
+}
+
+// giveUp is the final answer of a command that has no place: throttled where a
+// repeat is harmless.
+func (c *Cmd) giveUp() {
+	r, g := c.set.r, c.group
+	c.over, c.held = true, false
+	if c.set.scout == c {
+		c.set.scout = nil
+	}
+	if c.maybe == 0 || g.Effect == Replayable || g.Effect == Keyed && g.EverySet {
+		r.caller.Throttle(c, min(r.Comeback, g.Timeout/4))
+	} else {
+		r.caller.Fail(c)
+	}
+}
+
+// again says whether one more dispatch is allowed.
+func (c *Cmd) again() bool {
+	r, g := c.set.r, c.group
+	if c.sent >= r.Dispatches || r.now+r.Tick >= c.timeout {
+		return false
+	}
+	return c.maybe == 0 || g.Effect == Replayable ||
+		g.Effect == Keyed && r.now+r.Tick < c.maybe+g.Memory
+}
+
+// Node is the host where the command is out.
+func (c *Cmd) Node() *Node { return c.node }
+
+// Sent is how many dispatches the command has had.
+func (c *Cmd) Sent() int { return c.sent }
+
+// Over says that nothing more will come for the command.
+func (c *Cmd) Over() bool { return c.over && c.node == nil }
+
+// Left ends a command whose client is gone.
+func (c *Cmd) Left() {
+	c.over, c.held = true, false
+	if c.set.scout == c {
+		c.set.scout = nil
+	}
+}
+
+// Ended is the outcome of the dispatch that was out. pos is -1 where there is
+// none; over says that the client has its answer or has gone.
+func (c *Cmd) Ended(o Outcome, pos Tenth, role Role, cost Tenth, over bool) {
+	n, s, r, g := c.node, c.set, c.set.r, c.group
+	if n == nil {
+		return
+	}
+	c.node = nil
+	n.ended(c, o, cost)
+	if s.scout == c {
+		s.scout = nil
+	}
+	if role != Unknown {
+		n.is(role, r.now)
+	}
+	if pos >= 0 && role != Unknown {
+		if g.Need == Write && o == Answered {
+			r.stamp(c.session, pos)
+			pos -= 10 // commits are rounded up
+		}
+		n.learn(pos)
+	}
+	switch o {
+	case Answered:
+		if r.Guarded && g.Need != Write && c.sentFor > n.pos && n.role != Primary {
+			n.known, n.pos, n.posAt = true, c.sentFor, r.now
+			n.lag = min(n.lag, c.sentAt-r.Zero-c.sentFor)
+		}
+	case Missed:
+		c.tried = append(c.tried, n)
+		if g.Need != Write {
+			n.lag = max(n.lag, r.now-r.Zero-c.sentFor)
+		}
+	case Errored, TimedOut, Reset, Cancelled:
+		if c.maybe == 0 {
+			c.maybe = c.sentAt
+		}
+	}
+	c.over = c.over || over || o == Answered
+	if !c.over {
+		if !c.again() {
+			c.giveUp()
+		} else if !c.route() {
+			c.hold()
+		}
+	}
+	s.serve(false)
+}
+
+// ended books an outcome on the host.
+func (n *Node) ended(c *Cmd, o Outcome, cost Tenth) {
+	r, g := n.set.r, c.group
+	n.out = slices.Delete(n.out, slices.Index(n.out, c), slices.Index(n.out, c)+1)
+	switch o {
+	case Unreached, Reset:
+		// Down, cut off or out of connections: only the first two are silent too.
+		if n.since <= c.sentAt {
+			n.dark = r.Probes
+			n.leave()
+			return
+		}
+		n.cut()
+		return
+	case TimedOut, Cancelled, Moot:
+		return
+	}
+	gap := float64(r.now - n.since)
+	n.gaps.add(r.now, second, gap)
+	r.gaps.add(r.now, second, gap)
+	n.since = r.now
+	if n.left {
+		n.left, n.patience = false, 0
+		n.cap, n.grown = min(n.cap, 2), false
+	}
+	switch {
+	case o == Full:
+		n.cut()
+	case o == Answered:
+		g.latency += (float64(cost) - g.latency) / min(g.count+1, 500)
+		g.count++
+		n.pace.add(r.now, second/2, float64(cost)/g.latency)
+		n.done.add(r.now, second/2, g.latency)
+		if float64(cost) > late*float64(g.Target) {
+			n.cut()
+		} else if float64(len(n.out)+1) >= n.cap/2 {
+			if n.grown {
+				n.cap += 1 / n.cap
+			} else {
+				n.cap++
+			}
+		}
+	}
+}
+
+// cut shrinks the cap, once for all answers that tell of the same crowd.
+func (n *Node) cut() {
+	r := n.set.r
+	if r.now >= n.cutAt {
+		n.cap, n.grown = max(1, n.cap*0.85), true
+		n.cutAt = r.now + second/10
+	}
+}
+
+// leave stops sending to a host and calls back what may run elsewhere.
+func (n *Node) leave() {
+	r := n.set.r
+	if !n.left {
+		n.left, n.patience = true, max(n.limit(), second/10)
+		n.trialAt = r.now + n.patience
+	}
+	for _, c := range n.out {
+		if c.group.Effect == Replayable && !c.over && !c.called && r.Cancel {
+			c.called = true
+			r.caller.Cancel(c)
+		}
+	}
+}
+
+// limit is the silence that is unusual for the host, given the gaps seen.
+func (n *Node) limit() Tenth {
+	r := n.set.r
+	count, sum, sq := n.gaps.total(r.now, second, 8)
+	if count < 16 {
+		more, s2, q2 := r.gaps.total(r.now, second, 8)
+		count, sum, sq = count+more, sum+s2, sq+q2
+	}
+	if count < 16 {
+		return second / 2
+	}
+	mean := sum / count
+	return Tenth(mean+unusual*math.Sqrt(max(0, sq/count-mean*mean))) + 2*r.Tick
+}
+
+// is takes in what a host said of its role at a time.
+func (n *Node) is(role Role, at Tenth) {
+	s := n.set
+	if at < n.roleAt {
+		return
+	}
+	n.role, n.roleAt = role, at
+	if role == Primary && n.standing == In && (s.primary == nil || at >= s.primary.roleAt) {
+		s.primary = n
+	} else if role != Primary && s.primary == n {
+		s.primary = nil
+	}
+}
+
+// learn takes in a position. Positions are lower bounds and never go back.
+func (n *Node) learn(pos Tenth) {
+	if r := n.set.r; !n.known || pos >= n.pos {
+		n.known, n.pos, n.posAt, n.lag = true, pos, r.now, max(0, r.now-r.Zero-pos)
+	}
+}
+
+// Reported is what a load report says; it may be old.
+func (n *Node) Reported(pos Tenth, role Role) {
+	n.learn(pos)
+	if role != Unknown {
+		n.is(role, pos+n.set.r.Zero)
+	}
+}
+
+// Probed ends a probe. A host that could not be reached and now can has
+// probably started anew, whatever the list says.
+func (n *Node) Probed(ok bool) {
+	n.probing = false
+	if r := n.set.r; ok && n.dark {
+		n.dark, n.left, n.patience = false, false, 0
+		n.boot, n.cap, n.grown = r.now, 2, false
+	}
+}
+
+// probe asks hosts whose position has aged, within what may be spent, the
+// oldest first; each once when the router is new.
+func (r *Router) probe() {
+	if !r.Probes {
+		return
+	}
+	for {
+		var oldest *Node
+		for _, s := range r.ordered {
+			for _, n := range s.members {
+				due := n.posAt + r.quiet
+				if n.dark {
+					due = n.trialAt
+				}
+				if n.standing != In || n.probing || r.now < due || n.posAt > 0 && !r.Reports && !n.dark {
+					continue
+				}
+				if oldest == nil || n.posAt < oldest.posAt {
+					oldest = n
+				}
+			}
+		}
+		if oldest == nil || oldest.posAt > 0 && r.credit < 1 {
+			return
+		}
+		if oldest.posAt > 0 {
+			r.credit--
+		} else {
+			oldest.posAt = 1
+		}
+		oldest.probing = true
+		oldest.trialAt = max(oldest.trialAt, r.now+second/4)
+		r.caller.Probe(oldest)
+	}
+}
+
+// Woke is called every two ticks or so.
+func (r *Router) Woke() {
+	for _, s := range r.ordered {
+		for _, n := range s.members {
+			if len(n.out) > 0 && r.now-n.since > n.limit() {
+				n.leave()
+			}
+			if n.standing == In && (n.boot == 0 || r.now > n.boot+r.ColdFor) {
+				_, work, _ := n.done.total(r.now, second/2, 5)
+				r.warm = max(r.warm, work/n.size/float64(2*second+r.now%(second/2)))
+			}
+		}
+		s.serve(true)
+	}
+	r.warm *= 0.9998
+	r.probe()
+	r.caller.Wake(2 * r.Tick)
+}
+
+// Heard is a message of another router.
+func (r *Router) Heard(string) {}
+
+// stamp keeps the greatest token of a session, in bounded room.
+func (r *Router) stamp(session string, pos Tenth) {
+	if session == "" || pos <= r.token(session) {
+		return
+	}
+	if len(r.tokens[0]) >= sessions {
+		for _, t := range r.tokens[1] { // order doesn't matter to a maximum
+			r.floor = max(r.floor, t)
+		}
+		r.tokens = [2]map[string]Tenth{{}, r.tokens[0]}
+	}
+	r.tokens[0][session] = pos
+}
+
+func (r *Router) token(session string) Tenth {
+	if t, ok := r.tokens[0][session]; ok {
+		return t
+	}
+	if t, ok := r.tokens[1][session]; ok || !r.Kept {
+		return t
+	}
+	return r.floor
+}
