Serve held commands newest first, and only with time for a usual answer

It should hold against any jam, whatever started it; it hurts a command that waits alone behind newer ones, which then is throttled.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -393,11 +393,15 @@
 	r.caller.Dispatch(c, n, 0)
 }
 
-// hold keeps a command here until there is a place for it.
+// hold keeps a command here until there is a place for it: the worthiest go
+// first, then the newest. That guards against a jam in which each command is
+// sent when it is nearly too old to be of use, whatever filled the queue.
 func (c *Cmd) hold() {
 	s := c.set
 	c.held = true
-	i := sort.Search(len(s.held), func(i int) bool { return s.held[i].benefit < c.benefit })
+	i := sort.Search(len(s.held), func(i int) bool {
+		return s.held[i].benefit < c.benefit || s.held[i].benefit == c.benefit && s.held[i].taken <= c.taken
+	})
 	s.held = slices.Insert(s.held, i, c)
 }
 
@@ -432,7 +436,7 @@
 	if g.Need == Write {
 		return r.now < c.taken+(c.timeout-c.taken)/4
 	}
-	return r.now+Tenth(g.latency/2) < c.target
+	return r.now+Tenth(g.latency) < min(c.target, c.timeout)
 }
 
 // giveUp is the final answer of a command that has no place: throttled where a
@@ -540,7 +544,10 @@
 		}
 		n.cut()
 		return
-	case TimedOut, Cancelled, Moot:
+	case TimedOut:
+		n.cut()
+		return
+	case Cancelled, Moot:
 		return
 	}
 	gap := float64(r.now - n.since)
