Judge a cold host's budget by the mean of warm hosts of like size

Its budget came from the busiest host of any kind over a short time, which chance and the faster kind push far above a slower host's capacity. Also: one member every few ticks is asked for the primary, instead of one write at a time.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -268,7 +268,7 @@
 			r.hosts[name] = n
 		}
 		standing := map[string]rules.Standing{"LAME": rules.Draining, "OUT": rules.Gone}[text(e, "stage_state")]
-		n.Listed(standing, maybeNumber(e, "leader") == 1, maybeText(e, "az"), maybeNumber(e, "scale"),
+		n.Listed(standing, maybeNumber(e, "leader") == 1, maybeText(e, "az"), maybeText(e, "shape"), maybeNumber(e, "scale"),
 			up(maybeNumber(e, "boot_time")))
 	}
 	r.rules.ListDone(mode != "changes")
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -39,7 +39,14 @@
 	quiet   Tenth               // how long a position stays good: half the least bound
 	credit  float64             // probes that may be spent
 	gaps    ring                // between answers of any one host
-	warm    float64             // the most work that a warm host of size 1 does in a tenth
+	usual   float64             // latency of an answer
+	kinds   []*kind
+}
+
+// kind gathers hosts of like size.
+type kind struct {
+	name string
+	warm float64 // the work that a warm one does in a tenth, for each unit of size
 }
 
 // Set is a replica set: a primary and the replicas of its data.
@@ -48,62 +55,53 @@
 	members []*Node // in id order
 	primary *Node   // as far as known
 	held    []*Cmd  // worthiest first
-	scout   *Cmd    // the write that looks for the primary
-	lookAt  Tenth   // when the next scout may set out
+	next    int     // the member to ask next for the primary
+	lookAt  Tenth   // when to ask it
 }
 
 // Node is a database host.
 type Node struct {
-	Name     string
-	set      *Set
-	standing Standing
-	listed   bool
-	hint     bool // the list says it is the primary
-	zone     string
-	size     float64
-	boot     Tenth // when it last started; 0: long ago
-
-	role          Role
-	roleAt        Tenth
-	known         bool
-	pos, posAt    Tenth // it has applied all up to pos, learned at posAt
-	lag           Tenth // how far it was behind when last heard of
-	probing, dark bool
-
-	out      []*Cmd
-	cap      float64
-	cutAt    Tenth
-	grown    bool // its cap has been cut: grow slowly from here
-	since    Tenth
-	gaps     ring
-	pace     ring // its latencies over those usual for the commands
-	done     ring // work answered
-	given    ring // work sent, taken or not
-	left     bool
-	trialAt  Tenth
-	patience Tenth
+	Name              string
+	set               *Set
+	kind              *kind
+	zone              string
+	size              float64
+	standing          Standing
+	listed, hint      bool  // by the list, and as primary
+	boot              Tenth // when it last started; 0: long ago
+	role              Role
+	roleAt            Tenth
+	known             bool
+	pos, posAt        Tenth // it has applied all up to pos, learned at posAt
+	lag               Tenth // how far it was behind when last heard of
+	probing           bool
+	out               []*Cmd
+	cap               float64
+	cutAt             Tenth
+	grown             bool  // its cap has been cut: grow slowly from here
+	since             Tenth // when it last answered, or was given work while idle
+	gaps              ring
+	pace              ring // its latencies over those usual for the commands
+	done, given       ring // work answered; work sent, taken or not
+	left, dark        bool // silent or unreachable; unreachable
+	trialAt, patience Tenth
 }
 
 // Cmd is the handle of a command.
 type Cmd struct {
-	Name    string
-	set     *Set
-	group   *CmdGroup
-	session string
-	token   Tenth // what a read must see, but for Bounded
-	taken   Tenth
-	target  Tenth
-	timeout Tenth
-	benefit float64
-	node    *Node // where it is out
-	sentAt  Tenth
-	sentFor Tenth // the position asked for then
-	sent    int
-	maybe   Tenth // when the first dispatch that may have run was sent
-	tried   []*Node
-	over    bool
-	held    bool
-	called  bool // its dispatch has been cancelled
+	Name                   string
+	set                    *Set
+	group                  *CmdGroup
+	session                string
+	token                  Tenth // what a read must see, but for Bounded
+	taken, target, timeout Tenth
+	benefit                float64
+	node                   *Node // where it is out
+	sentAt, sentFor        Tenth // when, and asking for which position
+	sent                   int
+	maybe                  Tenth // when the first dispatch that may have run was sent
+	tried                  []*Node
+	over, held, called     bool // called: its dispatch has been cancelled
 }
 
 // ring measures over time, in fixed buckets that are used again.
@@ -147,6 +145,7 @@
 			r.quiet = min(r.quiet, g.Bound/2)
 		}
 		g.latency, g.count = float64(g.Target)/3, 1
+		r.usual += g.latency / float64(len(r.Groups))
 	}
 	r.tokens = [2]map[string]Tenth{{}, {}}
 	r.Tick = max(r.Tick, 10)
@@ -158,11 +157,9 @@
 func (r *Router) Clock(now Tenth) { r.now = max(r.now, now) }
 
 func (r *Router) chance() float64 {
-	var b [8]byte
 	r.draws++
-	binary.LittleEndian.PutUint32(b[:], r.Seed)
-	binary.LittleEndian.PutUint32(b[4:], r.draws)
-	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+	b := binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint32(nil, r.Seed), r.draws)
+	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
 }
 
 func (r *Router) set(id int64) *Set {
@@ -185,8 +182,16 @@
 }
 
 // Listed is what the list says of a host. A drain or a removal counts from now.
-func (n *Node) Listed(standing Standing, primary bool, zone string, size float64, boot Tenth) {
-	n.listed, n.hint, n.zone, n.size = true, primary, zone, max(size, 0.1)
+func (n *Node) Listed(standing Standing, primary bool, zone, like string, size float64, boot Tenth) {
+	n.listed, n.zone, n.size = true, zone, max(size, 0.1)
+	if n.kind == nil {
+		r := n.set.r
+		i := slices.IndexFunc(r.kinds, func(k *kind) bool { return k.name == like })
+		if i < 0 {
+			i, r.kinds = len(r.kinds), append(r.kinds, &kind{name: like})
+		}
+		n.kind = r.kinds[i]
+	}
 	if boot > n.boot {
 		n.boot, n.cap, n.grown, n.left = boot, 2, false, false
 	}
@@ -194,6 +199,9 @@
 		return // such a list doesn't prove that the host is down
 	}
 	n.standing = standing
+	if s := n.set; primary && s.primary == nil {
+		s.next = slices.Index(s.members, n)
+	}
 	if standing != In && n.set.primary == n {
 		n.set.primary = nil
 	}
@@ -204,7 +212,7 @@
 	for _, s := range r.ordered {
 		for _, n := range s.members {
 			if complete && !n.listed {
-				n.Listed(Gone, false, n.zone, n.size, n.boot)
+				n.Listed(Gone, false, n.zone, "", n.size, n.boot)
 			}
 			n.listed = false
 		}
@@ -274,8 +282,8 @@
 	return true
 }
 
-// write sends to the primary. With none known, or the known one silent, one
-// write at a time tries the members in id order, once each; the others wait.
+// write sends to the primary. With none known, or the known one silent, the
+// set's writes try the members in id order, one every few ticks; others wait.
 func (c *Cmd) write() bool {
 	s, r := c.set, c.set.r
 	if p := s.primary; p != nil && !p.left {
@@ -285,31 +293,28 @@
 		c.dispatch(p, 0)
 		return true
 	}
-	if s.scout != nil && s.scout != c || r.now < s.lookAt || 2*c.sent >= r.Dispatches {
+	if r.now < s.lookAt || 2*c.sent >= r.Dispatches {
 		return false
 	}
-	for pass := 0; pass < 2; pass++ {
-		for _, n := range s.members {
-			if (n.hint || pass == 1) && !n.left && !c.hasTried(n) && n.open(c, 1) {
-				s.scout = c
-				c.dispatch(n, 0)
-				return true
-			}
+	for range s.members {
+		n := s.members[s.next%len(s.members)]
+		s.next++
+		if !n.left && !slices.Contains(c.tried, n) && n.open(c, 1) {
+			s.lookAt = r.now + 4*r.Tick
+			c.dispatch(n, 0)
+			return true
 		}
 	}
-	s.scout, s.lookAt = nil, r.now+20*r.Tick // one round was made
 	return false
 }
 
-func (c *Cmd) hasTried(n *Node) bool { return slices.Contains(c.tried, n) }
-
 // least is the least loaded of the replicas at or past need.
 func (s *Set) least(c *Cmd, need Tenth) *Node {
 	var best *Node
 	from := int(s.r.chance() * float64(len(s.members)))
 	for i := range s.members {
 		n := s.members[(from+i)%len(s.members)]
-		if n != s.primary && !c.hasTried(n) && (n.known && n.pos >= need || n.expected(need)) && n.open(c, 1) &&
+		if n != s.primary && !slices.Contains(c.tried, n) && (n.known && n.pos >= need || n.expected(need)) && n.open(c, 1) &&
 			(best == nil || n.load() < best.load()) {
 			best = n
 		}
@@ -369,13 +374,16 @@
 	part := r.ColdFrom + (1-r.ColdFrom)*max(0, grown)
 	bucket := r.FallSpan/4 + 1
 	_, work, _ := n.given.total(r.now, bucket, 5)
-	most := 0.5 * r.FallFactor * part * r.warm * n.size * float64(r.FallSpan)
+	most := 0.5 * r.FallFactor * part * n.kind.warm * n.size * float64(r.FallSpan)
 	if work == 0 && len(n.out) == 0 {
 		return true
 	}
-	return work+c.group.latency <= most
+	return work+c.work() <= most
 }
 
+// work is how much a command asks for, in commands of the usual mix.
+func (c *Cmd) work() float64 { return c.group.latency / max(c.set.r.usual, 1) }
+
 func (c *Cmd) dispatch(n *Node, need Tenth) {
 	r := c.set.r
 	if len(n.out) == 0 {
@@ -386,7 +394,7 @@
 		n.trialAt = r.now + n.patience
 	}
 	n.out = append(n.out, c)
-	n.given.add(r.now, r.FallSpan/4+1, c.group.latency)
+	n.given.add(r.now, r.FallSpan/4+1, c.work())
 	c.node, c.sentAt, c.sentFor, c.called = n, r.now, need, false
 	c.sent++
 	c.held = false
@@ -410,18 +418,14 @@
 func (s *Set) serve(all bool) {
 	kept, failures := s.held[:0], 0
 	for _, c := range s.held {
-		if c.over || !c.held {
-			continue
-		}
-		if (all || failures < 8) && c.useful() && c.route() {
-			continue
-		}
-		failures++
-		if !c.useful() {
+		switch {
+		case c.over || !c.held:
+		case !c.useful():
 			c.giveUp()
-			continue
+		case !all && failures >= 8 || !c.route():
+			failures++
+			kept = append(kept, c)
 		}
-		kept = append(kept, c)
 	}
 	clear(s.held[len(kept):])
 	s.held = kept
@@ -444,9 +448,6 @@
 func (c *Cmd) giveUp() {
 	r, g := c.set.r, c.group
 	c.over, c.held = true, false
-	if c.set.scout == c {
-		c.set.scout = nil
-	}
 	if c.maybe == 0 || g.Effect == Replayable || g.Effect == Keyed && g.EverySet {
 		r.caller.Throttle(c, min(r.Comeback, g.Timeout/4))
 	} else {
@@ -476,9 +477,6 @@
 // Left ends a command whose client is gone.
 func (c *Cmd) Left() {
 	c.over, c.held = true, false
-	if c.set.scout == c {
-		c.set.scout = nil
-	}
 }
 
 // Ended is the outcome of the dispatch that was out. pos is -1 where there is
@@ -490,9 +488,6 @@
 	}
 	c.node = nil
 	n.ended(c, o, cost)
-	if s.scout == c {
-		s.scout = nil
-	}
 	if role != Unknown {
 		n.is(role, r.now)
 	}
@@ -565,7 +560,8 @@
 		g.latency += (float64(cost) - g.latency) / min(g.count+1, 500)
 		g.count++
 		n.pace.add(r.now, second/2, float64(cost)/g.latency)
-		n.done.add(r.now, second/2, g.latency)
+		r.usual += (g.latency - r.usual) / 100
+		n.done.add(r.now, second/2, c.work())
 		if float64(cost) > late*float64(g.Target) {
 			n.cut()
 		} else if float64(len(n.out)+1) >= n.cap/2 {
@@ -683,10 +679,8 @@
 		}
 		if oldest.posAt > 0 {
 			r.credit--
-		} else {
-			oldest.posAt = 1
 		}
-		oldest.probing = true
+		oldest.probing, oldest.posAt = true, max(oldest.posAt, 1)
 		oldest.trialAt = max(oldest.trialAt, r.now+second/4)
 		r.caller.Probe(oldest)
 	}
@@ -699,18 +693,34 @@
 			if len(n.out) > 0 && r.now-n.since > n.limit() {
 				n.leave()
 			}
-			if n.standing == In && (n.boot == 0 || r.now > n.boot+r.ColdFor) {
-				_, work, _ := n.done.total(r.now, second/2, 5)
-				r.warm = max(r.warm, work/n.size/float64(2*second+r.now%(second/2)))
-			}
 		}
 		s.serve(true)
 	}
-	r.warm *= 0.9998
+	for _, k := range r.kinds {
+		k.measure(r)
+	}
 	r.probe()
 	r.caller.Wake(2 * r.Tick)
 }
 
+// measure takes the mean of what warm hosts of a kind did of late, and
+// remembers busier times for some ten seconds.
+func (k *kind) measure(r *Router) {
+	done, size := 0.0, 0.0
+	for _, s := range r.ordered {
+		for _, n := range s.members {
+			if n.kind == k && n.standing == In && !n.left && (n.boot == 0 || r.now > n.boot+r.ColdFor) {
+				_, work, _ := n.done.total(r.now, second/2, 7)
+				done, size = done+work, size+n.size
+			}
+		}
+	}
+	k.warm *= 0.999
+	if size > 0 {
+		k.warm = max(k.warm, done/size/float64(3*second+r.now%(second/2)))
+	}
+}
+
 // Heard is a message of another router.
 func (r *Router) Heard(string) {}
 
