--- a/rules/rules.go
+++ b/rules/rules.go
@@ -268,9 +268,6 @@
 			p.load() <= best.load() {
 			best = p
 		}
-		if best == nil && r.Guarded && len(c.tried) == 0 {
-			best = s.furthest(c)
-		}
 	}
 	if best == nil && p != nil && p.open(c, 0.7) {
 		best = p
@@ -330,17 +327,6 @@
 	return r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || !n.known && len(n.out) == 0)
 }
 
-// furthest is the most advanced replica that can take the read.
-func (s *Set) furthest(c *Cmd) *Node {
-	var best *Node
-	for _, n := range s.members {
-		if n != s.primary && n.known && n.open(c, 1) && (best == nil || n.pos > best.pos) {
-			best = n
-		}
-	}
-	return best
-}
-
 func (n *Node) load() float64 { return float64(len(n.out)+1) * n.slowness() / n.size }
 
 // slowness is how its latencies of late compare with the usual ones.
@@ -415,15 +401,14 @@
 
 // serve gives what is held its place, worthiest first, and gives up what can
 // no longer be useful.
-func (s *Set) serve(all bool) {
-	kept, failures := s.held[:0], 0
+func (s *Set) serve() {
+	kept := s.held[:0]
 	for _, c := range s.held {
 		switch {
 		case c.over || !c.held:
 		case !c.useful():
 			c.giveUp()
-		case !all && failures >= 8 || !c.route():
-			failures++
+		case !c.route():
 			kept = append(kept, c)
 		}
 	}
@@ -522,7 +507,7 @@
 			c.hold()
 		}
 	}
-	s.serve(false)
+	s.serve()
 }
 
 // ended books an outcome on the host.
@@ -694,7 +679,7 @@
 				n.leave()
 			}
 		}
-		s.serve(true)
+		s.serve()
 	}
 	for _, k := range r.kinds {
 		k.measure(r)
