--- a/rules/rules.go
+++ b/rules/rules.go
@@ -132,7 +132,7 @@
 const (
 	second     = Tenth(10000)
 	unusual    = 6.0 // deviations of silence beyond the mean
-	late       = 0.7 // of the response target: an answer that tells of crowding
+	late       = 0.35 // of the response target: an answer that tells of crowding
 	spillShare = 0.125
 	sessions   = 1 << 15 // tokens in a generation
 )
@@ -361,10 +361,7 @@
 	bucket := r.FallSpan/4 + 1
 	_, work, _ := n.given.total(r.now, bucket, 5)
 	most := 0.5 * r.FallFactor * part * n.kind.warm * n.size * float64(r.FallSpan)
-	if work == 0 && len(n.out) == 0 {
-		return true
-	}
-	return work+c.work() <= most
+	return work+c.work() <= most || work == 0 && len(n.out) == 0
 }
 
 // work is how much a command asks for, in commands of the usual mix.
@@ -671,7 +668,7 @@
 	}
 }
 
-// Woke is called every two ticks or so.
+// Woke is called every two ticks.
 func (r *Router) Woke() {
 	for _, s := range r.ordered {
 		for _, n := range s.members {
