--- a/rules/rules.go
+++ b/rules/rules.go
@@ -327,14 +327,7 @@
 	return r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || !n.known && len(n.out) == 0)
 }
 
-// load weighs what is out by the host's speed, and its zone by what crossing costs.
-func (n *Node) load() float64 {
-	l := float64(len(n.out)+1) * n.slowness() / n.size
-	if r := n.set.r; n.zone != r.Zone {
-		l *= 1 + 16*r.ZonePrice
-	}
-	return l
-}
+func (n *Node) load() float64 { return float64(len(n.out)+1) * n.slowness() / n.size }
 
 // slowness is how its latencies of late compare with the usual ones.
 func (n *Node) slowness() float64 {
