Count a repeat's response target from its first try

A first try always has the same time; one with less time is a repeat, and what it lacks tells when the first came. Such a repeat uses only what is spare. Should hold against any jam of repeats; hurts if clients' patience differs within a command group: some first tries then wait longer.

--- a/rules/door.go
+++ b/rules/door.go
@@ -70,6 +70,7 @@
 	LateShare float64 // what is left of the benefit past the response target
 
 	latency, count float64
+	longest        Tenth // that a try was given
 }
 
 // Share is what one customer may ask of the deployment.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -131,7 +131,7 @@
 
 const (
 	second     = Tenth(10000)
-	unusual    = 6.0 // deviations of silence beyond the mean
+	unusual    = 6.0  // deviations of silence beyond the mean
 	late       = 0.35 // of the response target: an answer that tells of crowding
 	spillShare = 0.125
 	sessions   = 1 << 15 // tokens in a generation
@@ -226,6 +226,15 @@
 	s := r.set(set)
 	c := &Cmd{Name: name, set: s, group: g, session: session, taken: r.now, target: r.now + g.Target,
 		timeout: timeout, benefit: g.Benefit}
+	// First tries all have the same time; one that has less is a repeat, whose
+	// response target counts from the first. Guards against jams made of repeats.
+	g.longest = max(g.longest, timeout-r.now)
+	if timeout-r.now+4*r.Tick < g.longest {
+		c.target = min(c.target, timeout-g.Timeout+g.Target)
+	}
+	if c.target <= r.now {
+		c.benefit *= g.LateShare
+	}
 	if share != nil {
 		share.meter.add(r.now, second, 1)
 		if n, _, _ := share.meter.total(r.now, second, 3); n > 3*share.PerSecond/float64(r.Routers) {
@@ -344,6 +353,9 @@
 	if n.left { // one replayable command at a time finds out whether it is back
 		return c.group.Effect == Replayable && r.now >= n.trialAt && len(c.tried) == 0
 	}
+	if r.now >= c.target && c.group.LateShare == 0 {
+		part /= 2 // it can earn nothing: what is spare will do
+	}
 	if float64(len(n.out)) >= n.cap*part {
 		return false
 	}
