Tell a repeat by a time unlike that of first tries; judge crowding by mean answers

A client's last try has all the time that is left, which there is more than a first try has, so first tries were taken for old repeats. And one long answer is no sign of crowding where the response target is only a few times the work, so the host's mean answer is judged.

--- a/rules/door.go
+++ b/rules/door.go
@@ -70,7 +70,8 @@
 	LateShare float64 // what is left of the benefit past the response target
 
 	latency, count float64
-	longest        Tenth // that a try was given
+	given          Tenth // the time that a first try has
+	votes          int   // for it
 }
 
 // Share is what one customer may ask of the deployment.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -76,7 +76,7 @@
 	lag               Tenth // how far it was behind when last heard of
 	probing           bool
 	out               []*Cmd
-	cap               float64
+	cap, crowd        float64 // crowd: the mean part of the response target that its answers took
 	cutAt             Tenth
 	grown             bool  // its cap has been cut: grow slowly from here
 	since             Tenth // when it last answered, or was given work while idle
@@ -132,7 +132,7 @@
 const (
 	second     = Tenth(10000)
 	unusual    = 6.0  // deviations of silence beyond the mean
-	late       = 0.35 // of the response target: an answer that tells of crowding
+	late       = 0.35 // of the response target: a mean latency that tells of crowding
 	spillShare = 0.125
 	sessions   = 1 << 15 // tokens in a generation
 )
@@ -226,10 +226,20 @@
 	s := r.set(set)
 	c := &Cmd{Name: name, set: s, group: g, session: session, taken: r.now, target: r.now + g.Target,
 		timeout: timeout, benefit: g.Benefit}
-	// First tries all have the same time; one that has less is a repeat, whose
-	// response target counts from the first. Guards against jams made of repeats.
-	g.longest = max(g.longest, timeout-r.now)
-	if timeout-r.now+4*r.Tick < g.longest {
+	// First tries all have the same time. One that has another is a repeat with
+	// all that is left to the client, and its response target counts from the
+	// first try. Guards against jams made of repeats.
+	given := timeout - r.now
+	usual := max(given-g.given, g.given-given) <= 2*r.Tick
+	switch {
+	case usual:
+		g.votes = min(g.votes+1, 64)
+	case !again:
+		if g.votes--; g.votes < 0 {
+			g.given, g.votes, usual = given, 0, true
+		}
+	}
+	if !usual {
 		c.target = min(c.target, timeout-g.Timeout+g.Target)
 	}
 	if c.target <= r.now {
@@ -556,7 +566,8 @@
 		n.pace.add(r.now, second/2, float64(cost)/g.latency)
 		r.usual += (g.latency - r.usual) / 100
 		n.done.add(r.now, second/2, c.work())
-		if float64(cost) > late*float64(g.Target) {
+		n.crowd += (float64(cost)/float64(g.Target) - n.crowd) / 8
+		if n.crowd > late {
 			n.cut()
 		} else if float64(len(n.out)+1) >= n.cap/2 {
 			if n.grown {
