Tests as stories, one growth rule for caps, and a miss that teaches

The stories found two faults: a miss left the replica just as expected as before (off by one tenth), and a router with little traffic never probed an unreachable host.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -151,7 +151,7 @@
 			r.shares[maybeText(ev, "realm")], flag(ev, "is_retry"))
 	case "attempt_end":
 		if c := r.cmds[text(ev, "req")]; c != nil {
-			r.report(c.Node(), ev)
+			r.report(c.Node, ev)
 			stamp := int64(0)
 			if ev["stamp"] != nil {
 				stamp = integer(ev, "stamp")
@@ -303,7 +303,7 @@
 }
 
 func (r *router) Cancel(c *rules.Cmd) {
-	r.d.act(`{"t":"revoke","who":%d,"req":%s,"leg":%d}`, r.who, quote(c.Name), c.Sent()-1)
+	r.d.act(`{"t":"revoke","who":%d,"req":%s,"leg":%d}`, r.who, quote(c.Name), c.Sent-1)
 }
 
 func (r *router) Probe(n *rules.Node) {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -78,7 +78,6 @@
 	out               []*Cmd
 	cap, crowd        float64 // crowd: the mean part of the response target that its answers took
 	cutAt             Tenth
-	grown             bool  // its cap has been cut: grow slowly from here
 	since             Tenth // when it last answered, or was given work while idle
 	gaps              ring
 	pace              ring // its latencies over those usual for the commands
@@ -96,9 +95,9 @@
 	token                  Tenth // what a read must see, but for Bounded
 	taken, target, timeout Tenth
 	benefit                float64
-	node                   *Node // where it is out
+	Node                   *Node // where it is out
 	sentAt, sentFor        Tenth // when, and asking for which position
-	sent                   int
+	Sent                   int   // its dispatches so far
 	maybe                  Tenth // when the first dispatch that may have run was sent
 	tried                  []*Node
 	over, held, called     bool // called: its dispatch has been cancelled
@@ -131,8 +130,8 @@
 
 const (
 	second     = Tenth(10000)
-	unusual    = 6.0  // deviations of silence beyond the mean
-	late       = 0.35 // of the response target: a mean latency that tells of crowding
+	unusual    = 6.0 // deviations of silence beyond the mean
+	late       = 0.3 // of the response target: a mean latency that tells of crowding
 	spillShare = 0.125
 	sessions   = 1 << 15 // tokens in a generation
 )
@@ -193,7 +192,7 @@
 		n.kind = r.kinds[i]
 	}
 	if boot > n.boot {
-		n.boot, n.cap, n.grown, n.left = boot, 2, false, false
+		n.boot, n.cap, n.left = boot, 2, false
 	}
 	if standing == Gone && n.set.r.DrainAlone && n.standing == In {
 		return // such a list doesn't prove that the host is down
@@ -230,16 +229,11 @@
 	// all that is left to the client, and its response target counts from the
 	// first try. Guards against jams made of repeats.
 	given := timeout - r.now
-	usual := max(given-g.given, g.given-given) <= 2*r.Tick
-	switch {
-	case usual:
+	if max(given-g.given, g.given-given) <= 2*r.Tick {
 		g.votes = min(g.votes+1, 64)
-	case !again:
-		if g.votes--; g.votes < 0 {
-			g.given, g.votes, usual = given, 0, true
-		}
-	}
-	if !usual {
+	} else if g.votes--; g.votes < 0 && !again {
+		g.given, g.votes = given, 0
+	} else {
 		c.target = min(c.target, timeout-g.Timeout+g.Target)
 	}
 	if c.target <= r.now {
@@ -309,7 +303,7 @@
 		c.dispatch(p, 0)
 		return true
 	}
-	if r.now < s.lookAt || 2*c.sent >= r.Dispatches {
+	if r.now < s.lookAt || 2*c.Sent >= r.Dispatches {
 		return false
 	}
 	for range s.members {
@@ -330,8 +324,8 @@
 	from := int(s.r.chance() * float64(len(s.members)))
 	for i := range s.members {
 		n := s.members[(from+i)%len(s.members)]
-		if n != s.primary && !slices.Contains(c.tried, n) && (n.known && n.pos >= need || n.expected(need)) && n.open(c, 1) &&
-			(best == nil || n.load() < best.load()) {
+		if n != s.primary && (n.known && n.pos >= need || n.expected(need)) && !slices.Contains(c.tried, n) &&
+			n.open(c, 1) && (best == nil || n.load() < best.load()) {
 			best = n
 		}
 	}
@@ -339,11 +333,11 @@
 }
 
 // expected says that a member which checks reads itself is probably new
-// enough: a wrong guess costs a miss. It guards against members that go unused
-// since their positions have aged, or come by no other way.
+// enough, or that not even that is known: a wrong guess costs a miss. It guards
+// against members that go unused since their positions have aged.
 func (n *Node) expected(need Tenth) bool {
 	r := n.set.r
-	return r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || !n.known && len(n.out) == 0)
+	return r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+r.quiet && len(n.out) == 0)
 }
 
 func (n *Node) load() float64 { return float64(len(n.out)+1) * n.slowness() / n.size }
@@ -380,8 +374,7 @@
 	r := n.set.r
 	grown := float64(r.now-r.FallSpan-n.boot) / float64(r.ColdFor)
 	part := r.ColdFrom + (1-r.ColdFrom)*max(0, grown)
-	bucket := r.FallSpan/4 + 1
-	_, work, _ := n.given.total(r.now, bucket, 5)
+	_, work, _ := n.given.total(r.now, r.FallSpan/4+1, 5)
 	most := 0.5 * r.FallFactor * part * n.kind.warm * n.size * float64(r.FallSpan)
 	return work+c.work() <= most || work == 0 && len(n.out) == 0
 }
@@ -400,8 +393,8 @@
 	}
 	n.out = append(n.out, c)
 	n.given.add(r.now, r.FallSpan/4+1, c.work())
-	c.node, c.sentAt, c.sentFor, c.called = n, r.now, need, false
-	c.sent++
+	c.Node, c.sentAt, c.sentFor, c.called = n, r.now, need, false
+	c.Sent++
 	c.held = false
 	r.caller.Dispatch(c, n, 0)
 }
@@ -462,35 +455,27 @@
 // again says whether one more dispatch is allowed.
 func (c *Cmd) again() bool {
 	r, g := c.set.r, c.group
-	if c.sent >= r.Dispatches || r.now+r.Tick >= c.timeout {
+	if c.Sent >= r.Dispatches || r.now+r.Tick >= c.timeout {
 		return false
 	}
 	return c.maybe == 0 || g.Effect == Replayable ||
 		g.Effect == Keyed && r.now+r.Tick < c.maybe+g.Memory
 }
 
-// Node is the host where the command is out.
-func (c *Cmd) Node() *Node { return c.node }
-
-// Sent is how many dispatches the command has had.
-func (c *Cmd) Sent() int { return c.sent }
-
 // Over says that nothing more will come for the command.
-func (c *Cmd) Over() bool { return c.over && c.node == nil }
+func (c *Cmd) Over() bool { return c.over && c.Node == nil }
 
 // Left ends a command whose client is gone.
-func (c *Cmd) Left() {
-	c.over, c.held = true, false
-}
+func (c *Cmd) Left() { c.over, c.held = true, false }
 
 // Ended is the outcome of the dispatch that was out. pos is -1 where there is
 // none; over says that the client has its answer or has gone.
 func (c *Cmd) Ended(o Outcome, pos Tenth, role Role, cost Tenth, over bool) {
-	n, s, r, g := c.node, c.set, c.set.r, c.group
+	n, s, r, g := c.Node, c.set, c.set.r, c.group
 	if n == nil {
 		return
 	}
-	c.node = nil
+	c.Node = nil
 	n.ended(c, o, cost)
 	if role != Unknown {
 		n.is(role, r.now)
@@ -511,7 +496,7 @@
 	case Missed:
 		c.tried = append(c.tried, n)
 		if g.Need != Write {
-			n.lag = max(n.lag, r.now-r.Zero-c.sentFor)
+			n.lag, n.posAt = max(n.lag, r.now-r.Zero-c.sentFor+1), r.now
 		}
 	case Errored, TimedOut, Reset, Cancelled:
 		if c.maybe == 0 {
@@ -533,20 +518,15 @@
 func (n *Node) ended(c *Cmd, o Outcome, cost Tenth) {
 	r, g := n.set.r, c.group
 	n.out = slices.Delete(n.out, slices.Index(n.out, c), slices.Index(n.out, c)+1)
-	switch o {
-	case Unreached, Reset:
-		// Down, cut off or out of connections: only the first two are silent too.
-		if n.since <= c.sentAt {
-			n.dark = r.Probes
-			n.leave()
-			return
-		}
-		n.cut()
+	switch {
+	case (o == Unreached || o == Reset) && n.since <= c.sentAt: // down or cut off: silent too
+		n.dark = r.Probes
+		n.leave()
 		return
-	case TimedOut:
+	case o == Unreached, o == Reset, o == TimedOut: // out of connections, or crowded
 		n.cut()
 		return
-	case Cancelled, Moot:
+	case o == Cancelled, o == Moot:
 		return
 	}
 	gap := float64(r.now - n.since)
@@ -555,7 +535,7 @@
 	n.since = r.now
 	if n.left {
 		n.left, n.patience = false, 0
-		n.cap, n.grown = min(n.cap, 2), false
+		n.cap = min(n.cap, 2)
 	}
 	switch {
 	case o == Full:
@@ -570,11 +550,7 @@
 		if n.crowd > late {
 			n.cut()
 		} else if float64(len(n.out)+1) >= n.cap/2 {
-			if n.grown {
-				n.cap += 1 / n.cap
-			} else {
-				n.cap++
-			}
+			n.cap += 4 / n.cap
 		}
 	}
 }
@@ -583,7 +559,7 @@
 func (n *Node) cut() {
 	r := n.set.r
 	if r.now >= n.cutAt {
-		n.cap, n.grown = max(1, n.cap*0.85), true
+		n.cap = max(1, n.cap*0.85)
 		n.cutAt = r.now + second/10
 	}
 }
@@ -608,8 +584,7 @@
 	r := n.set.r
 	count, sum, sq := n.gaps.total(r.now, second, 8)
 	if count < 16 {
-		more, s2, q2 := r.gaps.total(r.now, second, 8)
-		count, sum, sq = count+more, sum+s2, sq+q2
+		count, sum, sq = r.gaps.total(r.now, second, 8)
 	}
 	if count < 16 {
 		return second / 2
@@ -653,7 +628,7 @@
 	n.probing = false
 	if r := n.set.r; ok && n.dark {
 		n.dark, n.left, n.patience = false, false, 0
-		n.boot, n.cap, n.grown = r.now, 2, false
+		n.boot, n.cap = r.now, 2
 	}
 }
 
@@ -671,7 +646,7 @@
 				if n.dark {
 					due = n.trialAt
 				}
-				if n.standing != In || n.probing || r.now < due || n.posAt > 0 && !r.Reports && !n.dark {
+				if n.standing != In || n.probing || r.now < due || n.posAt > 0 && !n.dark && (!r.Reports || r.credit < 1) {
 					continue
 				}
 				if oldest == nil || n.posAt < oldest.posAt {
@@ -679,10 +654,10 @@
 				}
 			}
 		}
-		if oldest == nil || oldest.posAt > 0 && r.credit < 1 {
+		if oldest == nil {
 			return
 		}
-		if oldest.posAt > 0 {
+		if oldest.posAt > 0 && !oldest.dark {
 			r.credit--
 		}
 		oldest.probing, oldest.posAt = true, max(oldest.posAt, 1)
--- /dev/null
+++ b/rules/rules_test.go
@@ -0,0 +1,392 @@
+package rules
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestSessionReadsFollowTheirToken(t *testing.T) {
+	f := start(t, 3, nil)
+	w := f.take(Write, Mutating, "s", 0)
+	if w.Node != f.nodes[0] {
+		t.Fatalf("write went to %v, not to the primary", w.Node)
+	}
+	f.wait(500)
+	w.Ended(Answered, f.at, Primary, 500, true)
+	if c := f.take(Session, Replayable, "s", 0); c.Node != f.nodes[0] {
+		t.Error("a read before any replica was known at the token left the primary")
+	}
+	f.nodes[1].learn(f.at + 10)
+	for range 3 {
+		if c := f.take(Session, Replayable, "s", 0); c.Node != f.nodes[1] {
+			t.Error("a read did not go to the replica known past the token")
+		}
+	}
+	if c := f.take(Session, Replayable, "other", 0); c.Node == f.nodes[0] {
+		t.Error("a session that wrote nothing was sent to the primary")
+	}
+}
+
+func TestTokensOnlyGrowAndOutliveTheirRoom(t *testing.T) {
+	f := start(t, 2, func(d *Deployment) { d.Kept = true })
+	f.r.stamp("s", 900)
+	f.r.stamp("s", 500)
+	if got := f.r.token("s"); got != 900 {
+		t.Errorf("token went back to %d", got)
+	}
+	for i := range 3 * sessions {
+		f.r.stamp(strings.Repeat("x", 1+i%7)+string(rune(i)), 100)
+	}
+	if got := f.r.token("s"); got < 900 {
+		t.Errorf("a forgotten session may read at %d, it has written at 900", got)
+	}
+	if held := len(f.r.tokens[0]) + len(f.r.tokens[1]); held > 2*sessions {
+		t.Errorf("%d tokens are held", held)
+	}
+}
+
+func TestBroughtWriteTimeIsAToken(t *testing.T) {
+	f := start(t, 2, nil)
+	f.wait(2000)
+	f.nodes[1].learn(f.at - 1000)
+	if c := f.take(Session, Replayable, "s", 900); c.Node != f.nodes[0] {
+		t.Error("a replica 100 ms behind took a read whose session wrote 90 ms ago")
+	}
+	if c := f.take(Session, Replayable, "s", 1100); c.Node != f.nodes[1] {
+		t.Error("a replica past the write was not used")
+	}
+}
+
+func TestABoundIsCheckedAtEachDispatch(t *testing.T) {
+	f := start(t, 2, nil)
+	f.nodes[0].is(Replica, f.at)
+	f.nodes[0].cap, f.nodes[1].cap = 0, 0
+	c := f.take(Bounded, Replayable, "", 0)
+	f.wait(1000)
+	f.nodes[1].learn(f.at - 5001)
+	f.nodes[1].pos = f.at - 5101
+	f.nodes[1].cap = 9
+	f.wait(100)
+	if c.Node != nil {
+		t.Error("a held read went to a replica past its bound")
+	}
+}
+
+func TestPositionsNeverGoBack(t *testing.T) {
+	f := start(t, 2, nil)
+	n := f.nodes[1]
+	n.learn(f.at + 50)
+	n.Reported(f.at-500, Replica)
+	if n.pos != f.at+50 {
+		t.Errorf("position went back to %d", n.pos)
+	}
+}
+
+func TestFormerPrimaryIsAReplicaFromItsFirstWord(t *testing.T) {
+	f := start(t, 2, nil)
+	c := f.take(Fresh, Replayable, "", 0)
+	f.wait(100)
+	c.Ended(Errored, f.at-100, Replica, 100, false)
+	if f.r.sets[1].primary != nil || c.Node != nil {
+		t.Error("a host that said it is a replica is still read as the primary")
+	}
+	f.nodes[1].is(Primary, f.at)
+	f.wait(100)
+	if c.Node != f.nodes[1] {
+		t.Error("the held read did not go to the new primary")
+	}
+}
+
+func TestWriteFindsThePrimary(t *testing.T) {
+	f := start(t, 3, nil)
+	f.nodes[0].is(Replica, f.at)
+	c := f.take(Write, Mutating, "s", 0)
+	for i := 0; i < 3 && c.Node != nil && c.Node != f.nodes[2]; i++ {
+		f.wait(100)
+		c.Ended(Missed, f.at-10, Replica, 10, false)
+		f.wait(300)
+	}
+	if c.Node != f.nodes[2] {
+		t.Error("the write did not try the members one after the other")
+	}
+	c.Ended(Answered, f.at, Primary, 10, true)
+	if d := f.take(Write, Mutating, "s", 0); d.Node != f.nodes[2] {
+		t.Error("the next write did not go straight to the primary found")
+	}
+}
+
+func TestWriteIsHeldForASmallPartOfItsTime(t *testing.T) {
+	f := start(t, 1, nil)
+	f.nodes[0].Listed(Draining, false, "", "", 1, 0)
+	c := f.take(Write, Mutating, "s", 0)
+	f.wait(7000)
+	if f.final[c] != "" {
+		t.Error("the write was not held over a change of primary")
+	}
+	f.wait(1000)
+	if f.final[c] != "throttled" || f.back == 0 {
+		t.Errorf("after a quarter of its time the write is %q, back in %d", f.final[c], f.back)
+	}
+}
+
+func TestEffects(t *testing.T) {
+	for _, story := range []struct {
+		effect Effect
+		o      Outcome
+		again  bool   // another dispatch follows when there is time
+		end    string // the final answer when there is none
+	}{
+		{Replayable, Errored, true, "throttled"}, {Replayable, Cancelled, true, "throttled"},
+		{Replayable, Full, true, "throttled"}, {Replayable, Unreached, true, "throttled"},
+		{Keyed, Errored, true, "failed"}, {Keyed, Reset, true, "failed"}, {Keyed, Cancelled, true, "failed"},
+		{Keyed, TimedOut, true, "failed"}, {Keyed, Full, true, "throttled"}, {Keyed, Moot, true, "throttled"},
+		{Mutating, Errored, false, "failed"}, {Mutating, Reset, false, "failed"},
+		{Mutating, Cancelled, false, "failed"}, {Mutating, TimedOut, false, "failed"},
+		{Mutating, Full, true, "throttled"}, {Mutating, Unreached, true, "throttled"},
+		{Mutating, Moot, true, "throttled"}, {Mutating, Missed, true, "throttled"},
+	} {
+		for _, early := range []bool{true, false} {
+			f := start(t, 4, nil)
+			need := Write
+			if story.effect == Replayable {
+				need = Bounded
+			}
+			c := f.take(need, story.effect, "s", 0)
+			if !early {
+				f.at = c.timeout - 50
+				f.r.Clock(f.at)
+			}
+			c.Ended(story.o, -1, Unknown, 100, false)
+			if early {
+				for i := 0; i < 40 && c.Node == nil && f.final[c] == ""; i++ {
+					f.nodes[1].is(Primary, f.at) // wherever it went, there is a place for it
+					f.wait(100)
+				}
+			}
+			if again := c.Node != nil; again != (story.again && early) {
+				t.Errorf("%+v early %v: sent again: %v", story, early, again)
+			}
+			if want := story.end; (!early || !story.again) && f.final[c] != want {
+				t.Errorf("%+v early %v: it ended as %q", story, early, f.final[c])
+			}
+		}
+	}
+}
+
+func TestKeyedIsNotSentPastTheMemoryOfItsMark(t *testing.T) {
+	f := start(t, 2, nil)
+	c := f.take(Write, Keyed, "s", 0)
+	f.wait(20000)
+	c.Ended(TimedOut, -1, Unknown, 20000, false)
+	f.wait(300)
+	if c.Node != nil || f.final[c] != "failed" {
+		t.Errorf("after the memory of its mark a repeat went out, or %q", f.final[c])
+	}
+}
+
+func TestNothingGoesToWhatDrainsOrIsGone(t *testing.T) {
+	f := start(t, 2, nil)
+	f.nodes[1].Listed(Draining, false, "", "", 1, 0)
+	if c := f.take(Bounded, Replayable, "", 0); c.Node == f.nodes[1] {
+		t.Error("a read went to a draining host")
+	}
+	f.nodes[1].Listed(In, false, "", "", 1, f.at)
+	f.nodes[1].learn(f.at)
+	f.nodes[0].Listed(In, false, "", "", 1, 0)
+	f.r.ListDone(true)
+	if f.nodes[1].standing != In {
+		t.Error("a host that is back is not used")
+	}
+	f.nodes[0].Listed(In, true, "", "", 1, 0)
+	f.r.ListDone(true)
+	if f.nodes[1].standing != Gone {
+		t.Error("a host that a complete list lacks still counts")
+	}
+}
+
+func TestWhereOnlyADrainBinds(t *testing.T) {
+	f := start(t, 2, func(d *Deployment) { d.DrainAlone = true })
+	f.nodes[1].Listed(Gone, false, "", "", 1, 0)
+	if f.nodes[1].standing != In {
+		t.Error("a list that proves nothing took a host away")
+	}
+	f.nodes[1].Listed(Draining, false, "", "", 1, 0)
+	if f.nodes[1].standing != Draining {
+		t.Error("a drain was not heeded")
+	}
+}
+
+func TestAColdHostGetsItsPartOfWhatWarmOnesDo(t *testing.T) {
+	f := start(t, 3, nil)
+	cold := f.nodes[1]
+	for _, n := range f.nodes {
+		n.cap = 1000
+	}
+	for range 40 {
+		for range 10 { // the warm ones do 50 a second each
+			if c := f.take(Bounded, Replayable, "", 0); c.Node != nil {
+				f.answer(c, 100)
+				for _, n := range f.nodes {
+					n.learn(f.at)
+				}
+			}
+		}
+	}
+	cold.Listed(In, false, "", "", 1, f.at)
+	cold.cap, f.sent = 1000, nil
+	f.nodes[2].Listed(Draining, false, "", "", 1, 0)
+	f.nodes[0].is(Replica, f.at)
+	f.nodes[0].Listed(Draining, false, "", "", 1, 0)
+	most := 2 * 0.2 * cold.kind.warm * 10000
+	for range 200 {
+		f.take(Bounded, Replayable, "", 0)
+	}
+	if got := float64(len(f.sent)); got > most || got == 0 {
+		t.Errorf("a cold host was sent %v at once, it can take %.1f", got, most)
+	}
+}
+
+func TestASilentHostIsLeftAndTriedAgainGently(t *testing.T) {
+	f := start(t, 3, nil)
+	f.r.Groups[0].latency, f.r.Groups[0].count = 300, 500
+	for range 60 {
+		if c := f.take(Bounded, Replayable, "", 0); c.Node != nil {
+			f.answer(c, 300)
+			for _, n := range f.nodes {
+				n.learn(f.at)
+			}
+		}
+	}
+	silent := f.nodes[1]
+	var stuck *Cmd
+	for i := 0; i < 50 && stuck == nil; i++ {
+		silent.learn(f.at)
+		if c := f.take(Bounded, Replayable, "", 0); c.Node == silent {
+			stuck = c
+		} else if c.Node != nil {
+			f.answer(c, 300)
+		}
+	}
+	f.nodes[2].learn(f.at)
+	f.wait(1500)
+	if !silent.left || len(f.cancels) != 1 {
+		t.Fatalf("left %v, cancelled %d", silent.left, len(f.cancels))
+	}
+	stuck.Ended(Cancelled, -1, Unknown, 1500, false)
+	if stuck.Node == nil || stuck.Node == silent {
+		t.Error("the read was not sent elsewhere")
+	}
+	f.wait(20000)
+	silent.learn(f.at)
+	f.nodes[2].learn(f.at)
+	tries := len(f.sent)
+	for range 6 {
+		f.take(Bounded, Replayable, "", 0)
+	}
+	again := 0
+	for _, n := range f.sent[tries:] {
+		if n == silent {
+			again++
+		}
+	}
+	if again != 1 {
+		t.Errorf("%d of 6 reads tried the silent host", again)
+	}
+}
+
+func TestAHostThatCameBackIsTakenForCold(t *testing.T) {
+	f := start(t, 2, nil)
+	var c *Cmd
+	for c = f.take(Bounded, Replayable, "", 0); c.Node != f.nodes[1] && f.calls < 50; {
+		c.Ended(Answered, -1, Unknown, 100, true)
+		c = f.take(Bounded, Replayable, "", 0)
+	}
+	c.Ended(Unreached, -1, Unknown, 100, false)
+	f.wait(10000)
+	if f.probes[len(f.probes)-1] != f.nodes[1] {
+		t.Fatal("a host that can't be reached was not probed")
+	}
+	f.nodes[1].Probed(true)
+	if f.nodes[1].boot != f.at || f.nodes[1].cap > 2 {
+		t.Error("a host that was away and is back, listed or not, is taken for warm")
+	}
+}
+
+func TestACrowdedHostLosesItsCap(t *testing.T) {
+	f := start(t, 1, nil)
+	n, before := f.nodes[0], f.nodes[0].cap
+	for range 10 {
+		f.answer(f.take(Bounded, Replayable, "", 0), 2500)
+	}
+	if n.cap >= before {
+		t.Errorf("cap is %v after late answers, it was %v", n.cap, before)
+	}
+	for range 200 {
+		f.answer(f.take(Bounded, Replayable, "", 0), 100)
+	}
+	if n.cap <= before {
+		t.Errorf("cap is %v after many quick answers, it was %v", n.cap, before)
+	}
+}
+
+func TestTheWorthiestThenTheNewestGoFirst(t *testing.T) {
+	f := start(t, 1, nil)
+	n := f.nodes[0]
+	n.cap = 0
+	old := f.take(Bounded, Replayable, "", 0)
+	f.wait(200)
+	young := f.take(Bounded, Replayable, "", 0)
+	w := f.take(Write, Mutating, "s", 0)
+	n.cap = 2
+	f.wait(100)
+	if w.Node != n || young.Node != n || old.Node != nil {
+		t.Errorf("sent: write %v, newest %v, oldest %v", w.Node != nil, young.Node != nil, old.Node != nil)
+	}
+	f.wait(4000)
+	if f.final[old] != "throttled" {
+		t.Errorf("a read past its use is %q", f.final[old])
+	}
+}
+
+func TestARepeatHasTheTargetOfItsFirstTry(t *testing.T) {
+	f := start(t, 1, nil)
+	g := f.r.Groups[0]
+	for range 5 {
+		f.r.Take("first", g, 1, "", f.at+6000, 0, nil, false)
+	}
+	for _, left := range []Tenth{4500, 7000} { // the last try has all that is left, less or more than a first
+		c := f.r.Take("repeat", g, 1, "", f.at+left, 0, nil, false)
+		if want := f.at + left - g.Timeout + g.Target; c.target != want {
+			t.Errorf("with %d left the target is %d from now, not %d", left, c.target-f.at, want-f.at)
+		}
+	}
+}
+
+func TestAClientThatLeftIsNotServed(t *testing.T) {
+	f := start(t, 1, nil)
+	f.nodes[0].cap = 0
+	c := f.take(Bounded, Replayable, "", 0)
+	c.Left()
+	f.nodes[0].cap = 9
+	f.wait(9000)
+	if c.Sent != 0 || f.final[c] != "" || !c.Over() {
+		t.Error("something was done for a client that left")
+	}
+}
+
+func TestWhereHostsCheckReadsAnExpectedPositionWillDo(t *testing.T) {
+	f := start(t, 2, func(d *Deployment) { d.Guarded = true })
+	f.wait(9000)
+	f.nodes[1].posAt = f.at
+	c := f.take(Bounded, Replayable, "", 0)
+	if c.Node != f.nodes[1] {
+		t.Fatal("a replica that was up to date went unused since its position aged")
+	}
+	c.Ended(Missed, -1, Replica, 10, false)
+	if c.Node != f.nodes[0] {
+		t.Error("after a miss the read did not go to the primary")
+	}
+	if d := f.take(Bounded, Replayable, "", 0); d.Node != f.nodes[0] {
+		t.Error("the miss taught nothing")
+	}
+}
