--- a/rules/rules.go
+++ b/rules/rules.go
@@ -337,7 +337,7 @@
 // against members that go unused since their positions have aged.
 func (n *Node) expected(need Tenth) bool {
 	r := n.set.r
-	return r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+r.quiet && len(n.out) == 0)
+	return r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+second && len(n.out) == 0)
 }
 
 func (n *Node) load() float64 { return float64(len(n.out)+1) * n.slowness() / n.size }
