--- a/rules/rules.go
+++ b/rules/rules.go
@@ -45,8 +45,9 @@
 
 // kind gathers hosts of like size.
 type kind struct {
-	name string
-	warm float64 // the work that a warm one does in a tenth, for each unit of size
+	name       string
+	warm       float64 // the mean work that warm ones did in a tenth, for each unit of size
+	done, size float64
 }
 
 // Set is a replica set: a primary and the replicas of its data.
@@ -340,7 +341,19 @@
 	return r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+second && len(n.out) == 0)
 }
 
-func (n *Node) load() float64 { return float64(len(n.out)+1) * n.slowness() / n.size }
+func (n *Node) load() float64 { return float64(n.busy()+1) * n.slowness() / n.size }
+
+// busy is what is out and still hoped for. It guards against answers that never
+// come from a host which answers other commands: they would fill its cap.
+func (n *Node) busy() int {
+	hoped := 0
+	for _, c := range n.out {
+		if n.set.r.now < c.sentAt+c.group.Target {
+			hoped++
+		}
+	}
+	return hoped
+}
 
 // slowness is how its latencies of late compare with the usual ones.
 func (n *Node) slowness() float64 {
@@ -360,12 +373,14 @@
 	if r.now >= c.target && c.group.LateShare == 0 {
 		part /= 2 // it can earn nothing: what is spare will do
 	}
-	if float64(len(n.out)) >= n.cap*part {
+	if float64(n.busy()) >= n.cap*part {
 		return false
 	}
-	return n.boot == 0 || r.now >= n.boot+r.ColdFor || n.budget(c)
+	return !n.cold() || n.budget(c)
 }
 
+func (n *Node) cold() bool { return n.boot != 0 && n.set.r.now < n.boot+n.set.r.ColdFor }
+
 // budget keeps the work sent to a cold host, in any window, under its part of
 // what the host can do then. Every router counts what its own warm hosts do, so
 // that all together keep within the sum. It guards hosts that started for any
@@ -523,10 +538,10 @@
 		n.dark = r.Probes
 		n.leave()
 		return
-	case o == Unreached, o == Reset, o == TimedOut: // out of connections, or crowded
+	case o == Unreached, o == Reset: // out of connections
 		n.cut()
 		return
-	case o == Cancelled, o == Moot:
+	case o == TimedOut, o == Cancelled, o == Moot:
 		return
 	}
 	gap := float64(r.now - n.since)
@@ -673,34 +688,21 @@
 			if len(n.out) > 0 && r.now-n.since > n.limit() {
 				n.leave()
 			}
+			if !n.left && !n.cold() {
+				_, work, _ := n.done.total(r.now, second/2, 7)
+				n.kind.done, n.kind.size = n.kind.done+work, n.kind.size+n.size
+			}
 		}
 		s.serve()
 	}
-	for _, k := range r.kinds {
-		k.measure(r)
+	for _, k := range r.kinds { // busier times are remembered for some ten seconds
+		k.warm = max(k.warm*0.999, k.done/max(k.size, 0.1)/float64(3*second+r.now%(second/2)))
+		k.done, k.size = 0, 0
 	}
 	r.probe()
 	r.caller.Wake(2 * r.Tick)
 }
 
-// measure takes the mean of what warm hosts of a kind did of late, and
-// remembers busier times for some ten seconds.
-func (k *kind) measure(r *Router) {
-	done, size := 0.0, 0.0
-	for _, s := range r.ordered {
-		for _, n := range s.members {
-			if n.kind == k && n.standing == In && !n.left && (n.boot == 0 || r.now > n.boot+r.ColdFor) {
-				_, work, _ := n.done.total(r.now, second/2, 7)
-				done, size = done+work, size+n.size
-			}
-		}
-	}
-	k.warm *= 0.999
-	if size > 0 {
-		k.warm = max(k.warm, done/size/float64(3*second+r.now%(second/2)))
-	}
-}
-
 // Heard is a message of another router.
 func (r *Router) Heard(string) {}
 
