--- a/rules/rules.go
+++ b/rules/rules.go
@@ -343,12 +343,12 @@
 
 func (n *Node) load() float64 { return float64(n.busy()+1) * n.slowness() / n.size }
 
-// busy is what is out and still hoped for. It guards against answers that never
-// come from a host which answers other commands: they would fill its cap.
+// busy is what is out, but for what is long past its target while the host
+// answers others. It guards against lost answers, which would fill the cap.
 func (n *Node) busy() int {
 	hoped := 0
 	for _, c := range n.out {
-		if n.set.r.now < c.sentAt+c.group.Target {
+		if hope := c.group.Target; n.set.r.now < c.sentAt+hope || n.crowd > late && n.set.r.now < c.sentAt+2*hope {
 			hoped++
 		}
 	}
@@ -688,7 +688,7 @@
 			if len(n.out) > 0 && r.now-n.since > n.limit() {
 				n.leave()
 			}
-			if !n.left && !n.cold() {
+			if n.standing == In && !n.left && !n.cold() {
 				_, work, _ := n.done.total(r.now, second/2, 7)
 				n.kind.done, n.kind.size = n.kind.done+work, n.kind.size+n.size
 			}
