--- a/rules/rules.go
+++ b/rules/rules.go
@@ -193,7 +193,7 @@
 		n.kind = r.kinds[i]
 	}
 	if boot > n.boot {
-		n.boot, n.cap, n.left = boot, 2, false
+		n.boot, n.cap, n.left, n.trialAt = boot, 2, false, 0
 	}
 	if standing == Gone && n.set.r.DrainAlone && n.standing == In {
 		return // such a list doesn't prove that the host is down
@@ -364,11 +364,11 @@
 // open says whether the host may be sent the command now, filling part of its cap.
 func (n *Node) open(c *Cmd, part float64) bool {
 	r := n.set.r
-	if n.standing != In || n.dark {
+	if n.standing != In || n.dark || r.now < n.trialAt {
 		return false
 	}
 	if n.left { // one replayable command at a time finds out whether it is back
-		return c.group.Effect == Replayable && r.now >= n.trialAt && len(c.tried) == 0
+		return c.group.Effect == Replayable && len(c.tried) == 0
 	}
 	if r.now >= c.target && c.group.LateShare == 0 {
 		part /= 2 // it can earn nothing: what is spare will do
@@ -549,13 +549,16 @@
 	r.gaps.add(r.now, second, gap)
 	n.since = r.now
 	if n.left {
-		n.left, n.patience = false, 0
+		n.left, n.patience, n.trialAt = false, 0, 0
 		n.cap = min(n.cap, 2)
 	}
 	switch {
-	case o == Full:
+	case o == Full: // stay away for longer each time: a refusal comes so fast that it would draw more
 		n.cut()
+		n.patience = min(max(2*n.patience, second/50), second/2)
+		n.trialAt = r.now + n.patience
 	case o == Answered:
+		n.patience = 0
 		g.latency += (float64(cost) - g.latency) / min(g.count+1, 500)
 		g.count++
 		n.pace.add(r.now, second/2, float64(cost)/g.latency)
@@ -642,7 +645,7 @@
 func (n *Node) Probed(ok bool) {
 	n.probing = false
 	if r := n.set.r; ok && n.dark {
-		n.dark, n.left, n.patience = false, false, 0
+		n.dark, n.left, n.patience, n.trialAt = false, false, 0, 0
 		n.boot, n.cap = r.now, 2
 	}
 }
@@ -676,7 +679,9 @@
 			r.credit--
 		}
 		oldest.probing, oldest.posAt = true, max(oldest.posAt, 1)
-		oldest.trialAt = max(oldest.trialAt, r.now+second/4)
+		if oldest.dark {
+			oldest.trialAt = r.now + second/4
+		}
 		r.caller.Probe(oldest)
 	}
 }
