--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -160,7 +160,8 @@
 			if pos == 0 && !r.stamps {
 				pos = -1
 			}
-			c.Ended(outcome(ev), pos, rules.Role(min(stamp&3, 2)), down(number(ev, "cost_time")), flag(ev, "ended"))
+			role := rules.Role(min(stamp&3, 2))
+			c.Ended(outcome(ev), pos, role, down(number(ev, "cost_time")), flag(ev, "ended"))
 		}
 	case "dropped":
 		if c := r.cmds[text(ev, "req")]; c != nil {
@@ -226,7 +227,8 @@
 		g := &rules.CmdGroup{Target: down(number(c, "promise")), Timeout: down(number(c, "give_up")),
 			Memory: down(maybeNumber(c, "memory_span")), EverySet: maybeText(c, "group") == "all",
 			Benefit: number(c, "worth"), LateShare: maybeNumber(c, "late_share")}
-		g.Effect = map[string]rules.Effect{"deduplicated": rules.Keyed, "at_most_once": rules.Mutating}[text(c, "effect")]
+		g.Effect = map[string]rules.Effect{
+			"deduplicated": rules.Keyed, "at_most_once": rules.Mutating}[text(c, "effect")]
 		if i < len(reads) {
 			word, _ := reads[i].(string)
 			g.Need = map[string]rules.Need{"lag_bound": rules.Bounded, "causal": rules.Session,
@@ -268,8 +270,8 @@
 			r.hosts[name] = n
 		}
 		standing := map[string]rules.Standing{"LAME": rules.Draining, "OUT": rules.Gone}[text(e, "stage_state")]
-		n.Listed(standing, maybeNumber(e, "leader") == 1, maybeText(e, "az"), maybeText(e, "shape"), maybeNumber(e, "scale"),
-			up(maybeNumber(e, "boot_time")))
+		n.Listed(standing, maybeNumber(e, "leader") == 1, maybeText(e, "az"), maybeText(e, "shape"),
+			maybeNumber(e, "scale"), up(maybeNumber(e, "boot_time")))
 	}
 	r.rules.ListDone(mode != "changes")
 }
@@ -291,7 +293,8 @@
 }
 
 func (r *router) Dispatch(c *rules.Cmd, n *rules.Node, timeout rules.Tenth) {
-	r.d.act(`{"t":"call_out","who":%d,"req":%s,"host":%s,"timeout":%s}`, r.who, quote(c.Name), quote(n.Name), ms(timeout))
+	r.d.act(`{"t":"call_out","who":%d,"req":%s,"host":%s,"timeout":%s}`,
+		r.who, quote(c.Name), quote(n.Name), ms(timeout))
 }
 
 func (r *router) Throttle(c *rules.Cmd, comeback rules.Tenth) {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,6 +16,7 @@
 //  4. cold budget: a host just started gets a share of what warm hosts do
 //  5. expectation: where hosts check reads, a member expected to be new enough
 //     counts as eligible
+//  6. repeats: a client's last try counts its response target from the first
 package rules
 
 import (
@@ -265,8 +266,7 @@
 // route finds a place for a command and dispatches it, or says that there is
 // none now. Everything is checked anew at each dispatch.
 func (c *Cmd) route() bool {
-	s, r := c.set, c.set.r
-	p := s.primary
+	s, r, p := c.set, c.set.r, c.set.primary
 	if c.group.Need == Write {
 		return c.write()
 	}
@@ -319,34 +319,36 @@
 	return false
 }
 
-// least is the least loaded of the replicas at or past need.
+// least is the least loaded of the replicas at or past need. The more routers
+// there are, the less one knows of the load and the more chance decides, so
+// that all do not move to the same host at once.
 func (s *Set) least(c *Cmd, need Tenth) *Node {
 	var best *Node
-	from := int(s.r.chance() * float64(len(s.members)))
-	for i := range s.members {
-		n := s.members[(from+i)%len(s.members)]
-		if n != s.primary && (n.known && n.pos >= need || n.expected(need)) && !slices.Contains(c.tried, n) &&
-			n.open(c, 1) && (best == nil || n.load() < best.load()) {
-			best = n
+	least := 0.0
+	for _, n := range s.members {
+		if n != s.primary && n.reached(need) && !slices.Contains(c.tried, n) && n.open(c, 1) {
+			if l := n.load() * (1 + s.r.chance()*(1.01-1/float64(s.r.Routers))); best == nil || l < least {
+				best, least = n, l
+			}
 		}
 	}
 	return best
 }
 
-// expected says that a member which checks reads itself is probably new
-// enough, or that not even that is known: a wrong guess costs a miss. It guards
-// against members that go unused since their positions have aged.
-func (n *Node) expected(need Tenth) bool {
+// reached says that a member is at or past a position. Where hosts check reads
+// themselves, one expected there, or long unheard of, will do: a wrong guess costs
+// a miss. That guards against members that go unused since positions have aged.
+func (n *Node) reached(need Tenth) bool {
 	r := n.set.r
-	return r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+second && len(n.out) == 0)
+	return n.known && n.pos >= need ||
+		r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+second && len(n.out) == 0)
 }
 
 func (n *Node) load() float64 { return float64(n.busy()+1) * n.slowness() / n.size }
 
 // busy is what is out, but for what is long past its target while the host
 // answers others. It guards against lost answers, which would fill the cap.
-func (n *Node) busy() int {
-	hoped := 0
+func (n *Node) busy() (hoped int) {
 	for _, c := range n.out {
 		if hope := c.group.Target; n.set.r.now < c.sentAt+hope || n.crowd > late && n.set.r.now < c.sentAt+2*hope {
 			hoped++
@@ -409,8 +411,7 @@
 	n.out = append(n.out, c)
 	n.given.add(r.now, r.FallSpan/4+1, c.work())
 	c.Node, c.sentAt, c.sentFor, c.called = n, r.now, need, false
-	c.Sent++
-	c.held = false
+	c.Sent, c.held = c.Sent+1, false
 	r.caller.Dispatch(c, n, 0)
 }
 
@@ -538,10 +539,7 @@
 		n.dark = r.Probes
 		n.leave()
 		return
-	case o == Unreached, o == Reset: // out of connections
-		n.cut()
-		return
-	case o == TimedOut, o == Cancelled, o == Moot:
+	case o == Reset, o == TimedOut, o == Cancelled, o == Moot:
 		return
 	}
 	gap := float64(r.now - n.since)
@@ -553,7 +551,7 @@
 		n.cap = min(n.cap, 2)
 	}
 	switch {
-	case o == Full: // stay away for longer each time: a refusal comes so fast that it would draw more
+	case o != Answered && o != Errored && o != Missed: // full: its fast refusals would draw ever more
 		n.cut()
 		n.patience = min(max(2*n.patience, second/50), second/2)
 		n.trialAt = r.now + n.patience
@@ -575,10 +573,8 @@
 
 // cut shrinks the cap, once for all answers that tell of the same crowd.
 func (n *Node) cut() {
-	r := n.set.r
-	if r.now >= n.cutAt {
-		n.cap = max(1, n.cap*0.85)
-		n.cutAt = r.now + second/10
+	if now := n.set.r.now; now >= n.cutAt {
+		n.cap, n.cutAt = max(1, n.cap*0.85), now+second/10
 	}
 }
 
@@ -644,9 +640,8 @@
 // probably started anew, whatever the list says.
 func (n *Node) Probed(ok bool) {
 	n.probing = false
-	if r := n.set.r; ok && n.dark {
-		n.dark, n.left, n.patience, n.trialAt = false, false, 0, 0
-		n.boot, n.cap = r.now, 2
+	if ok && n.dark {
+		n.dark, n.left, n.patience, n.trialAt, n.boot, n.cap = false, false, 0, 0, n.set.r.now, 2
 	}
 }
 
@@ -664,10 +659,9 @@
 				if n.dark {
 					due = n.trialAt
 				}
-				if n.standing != In || n.probing || r.now < due || n.posAt > 0 && !n.dark && (!r.Reports || r.credit < 1) {
-					continue
-				}
-				if oldest == nil || n.posAt < oldest.posAt {
+				aged := n.posAt > 0 && !n.dark
+				if n.standing == In && !n.probing && r.now >= due && (!aged || r.Reports && r.credit >= 1) &&
+					(oldest == nil || n.posAt < oldest.posAt) {
 					oldest = n
 				}
 			}
