--- a/rules/rules.go
+++ b/rules/rules.go
@@ -335,12 +335,12 @@
 	return best
 }
 
-// reached says that a member is at or past a position. Where hosts check reads
+// reached says that a member is at or past a position, if any. Where hosts check reads
 // themselves, one expected there, or long unheard of, will do: a wrong guess costs
 // a miss. That guards against members that go unused since positions have aged.
 func (n *Node) reached(need Tenth) bool {
 	r := n.set.r
-	return n.known && n.pos >= need ||
+	return need <= 0 || n.known && n.pos >= need ||
 		r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+second && len(n.out) == 0)
 }
 
@@ -350,7 +350,7 @@
 // answers others. It guards against lost answers, which would fill the cap.
 func (n *Node) busy() (hoped int) {
 	for _, c := range n.out {
-		if hope := c.group.Target; n.set.r.now < c.sentAt+hope || n.crowd > late && n.set.r.now < c.sentAt+2*hope {
+		if out := n.set.r.now - c.sentAt; out < c.group.Target || n.crowd > late && out < 2*c.group.Target {
 			hoped++
 		}
 	}
@@ -422,11 +422,15 @@
 	s := c.set
 	c.held = true
 	i := sort.Search(len(s.held), func(i int) bool {
-		return s.held[i].benefit < c.benefit || s.held[i].benefit == c.benefit && s.held[i].taken <= c.taken
+		a, b := s.held[i].rank(), c.rank()
+		return a < b || a == b && s.held[i].taken <= c.taken
 	})
 	s.held = slices.Insert(s.held, i, c)
 }
 
+// rank is the benefit for the work asked.
+func (c *Cmd) rank() float64 { return c.benefit / c.group.latency }
+
 // serve gives what is held its place, worthiest first, and gives up what can
 // no longer be useful.
 func (s *Set) serve() {
