--- a/rules/rules.go
+++ b/rules/rules.go
@@ -138,7 +138,7 @@
 	sessions   = 1 << 15 // tokens in a generation
 )
 
-// New starts a router that knows nothing but what its deployment states.
+// New starts a router.
 func New(caller Caller, d Deployment, now Tenth) *Router {
 	r := &Router{Deployment: d, caller: caller, now: now, sets: map[int64]*Set{}, quiet: second / 2}
 	for _, g := range r.Groups {
@@ -283,7 +283,7 @@
 			best = p
 		}
 	}
-	if best == nil && p != nil && p.open(c, 0.7) {
+	if best == nil && p != nil && p.open(c, 0.7) && (p.crowd < late || c.group.Need == Fresh) {
 		best = p
 	}
 	if best == nil {
@@ -428,7 +428,6 @@
 	s.held = slices.Insert(s.held, i, c)
 }
 
-// rank is the benefit for the work asked.
 func (c *Cmd) rank() float64 { return c.benefit / c.group.latency }
 
 // serve gives what is held its place, worthiest first, and gives up what can
@@ -448,7 +447,7 @@
 	s.held = kept
 }
 
-// useful says whether a held command may still earn its benefit.
+// useful says whether a held command may still earn something.
 func (c *Cmd) useful() bool {
 	r, g := c.set.r, c.group
 	if r.now+2*r.Tick >= c.timeout {
@@ -500,11 +499,10 @@
 	if role != Unknown {
 		n.is(role, r.now)
 	}
-	if pos >= 0 && role != Unknown {
-		if g.Need == Write && o == Answered {
-			r.stamp(c.session, pos)
-			pos -= 10 // commits are rounded up
-		}
+	if pos >= 0 && role != Unknown && g.Need == Write && o == Answered {
+		r.stamp(c.session, pos)
+		n.learn(pos - 10) // commits are rounded up
+	} else if pos >= 0 && role != Unknown {
 		n.learn(pos)
 	}
 	switch o {
