--- a/rules/rules.go
+++ b/rules/rules.go
@@ -7,12 +7,10 @@
 // read goes to a replica known at or past its token, else to the primary.
 // Beside the design stand these mechanisms:
 //
-//  1. caps: what is in flight at a host is capped; the cap grows with its
-//     answers and shrinks when they come late
+//  1. caps: what is in flight at a host is capped, by its answers' lateness
 //  2. silence: a host is left when it is silent for unusually long, or cannot
 //     be reached, and is tried again by one command at a time
-//  3. hold: what has no place waits here, worthiest first, and is given up when
-//     it can no longer be useful
+//  3. hold: what has no place waits here, worthiest first, while it is of use
 //  4. cold budget: a host just started gets a share of what warm hosts do
 //  5. expectation: where hosts check reads, a member expected to be new enough
 //     counts as eligible
@@ -499,10 +497,11 @@
 	if role != Unknown {
 		n.is(role, r.now)
 	}
-	if pos >= 0 && role != Unknown && g.Need == Write && o == Answered {
+	if g.Need == Write && o == Answered {
 		r.stamp(c.session, pos)
-		n.learn(pos - 10) // commits are rounded up
-	} else if pos >= 0 && role != Unknown {
+		pos -= 10 // commits are rounded up
+	}
+	if pos >= 0 && role != Unknown {
 		n.learn(pos)
 	}
 	switch o {
@@ -537,7 +536,7 @@
 	r, g := n.set.r, c.group
 	n.out = slices.Delete(n.out, slices.Index(n.out, c), slices.Index(n.out, c)+1)
 	switch {
-	case (o == Unreached || o == Reset) && n.since <= c.sentAt: // down or cut off: silent too
+	case o == Unreached && n.since <= c.sentAt: // down or cut off: silent too
 		n.dark = r.Probes
 		n.leave()
 		return
@@ -638,12 +637,12 @@
 	}
 }
 
-// Probed ends a probe. A host that could not be reached and now can has
-// probably started anew, whatever the list says.
+// Probed ends a probe. A host that could not be reached and now can may have
+// started anew, whatever the list says: its cap grows anew.
 func (n *Node) Probed(ok bool) {
 	n.probing = false
 	if ok && n.dark {
-		n.dark, n.left, n.patience, n.trialAt, n.boot, n.cap = false, false, 0, 0, n.set.r.now, 2
+		n.dark, n.left, n.patience, n.trialAt, n.cap = false, false, 0, 0, 2
 	}
 }
 
@@ -686,6 +685,7 @@
 func (r *Router) Woke() {
 	for _, s := range r.ordered {
 		for _, n := range s.members {
+			n.crowd *= 0.995 // what was crowded and has been spared is tried again
 			if len(n.out) > 0 && r.now-n.since > n.limit() {
 				n.leave()
 			}
