--- a/rules/rules.go
+++ b/rules/rules.go
@@ -685,7 +685,7 @@
 func (r *Router) Woke() {
 	for _, s := range r.ordered {
 		for _, n := range s.members {
-			n.crowd *= 0.995 // what was crowded and has been spared is tried again
+			n.crowd *= 0.9995 // what was crowded and has been spared is tried again
 			if len(n.out) > 0 && r.now-n.since > n.limit() {
 				n.leave()
 			}
