--- a/rules/rules.go
+++ b/rules/rules.go
@@ -540,9 +540,6 @@
 		n.dark = r.Probes
 		n.leave()
 		return
-	case o == TimedOut && cost > g.Target/2: // it would have come late; half of it, it may be lost
-		n.crowd += (1 - n.crowd) / 16
-		return
 	case o == Reset, o == TimedOut, o == Cancelled, o == Moot:
 		return
 	}
