Take silence for unusual at twelve deviations, not six

Cause: replayable reads were called back from hosts that were merely slow, which wastes the work. Kept at 12; it hurts where a host hangs, which is found out later.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -130,7 +130,7 @@
 
 const (
 	second     = Tenth(10000)
-	unusual    = 6.0 // deviations of silence beyond the mean
+	unusual    = 12.0 // deviations of silence beyond the mean
 	late       = 0.3 // of the response target: a mean latency that tells of crowding
 	spillShare = 0.125
 	sessions   = 1 << 15 // tokens in a generation
