Grow caps by one over the cap with each answer

Cause: caps that grow by four over the cap go past what a host can take before its mean answer tells.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -131,7 +131,7 @@
 const (
 	second     = Tenth(10000)
 	unusual    = 12.0 // deviations of silence beyond the mean
-	late       = 0.3 // of the response target: a mean latency that tells of crowding
+	late       = 0.3  // of the response target: a mean latency that tells of crowding
 	spillShare = 0.125
 	sessions   = 1 << 15 // tokens in a generation
 )
@@ -567,7 +567,7 @@
 		if n.crowd > late {
 			n.cut()
 		} else if float64(len(n.out)+1) >= n.cap/2 {
-			n.cap += 4 / n.cap
+			n.cap += 1 / n.cap
 		}
 	}
 }
