--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -405,3 +405,85 @@
 		t.Error("the miss taught nothing")
 	}
 }
+
+func TestAHostThatTurnsAwayUnseenIsLeftAloneForLonger(t *testing.T) {
+	f := start(t, 1, nil)
+	n, before := f.nodes[0], Tenth(0)
+	for range 3 {
+		c := f.take(Write, Mutating, "s", 0)
+		if c.Node != n {
+			t.Fatal("a host that may be tried was not")
+		}
+		c.Ended(Full, -1, Unknown, 20, false)
+		if c.Node != nil || n.trialAt-f.at <= before {
+			t.Fatalf("sent again at once, or left alone for %d after %d", n.trialAt-f.at, before)
+		}
+		before = n.trialAt - f.at
+		c.Left()
+		f.wait(before)
+	}
+}
+
+func TestLostAnswersDoNotFillACap(t *testing.T) {
+	f := start(t, 1, nil)
+	f.nodes[0].cap = 2
+	f.take(Write, Mutating, "s", 0)
+	f.take(Write, Mutating, "s", 0)
+	c := f.take(Write, Mutating, "s", 0)
+	f.nodes[0].since = f.at + 6000 // it answers others all the while
+	f.wait(5200)
+	if c.Node == nil {
+		t.Error("writes whose answers were lost kept the others from the primary")
+	}
+}
+
+func TestThePrimaryIsKeptForWhatOnlyItCanDo(t *testing.T) {
+	f := start(t, 1, nil)
+	n := f.nodes[0]
+	n.cap = 10
+	for range 12 {
+		f.take(Session, Replayable, "s", 100)
+	}
+	if len(n.out) != 7 {
+		t.Errorf("%d reads took the primary's cap of 10", len(n.out))
+	}
+	if c := f.take(Write, Mutating, "s", 0); c.Node != n {
+		t.Error("reads left no place for a write")
+	}
+	n.crowd, n.out = late, nil
+	if c := f.take(Session, Replayable, "s", 100); c.Node != nil {
+		t.Error("a read went to a crowded primary")
+	}
+	if c := f.take(Fresh, Replayable, "", 0); c.Node != n {
+		t.Error("a current read has no other place than the primary")
+	}
+}
+
+func TestACustomerOverItsShareComesLast(t *testing.T) {
+	f := start(t, 1, func(d *Deployment) { d.OverShare = 0.05 })
+	f.nodes[0].cap = 0
+	share, g := &Share{PerSecond: 2}, f.r.Groups[0]
+	var last *Cmd
+	for range 20 {
+		last = f.r.Take("c", g, 1, "", f.at+g.Timeout, 0, share, false)
+	}
+	within := f.r.Take("d", g, 1, "", f.at+g.Timeout, 0, &Share{PerSecond: 2}, false)
+	f.wait(100)
+	f.nodes[0].cap = 1.5 // 0.7 of it is one read
+	f.wait(100)
+	if within.Node == nil || last.Node != nil {
+		t.Error("a command over its customer's share went before one within")
+	}
+}
+
+func TestAnUnreachableHostIsProbedAgainSoon(t *testing.T) {
+	f := start(t, 1, nil)
+	f.take(Write, Mutating, "s", 0).Ended(Unreached, -1, Unknown, 100, false)
+	f.wait(6000)
+	f.nodes[0].Probed(false)
+	seen := len(f.probes)
+	f.wait(4000)
+	if len(f.probes) == seen {
+		t.Error("after a failed probe no other followed")
+	}
+}
