Save up for a cold host; wake only when needed; answer at once what has no time left

Cause: every router granted itself one dispatch to a cold host whatever its budget, and took the most done in any 3 s for what warm hosts do: right for one router, hundreds of dispatches at once for 340. Now the mean over ten seconds, and what is under one command is saved for, from a part drawn by chance. Hosts are gone over every 50 ms, held commands every two ticks only while there are any (the adapter was too slow for 842 routers). A first try lost commands that came with no time left, once the wake of the same round no longer answered them; they now get their answer when taken.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -37,6 +37,8 @@
 	floor   Tenth               // no forgotten token is greater
 	quiet   Tenth               // how long a position stays good: half the least bound
 	credit  float64             // probes that may be spent
+	wakeAt  Tenth               // other wakes are left over
+	lookAt  Tenth               // when to look at all hosts again
 	gaps    ring                // between answers of any one host
 	usual   float64             // latency of an answer
 	kinds   []*kind
@@ -47,6 +49,7 @@
 	name       string
 	warm       float64 // the mean work that warm ones did in a tenth, for each unit of size
 	done, size float64
+	seen       float64 // for how long
 }
 
 // Set is a replica set: a primary and the replicas of its data.
@@ -81,7 +84,8 @@
 	since             Tenth // when it last answered, or was given work while idle
 	gaps              ring
 	pace              ring // its latencies over those usual for the commands
-	done, given       ring // work answered; work sent, taken or not
+	spare             float64 // work that it may be sent while cold
+	spareAt           Tenth
 	left, dark        bool // silent or unreachable; unreachable
 	trialAt, patience Tenth
 }
@@ -148,13 +152,22 @@
 	}
 	r.tokens = [2]map[string]Tenth{{}, {}}
 	r.Tick = max(r.Tick, 10)
-	r.caller.Wake(2 * r.Tick)
+	r.lookAt = now
+	r.wake(2 * r.Tick)
 	return r
 }
 
 // Clock tells the time of the calls that follow.
 func (r *Router) Clock(now Tenth) { r.now = max(r.now, now) }
 
+// wake asks for a call of Woke, unless one comes sooner.
+func (r *Router) wake(after Tenth) {
+	if r.wakeAt <= r.now || r.wakeAt > r.now+after {
+		r.wakeAt = r.now + after
+		r.caller.Wake(after)
+	}
+}
+
 func (r *Router) chance() float64 {
 	r.draws++
 	b := binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint32(nil, r.Seed), r.draws)
@@ -193,6 +206,7 @@
 	}
 	if boot > n.boot {
 		n.boot, n.cap, n.left, n.trialAt = boot, 2, false, 0
+		n.spare, n.spareAt = n.set.r.chance(), n.set.r.now
 	}
 	if standing == Gone && n.set.r.DrainAlone && n.standing == In {
 		return // such a list doesn't prove that the host is down
@@ -381,17 +395,20 @@
 
 func (n *Node) cold() bool { return n.boot != 0 && n.set.r.now < n.boot+n.set.r.ColdFor }
 
-// budget keeps the work sent to a cold host, in any window, under its part of
-// what the host can do then. Every router counts what its own warm hosts do, so
-// that all together keep within the sum. It guards hosts that started for any
-// reason, listed or not; it can hurt where the warm ones have little to do.
+// budget lets the work sent to a cold host come to no more than its part of what
+// the host can do. Every router counts what its own warm hosts do, so that all
+// together keep within the sum; many that each may send less than one command
+// save for it, each from a part drawn by chance, so that no two hundred send
+// their first at once. It guards hosts that started for any reason, listed or
+// not; it can hurt where the warm ones have little to do.
 func (n *Node) budget(c *Cmd) bool {
 	r := n.set.r
 	grown := float64(r.now-r.FallSpan-n.boot) / float64(r.ColdFor)
 	part := r.ColdFrom + (1-r.ColdFrom)*max(0, grown)
-	_, work, _ := n.given.total(r.now, r.FallSpan/4+1, 5)
-	most := 0.5 * r.FallFactor * part * n.kind.warm * n.size * float64(r.FallSpan)
-	return work+c.work() <= most || work == 0 && len(n.out) == 0
+	rate := 0.5 * r.FallFactor * part * n.kind.warm * n.size
+	n.spare = min(n.spare+rate*float64(r.now-n.spareAt), max(1, rate*float64(r.FallSpan)/2))
+	n.spareAt = r.now
+	return n.spare >= max(1, c.work())
 }
 
 // work is how much a command asks for, in commands of the usual mix.
@@ -407,7 +424,7 @@
 		n.trialAt = r.now + n.patience
 	}
 	n.out = append(n.out, c)
-	n.given.add(r.now, r.FallSpan/4+1, c.work())
+	n.spare -= c.work()
 	c.Node, c.sentAt, c.sentFor, c.called = n, r.now, need, false
 	c.Sent, c.held = c.Sent+1, false
 	r.caller.Dispatch(c, n, 0)
@@ -418,7 +435,12 @@
 // sent when it is nearly too old to be of use, whatever filled the queue.
 func (c *Cmd) hold() {
 	s := c.set
+	if !c.useful() {
+		c.giveUp()
+		return
+	}
 	c.held = true
+	s.r.wake(2 * s.r.Tick)
 	i := sort.Search(len(s.held), func(i int) bool {
 		a, b := s.held[i].rank(), c.rank()
 		return a < b || a == b && s.held[i].taken <= c.taken
@@ -562,7 +584,9 @@
 		g.count++
 		n.pace.add(r.now, second/2, float64(cost)/g.latency)
 		r.usual += (g.latency - r.usual) / 100
-		n.done.add(r.now, second/2, c.work())
+		if !n.cold() {
+			n.kind.done += c.work()
+		}
 		n.crowd += (float64(cost)/float64(g.Target) - n.crowd) / 8
 		if n.crowd > late {
 			n.cut()
@@ -681,27 +705,48 @@
 	}
 }
 
-// Woke is called every two ticks.
+// Woke is called soon while commands are held, and now and then otherwise, so
+// that hundreds of routers with hundreds of hosts cost little.
 func (r *Router) Woke() {
+	if r.now < r.wakeAt-r.Tick/2 {
+		return
+	}
+	next := second / 20
+	for _, s := range r.ordered {
+		if len(s.held) > 0 {
+			s.serve()
+			next = 2 * r.Tick
+		}
+	}
+	if r.now >= r.lookAt {
+		r.look()
+		r.lookAt = r.now + second/20
+	}
+	r.wake(next)
+}
+
+// look goes over all hosts.
+func (r *Router) look() {
 	for _, s := range r.ordered {
 		for _, n := range s.members {
-			n.crowd *= 0.9995 // what was crowded and has been spared is tried again
+			n.crowd *= 0.9975 // what was crowded and has been spared is tried again
 			if len(n.out) > 0 && r.now-n.since > n.limit() {
 				n.leave()
 			}
 			if n.standing == In && !n.left && !n.cold() {
-				_, work, _ := n.done.total(r.now, second/2, 7)
-				n.kind.done, n.kind.size = n.kind.done+work, n.kind.size+n.size
+				n.kind.size += n.size
 			}
 		}
-		s.serve()
 	}
-	for _, k := range r.kinds { // busier times are remembered for some ten seconds
-		k.warm = max(k.warm*0.999, k.done/max(k.size, 0.1)/float64(3*second+r.now%(second/2)))
-		k.done, k.size = 0, 0
+	for _, k := range r.kinds { // a mean over ten seconds: the most over a short time is chance
+		if k.size > 0 {
+			span := float64(r.now - r.lookAt + second/20)
+			k.seen = min(k.seen+span, float64(10*second))
+			k.warm += (k.done/k.size/span - k.warm) * span / k.seen
+			k.done, k.size = 0, 0
+		}
 	}
 	r.probe()
-	r.caller.Wake(2 * r.Tick)
 }
 
 // Heard is a message of another router.
