Ask one other host after an error, and hardly that while other hosts repeat errors

Told apart from a failing host: another host repeats the error. Also, a wake long overdue tells that this router stood still, which is no host's silence. Should also hold against a bad release of a client; hurts while most hosts of a set fail at once.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -37,6 +37,7 @@
 	floor   Tenth               // no forgotten token is greater
 	quiet   Tenth               // how long a position stays good: half the least bound
 	credit  float64             // probes that may be spent
+	cured   float64             // the part of errors that another host doesn't repeat
 	wakeAt  Tenth               // other wakes are left over
 	lookAt  Tenth               // when to look at all hosts again
 	gaps    ring                // between answers of any one host
@@ -105,6 +106,7 @@
 	maybe                  Tenth // when the first dispatch that may have run was sent
 	tried                  []*Node
 	over, held, called     bool // called: its dispatch has been cancelled
+	erred                  bool // a host answered it with an error
 }
 
 // ring measures over time, in fixed buckets that are used again.
@@ -142,7 +144,7 @@
 
 // New starts a router.
 func New(caller Caller, d Deployment, now Tenth) *Router {
-	r := &Router{Deployment: d, caller: caller, now: now, sets: map[int64]*Set{}, quiet: second / 2}
+	r := &Router{Deployment: d, caller: caller, now: now, sets: map[int64]*Set{}, quiet: second / 2, cured: 1}
 	for _, g := range r.Groups {
 		if g.Need == Bounded {
 			r.quiet = min(r.quiet, g.Bound/2)
@@ -157,8 +159,18 @@
 	return r
 }
 
-// Clock tells the time of the calls that follow.
-func (r *Router) Clock(now Tenth) { r.now = max(r.now, now) }
+// Clock tells the time of the calls that follow. A wake that is long overdue says
+// that this router itself stood still: no host was silent meanwhile.
+func (r *Router) Clock(now Tenth) {
+	if stood := now - max(r.now, r.wakeAt); stood > second/20 {
+		for _, s := range r.ordered {
+			for _, n := range s.members {
+				n.since += stood
+			}
+		}
+	}
+	r.now = max(r.now, now)
+}
 
 // wake asks for a call of Woke, unless one comes sooner.
 func (r *Router) wake(after Tenth) {
@@ -491,12 +503,18 @@
 	}
 }
 
-// again says whether one more dispatch is allowed.
-func (c *Cmd) again() bool {
+// again says whether one more dispatch is allowed. After an error one other host
+// is asked, and hardly that while other hosts repeat most errors: then it is the
+// commands that are bad, not the hosts. It guards against floods of such; it
+// hurts while several hosts fail at once.
+func (c *Cmd) again(o Outcome) bool {
 	r, g := c.set.r, c.group
 	if c.Sent >= r.Dispatches || r.now+r.Tick >= c.timeout {
 		return false
 	}
+	if o == Errored && (c.erred || r.chance() > 2*r.cured) {
+		return false
+	}
 	return c.maybe == 0 || g.Effect == Replayable ||
 		g.Effect == Keyed && r.now+r.Tick < c.maybe+g.Memory
 }
@@ -542,9 +560,19 @@
 			c.maybe = c.sentAt
 		}
 	}
+	if c.erred && o == Answered {
+		r.cured += (1 - r.cured) / 8
+	} else if c.erred && o == Errored {
+		r.cured = max(r.cured*0.875, 0.02)
+	}
 	c.over = c.over || over || o == Answered
 	if !c.over {
-		if !c.again() {
+		again := c.again(o)
+		c.erred = c.erred || o == Errored
+		if o == Errored {
+			c.tried = append(c.tried, n)
+		}
+		if !again {
 			c.giveUp()
 		} else if !c.route() {
 			c.hold()
