Routers tell each other what answers say; crowded hosts get a share of what comes

Cause: each of hundreds of routers sees a host once in several seconds, so positions had aged, reads met at the primaries, and no cap below one told of a crowd.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -209,6 +209,7 @@
 		Kept:    maybeText(info, "session_marks") == "kept",
 		Reports: (how == "answers" || how == "probe") && r.x0 >= 0,
 		Probes:  flag(bounds, "probes"), Cancel: flag(bounds, "cancel"),
+		Peers: flag(bounds, "peers"), PeerPrice: maybeNumber(prices, "peer"),
 		ProbePrice: maybeNumber(prices, "probe"), ZonePrice: maybeNumber(prices, "cross_zone"),
 		OverShare:  maybeNumber(env, "over_share_worth"),
 		FallFactor: maybeNumber(limits, "overload_factor"), FallSpan: down(maybeNumber(limits, "fall")),
--- a/rules/door.go
+++ b/rules/door.go
@@ -95,6 +95,8 @@
 	Reports    bool // probes, at least, bring positions
 	Probes     bool
 	Cancel     bool
+	Peers      bool    // routers may tell each other
+	PeerPrice  float64 // what a full message (256 bytes) a command takes off the service
 	ProbePrice float64 // what a probe a command takes off the service
 	ZonePrice  float64 // what crossing zones once a command takes off the service
 	OverShare  float64 // what a command over its customer's share is still worth
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -18,11 +18,13 @@
 package rules
 
 import (
+	"encoding/base64"
 	"encoding/binary"
 	"hash/crc32"
 	"math"
 	"slices"
 	"sort"
+	"strconv"
 )
 
 // Router is one router's view of the deployment.
@@ -38,6 +40,9 @@
 	quiet   Tenth               // how long a position stays good: half the least bound
 	credit  float64             // probes that may be spent
 	cured   float64             // the part of errors that another host doesn't repeat
+	ids     map[string]*Node    // by what they are called among routers
+	words   float64             // bytes that may be told to other routers
+	rank    float64             // the mean of commands
 	wakeAt  Tenth               // other wakes are left over
 	lookAt  Tenth               // when to look at all hosts again
 	gaps    ring                // between answers of any one host
@@ -81,6 +86,8 @@
 	probing           bool
 	out               []*Cmd
 	cap, crowd        float64 // crowd: the mean part of the response target that its answers took
+	share             float64 // of what comes for it that it gets, while crowded
+	judgedAt, toldAt  Tenth
 	cutAt             Tenth
 	since             Tenth // when it last answered, or was given work while idle
 	gaps              ring
@@ -107,6 +114,7 @@
 	tried                  []*Node
 	over, held, called     bool // called: its dispatch has been cancelled
 	erred                  bool // a host answered it with an error
+	luck                   float64
 }
 
 // ring measures over time, in fixed buckets that are used again.
@@ -144,7 +152,8 @@
 
 // New starts a router.
 func New(caller Caller, d Deployment, now Tenth) *Router {
-	r := &Router{Deployment: d, caller: caller, now: now, sets: map[int64]*Set{}, quiet: second / 2, cured: 1}
+	r := &Router{Deployment: d, caller: caller, now: now, sets: map[int64]*Set{}, quiet: second / 2, cured: 1,
+		ids: map[string]*Node{}}
 	for _, g := range r.Groups {
 		if g.Need == Bounded {
 			r.quiet = min(r.quiet, g.Bound/2)
@@ -199,7 +208,8 @@
 // Host introduces a host of the list.
 func (r *Router) Host(name string, set int64) *Node {
 	s := r.set(set)
-	n := &Node{Name: name, set: s, cap: 4, size: 1}
+	n := &Node{Name: name, set: s, cap: 4, size: 1, share: 1, judgedAt: r.now}
+	r.ids[n.id()] = n
 	s.members = append(s.members, n)
 	sort.Slice(s.members, func(i, j int) bool { return s.members[i].Name < s.members[j].Name })
 	return n
@@ -265,6 +275,9 @@
 	if c.target <= r.now {
 		c.benefit *= g.LateShare
 	}
+	c.luck = r.chance()
+	r.rank += (c.rank() - r.rank) / 64
+	r.words = min(r.words+0.008/max(r.PeerPrice, 0.008)*256, float64(64*r.Routers))
 	if share != nil {
 		share.meter.add(r.now, second, 1)
 		if n, _, _ := share.meter.total(r.now, second, 3); n > 3*share.PerSecond/float64(r.Routers) {
@@ -402,6 +415,9 @@
 	if float64(n.busy()) >= n.cap*part {
 		return false
 	}
+	if n.share < 1 && c.luck*r.rank > n.share*c.rank() {
+		return false
+	}
 	return !n.cold() || n.budget(c)
 }
 
@@ -536,6 +552,9 @@
 	n.ended(c, o, cost)
 	if role != Unknown {
 		n.is(role, r.now)
+		if o == Answered {
+			n.tell(pos, role, float64(cost)/float64(g.Target))
+		}
 	}
 	if g.Need == Write && o == Answered {
 		r.stamp(c.session, pos)
@@ -590,7 +609,10 @@
 		n.dark = r.Probes
 		n.leave()
 		return
-	case o == Reset, o == TimedOut, o == Cancelled, o == Moot:
+	case o == TimedOut: // its answer may be lost; where most are late or lost the host is crowded
+		n.judge(1.25 * late)
+		return
+	case o == Reset, o == Cancelled, o == Moot:
 		return
 	}
 	gap := float64(r.now - n.since)
@@ -603,7 +625,7 @@
 	}
 	switch {
 	case o != Answered && o != Errored && o != Missed: // full: its fast refusals would draw ever more
-		n.cut()
+		n.judge(1)
 		n.patience = min(max(2*n.patience, second/50), second/2)
 		n.trialAt = r.now + n.patience
 	case o == Answered:
@@ -615,22 +637,69 @@
 		if !n.cold() {
 			n.kind.done += c.work()
 		}
-		n.crowd += (float64(cost)/float64(g.Target) - n.crowd) / 8
-		if n.crowd > late {
-			n.cut()
-		} else if float64(len(n.out)+1) >= n.cap/2 {
+		n.judge(float64(cost) / float64(g.Target))
+		if n.crowd <= late && float64(len(n.out)+1) >= n.cap/2 {
 			n.cap += 1 / n.cap
 		}
 	}
 }
 
-// cut shrinks the cap, once for all answers that tell of the same crowd.
-func (n *Node) cut() {
-	if now := n.set.r.now; now >= n.cutAt {
+// judge takes in how late an answer was, own or told; the fewer there are, the
+// more each weighs. Late ones shrink the cap, once for all that tell of the same
+// crowd. Where this router has too little out for its cap to matter, because it
+// is one of hundreds, they shrink the share of commands that the host gets.
+func (n *Node) judge(lateness float64) {
+	now := n.set.r.now
+	w := min(0.5, max(0.125, float64(now-n.judgedAt)/float64(2*second)))
+	n.judgedAt = now
+	n.crowd += (lateness - n.crowd) * w
+	if n.crowd <= late {
+		n.share = min(1, n.share*(1+w))
+	} else if now >= n.cutAt {
+		if float64(len(n.out)) < n.cap/4 {
+			n.share = max(1/float64(n.set.r.Routers), n.share*(1-w))
+		}
 		n.cap, n.cutAt = max(1, n.cap*0.85), now+second/10
 	}
 }
 
+// id is what routers call a host among themselves.
+func (n *Node) id() string {
+	return base64.RawStdEncoding.EncodeToString(binary.LittleEndian.AppendUint32(nil, crc32.ChecksumIEEE([]byte(n.Name))))
+}
+
+// tell shares what an answer said of its host with the other routers, unless one
+// has done so just before, for less than a point of service at the stated price.
+// Each of hundreds of routers sees a host too seldom to know its position, role
+// or crowding. Nothing depends on it: a loss of all leaves what each sees itself.
+func (n *Node) tell(pos Tenth, role Role, lateness float64) {
+	r := n.set.r
+	if !r.Peers || pos < 0 || r.now < n.toldAt+r.quiet/8 {
+		return
+	}
+	word := (pos/10*2+Tenth(role)%2)*16 + Tenth(min(15, 8*lateness))
+	body := n.id() + strconv.FormatInt(word, 36)
+	if cost := float64(len(body) * (r.Routers - 1)); cost <= r.words {
+		r.words -= cost
+		n.toldAt = r.now
+		r.caller.Tell(body)
+	}
+}
+
+// Heard is a message of another router. What no router of ours can have said is
+// passed over.
+func (r *Router) Heard(body string) {
+	n := r.ids[body[:min(6, len(body))]]
+	word, err := strconv.ParseInt(body[min(6, len(body)):], 36, 64)
+	pos := word / 32 * 10
+	if n == nil || err != nil || word < 0 || pos > r.now-r.Zero {
+		return
+	}
+	n.toldAt = r.now
+	n.Reported(pos, Replica-Role(word/16%2))
+	n.judge(float64(word%16)/8 + 1.0/16)
+}
+
 // leave stops sending to a host and calls back what may run elsewhere.
 func (n *Node) leave() {
 	r := n.set.r
@@ -758,6 +827,7 @@
 	for _, s := range r.ordered {
 		for _, n := range s.members {
 			n.crowd *= 0.9975 // what was crowded and has been spared is tried again
+			n.share = min(1, n.share*1.0035)
 			if len(n.out) > 0 && r.now-n.since > n.limit() {
 				n.leave()
 			}
@@ -777,9 +847,6 @@
 	r.probe()
 }
 
-// Heard is a message of another router.
-func (r *Router) Heard(string) {}
-
 // stamp keeps the greatest token of a session, in bounded room.
 func (r *Router) stamp(session string, pos Tenth) {
 	if session == "" || pos <= r.token(session) {
