--- a/rules/rules.go
+++ b/rules/rules.go
@@ -47,6 +47,7 @@
 	lookAt  Tenth               // when to look at all hosts again
 	gaps    ring                // between answers of any one host
 	usual   float64             // latency of an answer
+	crowd   float64             // the mean part of the response target that answers take
 	kinds   []*kind
 }
 
@@ -88,10 +89,10 @@
 	cap, crowd        float64 // crowd: the mean part of the response target that its answers took
 	share             float64 // of what comes for it that it gets, while crowded
 	judgedAt, toldAt  Tenth
+	quickAt           Tenth // when what it answered in good time was sent
 	cutAt             Tenth
 	since             Tenth // when it last answered, or was given work while idle
 	gaps              ring
-	pace              ring // its latencies over those usual for the commands
 	spare             float64 // work that it may be sent while cold
 	spareAt           Tenth
 	left, dark        bool // silent or unreachable; unreachable
@@ -147,6 +148,7 @@
 	unusual    = 12.0 // deviations of silence beyond the mean
 	late       = 0.3  // of the response target: a mean latency that tells of crowding
 	spillShare = 0.125
+	full       = 15      // what routers tell of a host that turns commands away
 	sessions   = 1 << 15 // tokens in a generation
 )
 
@@ -315,7 +317,7 @@
 	if c.group.Need != Fresh {
 		// Evenly over the replicas known to be new enough: the least loaded.
 		best = s.least(c, need)
-		if best != nil && p != nil && r.chance() < spillShare && p.open(c, 0.5) && p.slowness() < 1.3 &&
+		if best != nil && p != nil && r.chance() < spillShare && p.open(c, 0.5) && p.crowd < 1.3*r.crowd &&
 			p.load() <= best.load() {
 			best = p
 		}
@@ -364,7 +366,7 @@
 	least := 0.0
 	for _, n := range s.members {
 		if n != s.primary && n.reached(need) && !slices.Contains(c.tried, n) && n.open(c, 1) {
-			if l := n.load() * (1 + s.r.chance()*(1.01-1/float64(s.r.Routers))); best == nil || l < least {
+			if l := n.load() * math.Pow(-math.Log(1-s.r.chance()), 1.01-1/float64(s.r.Routers)); best == nil || l < least {
 				best, least = n, l
 			}
 		}
@@ -381,7 +383,7 @@
 		r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+second && len(n.out) == 0)
 }
 
-func (n *Node) load() float64 { return float64(n.busy()+1) * n.slowness() / n.size }
+func (n *Node) load() float64 { return float64(n.busy()+1) * (n.crowd + late/4) / n.size }
 
 // busy is what is out, but for what is long past its target while the host
 // answers others. It guards against lost answers, which would fill the cap.
@@ -394,12 +396,6 @@
 	return hoped
 }
 
-// slowness is how its latencies of late compare with the usual ones.
-func (n *Node) slowness() float64 {
-	count, sum, _ := n.pace.total(n.set.r.now, second/2, 6)
-	return (sum + 2) / (count + 2)
-}
-
 // open says whether the host may be sent the command now, filling part of its cap.
 func (n *Node) open(c *Cmd, part float64) bool {
 	r := n.set.r
@@ -609,8 +605,11 @@
 		n.dark = r.Probes
 		n.leave()
 		return
-	case o == TimedOut: // its answer may be lost; where most are late or lost the host is crowded
-		n.judge(1.25 * late)
+	case o == TimedOut:
+		if c.sentAt > n.quickAt { // else what was sent later was answered: only its answer is lost
+			n.judge(1)
+			n.tell(n.pos, n.role, 1)
+		}
 		return
 	case o == Reset, o == Cancelled, o == Moot:
 		return
@@ -624,20 +623,21 @@
 		n.cap = min(n.cap, 2)
 	}
 	switch {
-	case o != Answered && o != Errored && o != Missed: // full: its fast refusals would draw ever more
-		n.judge(1)
-		n.patience = min(max(2*n.patience, second/50), second/2)
-		n.trialAt = r.now + n.patience
+	case o != Answered && o != Errored && o != Missed:
+		n.full()
+		n.tell(n.pos, n.role, full)
 	case o == Answered:
 		n.patience = 0
 		g.latency += (float64(cost) - g.latency) / min(g.count+1, 500)
 		g.count++
-		n.pace.add(r.now, second/2, float64(cost)/g.latency)
+		r.crowd += (float64(cost)/float64(g.Target) - r.crowd) / 100
 		r.usual += (g.latency - r.usual) / 100
 		if !n.cold() {
 			n.kind.done += c.work()
 		}
-		n.judge(float64(cost) / float64(g.Target))
+		if n.judge(float64(cost) / float64(g.Target)); 2*cost < g.Target {
+			n.quickAt = max(n.quickAt, c.sentAt)
+		}
 		if n.crowd <= late && float64(len(n.out)+1) >= n.cap/2 {
 			n.cap += 1 / n.cap
 		}
@@ -652,17 +652,25 @@
 	now := n.set.r.now
 	w := min(0.5, max(0.125, float64(now-n.judgedAt)/float64(2*second)))
 	n.judgedAt = now
-	n.crowd += (lateness - n.crowd) * w
-	if n.crowd <= late {
-		n.share = min(1, n.share*(1+w))
-	} else if now >= n.cutAt {
-		if float64(len(n.out)) < n.cap/4 {
-			n.share = max(1/float64(n.set.r.Routers), n.share*(1-w))
-		}
+	n.crowd += (min(lateness, 1) - n.crowd) * w
+	if lateness <= 0.5 {
+		n.share = min(1, n.share*(1+w/2))
+	} else if float64(len(n.out)) < n.cap/4 {
+		n.share = max(1/float64(n.set.r.Routers), n.share*(1-w))
+	}
+	if n.crowd > late && now >= n.cutAt {
 		n.cap, n.cutAt = max(1, n.cap*0.85), now+second/10
 	}
 }
 
+// full leaves a host alone that turns away unseen, for longer each time: its fast
+// refusals would draw ever more.
+func (n *Node) full() {
+	n.judge(1)
+	n.patience = min(max(2*n.patience, second/50), second/2)
+	n.trialAt = n.set.r.now + n.patience/2 + Tenth(n.set.r.chance()*float64(n.patience))
+}
+
 // id is what routers call a host among themselves.
 func (n *Node) id() string {
 	return base64.RawStdEncoding.EncodeToString(binary.LittleEndian.AppendUint32(nil, crc32.ChecksumIEEE([]byte(n.Name))))
@@ -677,7 +685,7 @@
 	if !r.Peers || pos < 0 || r.now < n.toldAt+r.quiet/8 {
 		return
 	}
-	word := (pos/10*2+Tenth(role)%2)*16 + Tenth(min(15, 8*lateness))
+	word := (pos/10*2+Tenth(role)%2)*16 + Tenth(min(full, 10*lateness+0.5))
 	body := n.id() + strconv.FormatInt(word, 36)
 	if cost := float64(len(body) * (r.Routers - 1)); cost <= r.words {
 		r.words -= cost
@@ -697,7 +705,14 @@
 	}
 	n.toldAt = r.now
 	n.Reported(pos, Replica-Role(word/16%2))
-	n.judge(float64(word%16)/8 + 1.0/16)
+	switch lateness := float64(word % 16); {
+	case lateness == full:
+		n.full()
+	default:
+		if n.judge(lateness / 10); lateness < 5 {
+			n.quickAt = r.now - second/10
+		}
+	}
 }
 
 // leave stops sending to a host and calls back what may run elsewhere.
@@ -765,6 +780,9 @@
 	if ok && n.dark {
 		n.dark, n.left, n.patience, n.trialAt, n.cap = false, false, 0, 0, 2
 	}
+	if ok && n.known {
+		n.tell(n.pos, n.role, n.crowd)
+	}
 }
 
 // probe asks hosts whose position has aged, within what may be spent, the
@@ -783,7 +801,7 @@
 				}
 				aged := n.posAt > 0 && !n.dark
 				if n.standing == In && !n.probing && r.now >= due && (!aged || r.Reports && r.credit >= 1) &&
-					(oldest == nil || n.posAt < oldest.posAt) {
+					(oldest == nil || n.posAt < oldest.posAt) && (!aged || r.turn()) {
 					oldest = n
 				}
 			}
@@ -802,6 +820,9 @@
 	}
 }
 
+// turn says whether it is for this router to do what one of them should do.
+func (r *Router) turn() bool { return !r.Peers || r.chance()*float64(r.Routers) < 2 }
+
 // Woke is called soon while commands are held, and now and then otherwise, so
 // that hundreds of routers with hundreds of hosts cost little.
 func (r *Router) Woke() {
