Make way at hosts that take no more connections

Told apart from dead hosts: others had answers from them a moment ago, or this router did. Should also hold against any proxy with few connections; costs a handshake a command while it lasts.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -314,6 +314,10 @@
 	r.d.act(`{"t":"touch","who":%d,"host":%s}`, r.who, quote(n.Name))
 }
 
+func (r *router) Close(n *rules.Node) {
+	r.d.act(`{"t":"close_idle","who":%d,"host":%s}`, r.who, quote(n.Name))
+}
+
 func (r *router) Tell(body string) {
 	r.d.act(`{"t":"say","who":%d,"target":null,"body":%s}`, r.who, quote(body))
 }
--- a/rules/door.go
+++ b/rules/door.go
@@ -120,6 +120,7 @@
 	Fail(c *Cmd)                             // final
 	Cancel(c *Cmd)                           // stop waiting for the dispatch that is out
 	Probe(n *Node)
+	Close(n *Node)    // the idle connections to a host
 	Tell(body string) // to every other router, may be lost
 	Wake(after Tenth) // one call of Router.Woke
 }
--- a/rules/fake_test.go
+++ b/rules/fake_test.go
@@ -12,6 +12,8 @@
 	back    Tenth
 	calls   int
 	probes  []*Node
+	closed  []*Node
+	told    []string
 	nodes   []*Node
 	cancels []*Cmd
 }
@@ -26,7 +28,8 @@
 func (f *fake) Fail(c *Cmd)                 { f.end(c, "failed") }
 func (f *fake) Cancel(c *Cmd)               { f.cancels = append(f.cancels, c) }
 func (f *fake) Probe(n *Node)               { f.probes = append(f.probes, n) }
-func (f *fake) Tell(string)                 {}
+func (f *fake) Close(n *Node)               { f.closed = append(f.closed, n) }
+func (f *fake) Tell(body string)            { f.told = append(f.told, body) }
 func (f *fake) Wake(Tenth)                  {}
 
 func (f *fake) end(c *Cmd, how string) {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -67,7 +67,7 @@
 	roleAt, pos, posAt, lag            Tenth   // it had applied all up to pos at posAt, and was lag behind
 	since, quickAt                     Tenth   // its last answer; when what it answered in good time was sent
 	cutAt, judgedAt, toldAt, trialAt   Tenth
-	backoff                            Tenth
+	backoff, tightTo                   Tenth
 }
 
 // Cmd is the handle of a command.
@@ -113,6 +113,7 @@
 	unusual    = 12.0 // deviations of silence beyond the mean
 	late       = 0.3  // of the response target: a mean latency that tells of crowding
 	full       = 15   // what routers tell of a host that turns commands away; else tenths of the target
+	tight      = 14   // and of one that turns connections away
 	spillShare = 0.125
 	sessions   = 1 << 16 // tokens held
 )
@@ -469,7 +470,7 @@
 	case Errored, TimedOut, Reset, Cancelled:
 		c.maybe = cmp.Or(c.maybe, c.sentAt)
 	}
-	if o == Missed || o == Errored {
+	if o == Missed || o == Errored || o == Unreached {
 		c.tried = append(c.tried, n)
 	}
 	c.over = c.over || over || o == Answered
@@ -491,10 +492,14 @@
 	i := slices.Index(n.out, c)
 	n.out = slices.Delete(n.out, i, i+1)
 	switch {
-	case o == Unreached && max(n.since, n.quickAt) <= c.sentAt: // down or cut off: silent too
+	case o == Unreached && n.quickAt+second < c.sentAt && n.since <= c.sentAt: // down or cut off: silent too
 		n.dark = r.Probes
 		n.leave(second / 10)
 		return
+	case o == Unreached: // it is up, but takes no more connections
+		n.tight()
+		n.tell(tight)
+		return
 	case o == TimedOut && c.sentAt > n.quickAt: // else what was sent later was answered: only its answer is lost
 		n.judge(1)
 		n.tell(1)
@@ -502,13 +507,16 @@
 	case o == Reset, o == TimedOut, o == Cancelled, o == Moot:
 		return
 	}
+	if r.now < n.tightTo && len(n.out) == 0 {
+		r.caller.Close(n)
+	}
 	r.gaps.add(r.now, float64(r.now-n.since))
 	n.since = r.now
 	if n.left {
 		n.left, n.backoff, n.trialAt, n.cap = false, 0, 0, min(n.cap, 2)
 	}
 	switch {
-	case o == Full, o == Unreached:
+	case o == Full:
 		n.full()
 		n.tell(full)
 	case o == Answered:
@@ -555,6 +563,14 @@
 	n.trialAt = n.set.r.now + Tenth((2+2*n.set.r.chance())*float64(n.backoff)/3)
 }
 
+// tight makes way for other routers at a host that takes no more connections: for a while none is kept idle.
+func (n *Node) tight() {
+	n.tightTo = n.set.r.now + 5*second
+	if len(n.out) == 0 {
+		n.set.r.caller.Close(n)
+	}
+}
+
 // id is what routers call a host among themselves.
 func (n *Node) id() string { return strconv.FormatUint(uint64(crc32.ChecksumIEEE([]byte(n.Name))), 36) }
 
@@ -565,8 +581,8 @@
 	if !r.Peers || !n.known || r.now < n.toldAt+r.quiet/8 {
 		return
 	}
-	if part != full {
-		part = min(full-1, 10*part+0.5)
+	if part < tight {
+		part = min(tight-1, 10*part+0.5)
 	}
 	word := (n.pos/10*2+Tenth(n.role)%2)*16 + Tenth(part)
 	body := n.id() + "." + strconv.FormatInt(word, 36)
@@ -588,6 +604,8 @@
 	n.Reported(word/32*10, Replica-Role(word/16%2))
 	if word %= 16; word == full {
 		n.full()
+	} else if word == tight {
+		n.tight()
 	} else if n.judge(float64(word) / 10); word < 5 {
 		n.quickAt = max(n.quickAt, r.now-second/10)
 	}
