--- a/rules/rules.go
+++ b/rules/rules.go
@@ -312,7 +312,14 @@
 		r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+second && len(n.out) == 0)
 }
 
-func (n *Node) load() float64 { return float64(n.busy()+1) * (n.crowd + late/4) / n.size }
+// load is what is out at a host, for its room and its way: one in another zone costs what the deployment says.
+func (n *Node) load() float64 {
+	load := float64(n.busy()+1) * (n.crowd + late/4) / n.size
+	if n.zone != n.set.r.Zone {
+		load *= 1 + 20*n.set.r.ZonePrice
+	}
+	return load
+}
 
 // busy is what is out, but for what is long past its target: lost answers must not fill the cap.
 func (n *Node) busy() (hoped int) {
