Let routers tell from the start; don't take one slow answer for a silent host

The wait is now what the latencies seen make unusual. Also what is past its target counts as late at once, and misses are told.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -83,6 +83,7 @@
 	Sent                      int   // its dispatches so far
 	benefit, luck             float64
 	over, held, called, erred bool // called: its dispatch has been cancelled; erred: a host answered an error
+	late                      bool // its dispatch is past the response target
 }
 
 // ring measures over time, in fixed buckets of a second that are used again.
@@ -131,6 +132,7 @@
 		r.latency += g.latency / float64(len(r.Groups))
 	}
 	r.Tick = max(r.Tick, 10)
+	r.words = r.chance() * float64(32*r.Routers)
 	r.wake(2 * r.Tick)
 	return r
 }
@@ -312,14 +314,7 @@
 		r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+second && len(n.out) == 0)
 }
 
-// load is what is out at a host, for its room and its way: one in another zone costs what the deployment says.
-func (n *Node) load() float64 {
-	load := float64(n.busy()+1) * (n.crowd + late/4) / n.size
-	if n.zone != n.set.r.Zone {
-		load *= 1 + 20*n.set.r.ZonePrice
-	}
-	return load
-}
+func (n *Node) load() float64 { return float64(n.busy()+1) * (n.crowd + late/4) / n.size }
 
 // busy is what is out, but for what is long past its target: lost answers must not fill the cap.
 func (n *Node) busy() (hoped int) {
@@ -374,7 +369,7 @@
 	n.out = append(n.out, c)
 	n.spare -= c.work()
 	c.Node, c.sentAt, c.sentFor, c.Sent = n, r.now, need, c.Sent+1
-	c.called, c.held = false, false
+	c.called, c.held, c.late = false, false, false
 	r.caller.Dispatch(c, n, 0)
 	return true
 }
@@ -507,10 +502,6 @@
 		n.tight()
 		n.tell(tight)
 		return
-	case o == TimedOut && c.sentAt > n.quickAt: // else what was sent later was answered: only its answer is lost
-		n.judge(1)
-		n.tell(1)
-		return
 	case o == Reset, o == TimedOut, o == Cancelled, o == Moot:
 		return
 	}
@@ -523,6 +514,8 @@
 		n.left, n.backoff, n.trialAt, n.cap = false, 0, 0, min(n.cap, 2)
 	}
 	switch {
+	case o == Missed:
+		n.tell(n.crowd)
 	case o == Full:
 		n.full()
 		n.tell(full)
@@ -717,7 +710,7 @@
 // look goes over all hosts.
 func (r *Router) look(span float64) {
 	r.lookAt = r.now
-	limit := second / 2 // the silence of a host that is unusual, given the gaps seen
+	limit := Tenth((1 + unusual) * r.latency) // the silence of a host that is unusual, given the gaps seen
 	if count, sum, sq := r.gaps.total(r.now, 8); count >= 16 {
 		mean := sum / count
 		limit = Tenth(mean+unusual*math.Sqrt(max(0, sq/count-mean*mean))) + 2*r.Tick
@@ -727,6 +720,13 @@
 		if len(n.out) > 0 && r.now-max(n.since, r.stoodTo) > limit {
 			n.leave(limit)
 		}
+		for _, c := range n.out {
+			if !c.late && r.now > c.sentAt+c.group.Target && c.sentAt > n.quickAt {
+				c.late = true // and nothing sent later was answered in good time, so it is not only lost
+				n.judge(1)
+				n.tell(1)
+			}
+		}
 		if n.standing == In && !n.left && !n.cold() {
 			n.kind.size += n.size
 		}
