A host unheard of counts as usually late, not as empty; no command goes back to a host

Cause: hosts that nobody had heard of, or that had been spared, looked empty and drew three times their part.

--- a/rules/fake_test.go
+++ b/rules/fake_test.go
@@ -70,6 +70,7 @@
 		n.Reported(f.at, Replica)
 	}
 	f.nodes[0].is(Primary, f.at)
+	f.r.crowd = 0 // nothing spills to the primary
 	return f
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -132,6 +132,7 @@
 		r.latency += g.latency / float64(len(r.Groups))
 	}
 	r.Tick = max(r.Tick, 10)
+	r.crowd = late / 2
 	r.words = r.chance() * float64(32*r.Routers)
 	r.wake(2 * r.Tick)
 	return r
@@ -171,7 +172,7 @@
 // Host introduces a host of the list.
 func (r *Router) Host(name string, set int64) *Node {
 	s := r.set(set)
-	n := &Node{Name: name, set: s, cap: 4, size: 1, share: 1, judgedAt: r.now}
+	n := &Node{Name: name, set: s, cap: 4, size: 1, share: 1, crowd: late / 2, judgedAt: r.now}
 	r.ids[n.id()], r.nodes, s.members = n, append(r.nodes, n), append(s.members, n)
 	slices.SortFunc(s.members, func(a, b *Node) int { return strings.Compare(a.Name, b.Name) })
 	return n
@@ -472,9 +473,7 @@
 	case Errored, TimedOut, Reset, Cancelled:
 		c.maybe = cmp.Or(c.maybe, c.sentAt)
 	}
-	if o == Missed || o == Errored || o == Unreached {
-		c.tried = append(c.tried, n)
-	}
+	c.tried = append(c.tried, n)
 	c.over = c.over || over || o == Answered
 	again := !c.over && c.again(o)
 	c.Node = nil
@@ -716,7 +715,8 @@
 		limit = Tenth(mean+unusual*math.Sqrt(max(0, sq/count-mean*mean))) + 2*r.Tick
 	}
 	for _, n := range r.nodes {
-		n.crowd, n.share = n.crowd*0.9975, min(1, n.share*1.0035) // what has been spared is tried again
+		n.crowd += (late/2 - n.crowd) / 400 // what has been spared is tried again
+		n.share = min(1, n.share*1.0035)
 		if len(n.out) > 0 && r.now-max(n.since, r.stoodTo) > limit {
 			n.leave(limit)
 		}
