--- a/rules/rules.go
+++ b/rules/rules.go
@@ -546,9 +546,9 @@
 	n.judgedAt = now
 	n.crowd += (min(part, 1) - n.crowd) * w
 	if part <= 0.5 {
-		n.share = min(1, n.share*(1+w/2))
+		n.share = min(1, n.share*(1+w))
 	} else if float64(len(n.out)) < n.cap/4 {
-		n.share = max(1/float64(n.set.r.Routers), n.share*(1-w))
+		n.share = max(0.05, 1/float64(n.set.r.Routers), n.share*(1-w))
 	}
 	if n.crowd > late && now >= n.cutAt {
 		n.cap, n.cutAt = max(1, n.cap*0.85), now+second/10
