--- a/rules/rules.go
+++ b/rules/rules.go
@@ -545,10 +545,8 @@
 	w := min(0.5, max(0.125, float64(now-n.judgedAt)/float64(2*second)))
 	n.judgedAt = now
 	n.crowd += (min(part, 1) - n.crowd) * w
-	if part <= 0.5 {
-		n.share = min(1, n.share*(1+w))
-	} else if float64(len(n.out)) < n.cap/4 {
-		n.share = max(0.05, 1/float64(n.set.r.Routers), n.share*(1-w))
+	if grow := 1 + w*max(-1, 1-part/0.4); grow > 1 || float64(len(n.out)) < n.cap/4 {
+		n.share = min(1, max(1/float64(n.set.r.Routers), n.share*grow))
 	}
 	if n.crowd > late && now >= n.cutAt {
 		n.cap, n.cutAt = max(1, n.cap*0.85), now+second/10
