--- a/rules/rules.go
+++ b/rules/rules.go
@@ -513,7 +513,7 @@
 		n.left, n.backoff, n.trialAt, n.cap = false, 0, 0, min(n.cap, 2)
 	}
 	switch {
-	case o == Missed:
+	case o == Missed, o == Errored:
 		n.tell(n.crowd)
 	case o == Full:
 		n.full()
