--- a/rules/rules.go
+++ b/rules/rules.go
@@ -115,6 +115,7 @@
 	late       = 0.3  // of the response target: a mean latency that tells of crowding
 	full       = 15   // what routers tell of a host that turns commands away; else tenths of the target
 	tight      = 14   // and of one that turns connections away
+	mum        = 13   // and where nothing is known of lateness
 	spillShare = 0.125
 	sessions   = 1 << 16 // tokens held
 )
@@ -513,8 +514,8 @@
 		n.left, n.backoff, n.trialAt, n.cap = false, 0, 0, min(n.cap, 2)
 	}
 	switch {
-	case o == Missed, o == Errored:
-		n.tell(n.crowd)
+	case o == Missed:
+		n.tell(mum)
 	case o == Full:
 		n.full()
 		n.tell(full)
@@ -578,8 +579,8 @@
 	if !r.Peers || !n.known || r.now < n.toldAt+r.quiet/8 {
 		return
 	}
-	if part < tight {
-		part = min(tight-1, 10*part+0.5)
+	if part < mum {
+		part = min(mum-1, 10*part+0.5)
 	}
 	word := (n.pos/10*2+Tenth(n.role)%2)*16 + Tenth(part)
 	body := n.id() + "." + strconv.FormatInt(word, 36)
@@ -603,7 +604,10 @@
 		n.full()
 	} else if word == tight {
 		n.tight()
-	} else if n.judge(float64(word) / 10); word < 5 {
+	} else if word < mum {
+		n.judge(float64(word) / 10)
+	}
+	if word < 5 {
 		n.quickAt = max(n.quickAt, r.now-second/10)
 	}
 }
@@ -657,7 +661,7 @@
 		n.dark, n.left, n.backoff, n.trialAt, n.cap = false, false, 0, 0, 2
 	}
 	if ok {
-		n.tell(n.crowd)
+		n.tell(mum)
 	}
 }
 
