--- a/rules/door.go
+++ b/rules/door.go
@@ -94,7 +94,6 @@
 	Kept       bool // sessions bring no write time, only this router's memory counts
 	Reports    bool // probes, at least, bring positions
 	Probes     bool
-	Cancel     bool
 	Peers      bool    // routers may tell each other
 	PeerPrice  float64 // what a full message (256 bytes) a command takes off the service
 	ProbePrice float64 // what a probe a command takes off the service
@@ -118,7 +117,6 @@
 	Dispatch(c *Cmd, n *Node, timeout Tenth) // timeout 0: until the client gives up
 	Throttle(c *Cmd, comeback Tenth)         // final; comeback 0: none named
 	Fail(c *Cmd)                             // final
-	Cancel(c *Cmd)                           // stop waiting for the dispatch that is out
 	Probe(n *Node)
 	Close(n *Node)    // the idle connections to a host
 	Tell(body string) // to every other router, may be lost
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,5 +1,5 @@
-// Package rules decides where each command of a replicated database goes. The interface is in door.go: a caller
-// makes a Router with New, tells it the time, the list and what comes in, and does what it asks. Nothing blocks.
+// Package rules decides where each command of a replicated database goes. The interface is door.go: a caller
+// makes a Router with New, tells it the time, the list and what comes in, and does what it asks for.
 //
 // The design: writes leave a token, the position of their commit; a session's read goes to a replica known at
 // or past its token, else to the primary. Beside the design stand these mechanisms:
@@ -24,19 +24,16 @@
 // Router is one router's view of the deployment.
 type Router struct {
 	Deployment
-	caller                Caller
-	now, wakeAt, lookAt   Tenth // the next wake that counts; when all hosts were gone over
-	stoodTo, quiet        Tenth // until when it stood still; how long a position stays good
-	draws                 uint32
-	sets                  map[int64]*Set
-	nodes                 []*Node
-	kinds                 map[string]*kind
-	ids                   map[string]*Node // by what routers call them
-	tokens                map[string]Tenth // by session
-	floor                 Tenth            // no forgotten token is greater
-	credit, words         float64          // probes that may be spent, bytes that may be told
-	gaps                  ring             // between the answers of any one host
-	latency, crowd, worth float64          // means: of answers, of their part of the target, of commands' rank
+	caller                        Caller
+	now, wakeAt, lookAt, stoodTo  Tenth // the next wake; when hosts were gone over; when a stall ended
+	quiet, floor, draws           Tenth // how long a position stays good; no forgotten token is greater
+	sets                          map[int64]*Set
+	nodes                         []*Node
+	kinds                         map[string]*kind
+	ids                           map[string]*Node // by what routers call them
+	tokens                        map[string]Tenth // by session
+	gaps                          ring             // between the answers of any one host
+	credit, words, latency, worth float64          // probes to spend, bytes to tell; mean answer, mean rank
 }
 
 // kind is the mean work that warm hosts of a kind do in a tenth for each unit of size, and its makings.
@@ -61,29 +58,25 @@
 	role                               Role
 	out                                []*Cmd
 	listed, known, probing, left, dark bool    // left: silent or unreachable; dark: unreachable
-	size, cap, share, crowd            float64 // crowd: the mean part of the response target that answers take
-	spare                              float64 // work that it may be sent while cold
-	boot, spareAt                      Tenth   // when it last started; 0: long ago
+	size, cap, share, crowd, spare     float64 // crowd: mean part of the target taken; spare: work while cold
+	boot, spareAt, backoff, tightTo    Tenth   // boot: when it last started; 0: long ago
 	roleAt, pos, posAt, lag            Tenth   // it had applied all up to pos at posAt, and was lag behind
 	since, quickAt                     Tenth   // its last answer; when what it answered in good time was sent
 	cutAt, judgedAt, toldAt, trialAt   Tenth
-	backoff, tightTo                   Tenth
 }
 
 // Cmd is the handle of a command.
 type Cmd struct {
-	Name, session             string
-	set                       *Set
-	group                     *CmdGroup
-	Node                      *Node // where it is out
-	tried                     []*Node
-	token                     Tenth // what a read must see, but for Bounded
-	taken, target, timeout    Tenth
-	sentAt, sentFor, maybe    Tenth // its dispatch, and for which position; the first that may have run
-	Sent                      int   // its dispatches so far
-	benefit, luck             float64
-	over, held, called, erred bool // called: its dispatch has been cancelled; erred: a host answered an error
-	late                      bool // its dispatch is past the response target
+	Name, session                 string
+	set                           *Set
+	group                         *CmdGroup
+	Node                          *Node // where it is out
+	tried                         []*Node
+	token, taken, target, timeout Tenth // token: what a read must see, but for Bounded
+	sentAt, sentFor, maybe        Tenth // its dispatch, and for which position; the first that may have run
+	Sent                          int   // its dispatches so far
+	benefit, luck                 float64
+	over, held, erred, late       bool // erred: answered by an error; late: out past its target
 }
 
 // ring measures over time, in fixed buckets of a second that are used again.
@@ -123,8 +116,7 @@
 // New starts a router.
 func New(caller Caller, d Deployment, now Tenth) *Router {
 	r := &Router{Deployment: d, caller: caller, now: now, lookAt: now, quiet: second / 2,
-		sets: map[int64]*Set{}, ids: map[string]*Node{}, kinds: map[string]*kind{},
-		tokens: map[string]Tenth{}}
+		sets: map[int64]*Set{}, ids: map[string]*Node{}, kinds: map[string]*kind{}, tokens: map[string]Tenth{}}
 	for _, g := range r.Groups {
 		if g.Need == Bounded {
 			r.quiet = min(r.quiet, g.Bound/2)
@@ -133,7 +125,6 @@
 		r.latency += g.latency / float64(len(r.Groups))
 	}
 	r.Tick = max(r.Tick, 10)
-	r.crowd = late / 2
 	r.words = r.chance() * float64(32*r.Routers)
 	r.wake(2 * r.Tick)
 	return r
@@ -266,7 +257,7 @@
 	var best *Node
 	if c.group.Need != Fresh {
 		best = s.least(c, need)
-		if best != nil && p != nil && r.chance() < spillShare && p.open(c, 0.5) && p.crowd < 1.3*r.crowd &&
+		if best != nil && p != nil && r.chance() < spillShare && p.open(c, 0.5) && p.crowd < 1.3*best.crowd &&
 			p.load() <= best.load() {
 			best = p
 		}
@@ -277,8 +268,7 @@
 	return best != nil && c.dispatch(best, need)
 }
 
-// write sends to the primary. With none known, or that one silent, the members are tried in id order, one
-// every few ticks.
+// write sends to the primary. With none known, or that one silent, members are tried, one every few ticks.
 func (c *Cmd) write() bool {
 	s, r := c.set, c.set.r
 	if p := s.primary; p != nil && !p.left {
@@ -321,7 +311,7 @@
 // busy is what is out, but for what is long past its target: lost answers must not fill the cap.
 func (n *Node) busy() (hoped int) {
 	for _, c := range n.out {
-		if out := n.set.r.now - c.sentAt; out < c.group.Target || n.crowd > late && out < 2*c.group.Target {
+		if !c.late || n.crowd > late && n.set.r.now < c.sentAt+2*c.group.Target {
 			hoped++
 		}
 	}
@@ -345,8 +335,7 @@
 func (n *Node) cold() bool { return n.boot != 0 && n.set.r.now < n.boot+n.set.r.ColdFor }
 
 // budget keeps a cold host within its part of what warm ones do. Every router counts its own, so all keep in
-// the sum; many that may each send less than one command save for it, from a part drawn by chance, so that no
-// two hundred send their first at once. It can hurt where the warm hosts have little to do.
+// the sum; what is under one command is saved for, from a part drawn by chance, lest all send at once.
 func (n *Node) budget(c *Cmd) bool {
 	r := n.set.r
 	grown := float64(r.now-r.FallSpan-n.boot) / float64(r.ColdFor)
@@ -371,7 +360,7 @@
 	n.out = append(n.out, c)
 	n.spare -= c.work()
 	c.Node, c.sentAt, c.sentFor, c.Sent = n, r.now, need, c.Sent+1
-	c.called, c.held, c.late = false, false, false
+	c.held, c.late = false, false
 	r.caller.Dispatch(c, n, 0)
 	return true
 }
@@ -432,12 +421,10 @@
 // repeats is the command's fault. Guards against floods of bad commands.
 func (c *Cmd) again(o Outcome) bool {
 	r, g := c.set.r, c.group
-	if o == Errored && c.erred {
-		return false
-	}
+	twice := o == Errored && c.erred
 	c.erred = c.erred || o == Errored
-	return c.Sent < r.Dispatches && r.now+r.Tick < c.timeout && (c.maybe == 0 || g.Effect == Replayable ||
-		g.Effect == Keyed && r.now+r.Tick < c.maybe+g.Memory)
+	return !twice && c.Sent < r.Dispatches && r.now+r.Tick < c.timeout && (c.maybe == 0 ||
+		g.Effect == Replayable || g.Effect == Keyed && r.now+r.Tick < c.maybe+g.Memory)
 }
 
 // Over says that nothing more will come for the command.
@@ -499,14 +486,15 @@
 		n.leave(second / 10)
 		return
 	case o == Unreached: // it is up, but takes no more connections
+		n.tightTo = r.now + 5*second
 		n.tight()
 		n.tell(tight)
 		return
-	case o == Reset, o == TimedOut, o == Cancelled, o == Moot:
+	case o != Answered && o != Errored && o != Full && o != Missed:
 		return
 	}
-	if r.now < n.tightTo && len(n.out) == 0 {
-		r.caller.Close(n)
+	if r.now < n.tightTo {
+		n.tight()
 	}
 	r.gaps.add(r.now, float64(r.now-n.since))
 	n.since = r.now
@@ -521,30 +509,28 @@
 		n.tell(full)
 	case o == Answered:
 		part := float64(cost) / float64(g.Target)
-		n.backoff = 0
-		g.count = min(g.count+1, 500)
+		n.backoff, g.count = 0, min(g.count+1, 500)
 		g.latency += (float64(cost) - g.latency) / g.count
 		r.latency += (g.latency - r.latency) / 100
-		r.crowd += (part - r.crowd) / 100
 		if !n.cold() {
 			n.kind.done += c.work()
 		}
-		if n.judge(part); n.crowd <= late && float64(len(n.out)+1) >= n.cap/2 {
+		if n.judge(part, c.sentAt); n.crowd <= late && float64(len(n.out)+1) >= n.cap/2 {
 			n.cap += 1 / n.cap
 		}
-		if 2*cost < g.Target {
-			n.quickAt = max(n.quickAt, c.sentAt)
-		}
 		n.tell(part)
 	}
 }
 
 // judge takes in how late an answer was, own or told; the fewer there are, the more each weighs. Late ones
 // shrink the cap, or, where one of hundreds of routers has too little out for that, the host's share.
-func (n *Node) judge(part float64) {
+func (n *Node) judge(part float64, sentAt Tenth) {
 	now := n.set.r.now
 	w := min(0.5, max(0.125, float64(now-n.judgedAt)/float64(2*second)))
 	n.judgedAt = now
+	if part < 0.5 {
+		n.quickAt = max(n.quickAt, sentAt)
+	}
 	n.crowd += (min(part, 1) - n.crowd) * w
 	if grow := 1 + w*max(-1, 1-part/0.4); grow > 1 || float64(len(n.out)) < n.cap/4 {
 		n.share = min(1, max(1/float64(n.set.r.Routers), n.share*grow))
@@ -556,14 +542,13 @@
 
 // full leaves a host that turns away unseen alone, longer each time: its fast refusals would draw ever more.
 func (n *Node) full() {
-	n.judge(1)
+	n.judge(1, 0)
 	n.backoff = min(max(2*n.backoff, second/50), second/2)
 	n.trialAt = n.set.r.now + Tenth((2+2*n.set.r.chance())*float64(n.backoff)/3)
 }
 
 // tight makes way for other routers at a host that takes no more connections: for a while none is kept idle.
 func (n *Node) tight() {
-	n.tightTo = n.set.r.now + 5*second
 	if len(n.out) == 0 {
 		n.set.r.caller.Close(n)
 	}
@@ -576,7 +561,7 @@
 // point of service at the stated price: each of hundreds sees a host too seldom. Nothing depends on it.
 func (n *Node) tell(part float64) {
 	r := n.set.r
-	if !r.Peers || !n.known || r.now < n.toldAt+r.quiet/8 {
+	if !r.Peers || !n.known || n.role == Unknown || r.now < n.toldAt+r.quiet/8 {
 		return
 	}
 	if part < mum {
@@ -600,30 +585,21 @@
 	}
 	n.toldAt = r.now
 	n.Reported(word/32*10, Replica-Role(word/16%2))
-	if word %= 16; word == full {
+	switch word %= 16; {
+	case word == full:
 		n.full()
-	} else if word == tight {
+	case word == tight:
+		n.tightTo = r.now + 5*second
 		n.tight()
-	} else if word < mum {
-		n.judge(float64(word) / 10)
-	}
-	if word < 5 {
-		n.quickAt = max(n.quickAt, r.now-second/10)
+	case word < mum:
+		n.judge(float64(word)/10, r.now-second/10)
 	}
 }
 
-// leave stops sending to a host and calls back what may run elsewhere.
+// leave stops sending to a silent host but for a try now and then.
 func (n *Node) leave(wait Tenth) {
-	r := n.set.r
 	if !n.left {
-		n.left, n.backoff = true, max(wait, second/10)
-		n.trialAt = r.now + n.backoff
-	}
-	for _, c := range n.out {
-		if c.group.Effect == Replayable && !c.over && !c.called && r.Cancel {
-			c.called = true
-			r.caller.Cancel(c)
-		}
+		n.left, n.backoff, n.trialAt = true, max(wait, second/10), n.set.r.now+max(wait, second/10)
 	}
 }
 
@@ -633,11 +609,10 @@
 	if at < n.roleAt || role == Unknown {
 		return
 	}
-	n.role, n.roleAt = role, at
-	if role == Primary && n.standing == In && (s.primary == nil || at >= s.primary.roleAt) {
-		s.primary = n
-	} else if role != Primary && s.primary == n {
+	if n.role, n.roleAt = role, at; role == Replica && s.primary == n {
 		s.primary = nil
+	} else if role == Primary && n.standing == In && (s.primary == nil || at >= s.primary.roleAt) {
+		s.primary = n
 	}
 }
 
@@ -656,8 +631,7 @@
 
 // Probed ends a probe. A host in reach again may have started anew, whatever the list says: so does its cap.
 func (n *Node) Probed(ok bool) {
-	n.probing = false
-	if ok && n.dark {
+	if n.probing = false; ok && n.dark {
 		n.dark, n.left, n.backoff, n.trialAt, n.cap = false, false, 0, 0, 2
 	}
 	if ok {
@@ -665,8 +639,7 @@
 	}
 }
 
-// probe asks hosts whose position has aged, within what may be spent, the oldest first; each once when the
-// router is new. Where routers tell each other, one or two of them ask.
+// probe asks new hosts and, within what may be spent, those whose position has aged, the oldest first.
 func (r *Router) probe() {
 	for r.Probes {
 		var oldest *Node
@@ -723,9 +696,11 @@
 			n.leave(limit)
 		}
 		for _, c := range n.out {
-			if !c.late && r.now > c.sentAt+c.group.Target && c.sentAt > n.quickAt {
-				c.late = true // and nothing sent later was answered in good time, so it is not only lost
-				n.judge(1)
+			if c.late || r.now < c.sentAt+c.group.Target {
+				continue
+			}
+			if c.late = true; c.sentAt > n.quickAt { // nothing sent later was answered in good time: it isn't lost
+				n.judge(1, 0)
 				n.tell(1)
 			}
 		}
@@ -746,9 +721,7 @@
 // stamp keeps the greatest token of a session, in bounded room.
 func (r *Router) stamp(session string, pos Tenth) {
 	if len(r.tokens) >= sessions {
-		for _, t := range r.tokens { // order doesn't matter to a maximum
-			r.floor = max(r.floor, t)
-		}
+		r.floor = r.now - r.Zero
 		clear(r.tokens)
 	}
 	r.tokens[session] = max(pos, r.token(session))
