--- a/rules/rules.go
+++ b/rules/rules.go
@@ -256,13 +256,15 @@
 	}
 	var best *Node
 	if c.group.Need != Fresh {
-		best = s.least(c, need)
+		if best = s.least(c, need); best != nil && !c.lucky(best.share) {
+			return false // what crowded hosts shed must not fall on the others
+		}
 		if best != nil && p != nil && r.chance() < spillShare && p.open(c, 0.5) && p.crowd < 1.3*best.crowd &&
 			p.load() <= best.load() {
 			best = p
 		}
 	}
-	if best == nil && p != nil && p.open(c, 0.7) && (p.crowd < late || c.group.Need == Fresh) {
+	if best == nil && p != nil && p.open(c, 0.7) && c.lucky(p.share) && (p.crowd < late || c.group.Need == Fresh) {
 		best = p
 	}
 	return best != nil && c.dispatch(best, need)
@@ -272,7 +274,7 @@
 func (c *Cmd) write() bool {
 	s, r := c.set, c.set.r
 	if p := s.primary; p != nil && !p.left {
-		return p.open(c, 1) && c.dispatch(p, 0)
+		return p.open(c, 1) && c.lucky(p.share) && c.dispatch(p, 0)
 	}
 	for i := 0; i < len(s.members) && r.now >= s.lookAt && 2*c.Sent < r.Dispatches; i++ {
 		n := s.members[s.next%len(s.members)]
@@ -290,7 +292,8 @@
 	blind, least := 1.01-1/float64(s.r.Routers), 0.0
 	for _, n := range s.members {
 		if n != s.primary && n.reached(need) && !slices.Contains(c.tried, n) && n.open(c, 1) {
-			if l := n.load() * math.Pow(-math.Log(1-s.r.chance()), blind); best == nil || l < least {
+			l := n.load() / n.share * math.Pow(-math.Log(1-s.r.chance()), blind)
+			if best == nil || l < least {
 				best, least = n, l
 			}
 		}
@@ -329,9 +332,12 @@
 	case r.now >= c.target && c.group.LateShare == 0:
 		part /= 2 // it can earn nothing: what is spare will do
 	}
-	return float64(n.busy()) < n.cap*part && (n.share == 1 || c.luck*r.worth <= n.share*c.rank())
+	return float64(n.busy()) < n.cap*part
 }
 
+// lucky says whether the command is in a share of what comes.
+func (c *Cmd) lucky(share float64) bool { return share >= 1 || c.luck*c.set.r.worth <= share*c.rank() }
+
 func (n *Node) cold() bool { return n.boot != 0 && n.set.r.now < n.boot+n.set.r.ColdFor }
 
 // budget keeps a cold host within its part of what warm ones do. Every router counts its own, so all keep in
