--- a/rules/rules.go
+++ b/rules/rules.go
@@ -256,7 +256,8 @@
 	}
 	var best *Node
 	if c.group.Need != Fresh {
-		if best = s.least(c, need); best != nil && !c.lucky(best.share) {
+		share := 0.0
+		if best, share = s.least(c, need); best != nil && !c.lucky(share) {
 			return false // what crowded hosts shed must not fall on the others
 		}
 		if best != nil && p != nil && r.chance() < spillShare && p.open(c, 0.5) && p.crowd < 1.3*best.crowd &&
@@ -286,19 +287,20 @@
 	return false
 }
 
-// least is the least loaded of the replicas at or past need. The more routers there are, the more chance
-// decides, in proportion, so that all do not move to one host at once.
-func (s *Set) least(c *Cmd, need Tenth) (best *Node) {
-	blind, least := 1.01-1/float64(s.r.Routers), 0.0
+// least is the least loaded of the replicas at or past need, and the mean share of those. The more routers
+// there are, the more chance decides, in proportion, so that all do not move to one host at once.
+func (s *Set) least(c *Cmd, need Tenth) (best *Node, share float64) {
+	blind, least, count := 1.01-1/float64(s.r.Routers), 0.0, 0.0
 	for _, n := range s.members {
 		if n != s.primary && n.reached(need) && !slices.Contains(c.tried, n) && n.open(c, 1) {
+			share, count = share+n.share, count+1
 			l := n.load() / n.share * math.Pow(-math.Log(1-s.r.chance()), blind)
 			if best == nil || l < least {
 				best, least = n, l
 			}
 		}
 	}
-	return best
+	return best, share / count
 }
 
 // reached says that a member is at or past a position. Where hosts check reads themselves, one expected there
