--- a/rules/rules.go
+++ b/rules/rules.go
@@ -293,14 +293,14 @@
 	blind, least, count := 1.01-1/float64(s.r.Routers), 0.0, 0.0
 	for _, n := range s.members {
 		if n != s.primary && n.reached(need) && !slices.Contains(c.tried, n) && n.open(c, 1) {
-			share, count = share+n.share, count+1
+			share, count = share+n.share*n.share, count+1
 			l := n.load() / n.share * math.Pow(-math.Log(1-s.r.chance()), blind)
 			if best == nil || l < least {
 				best, least = n, l
 			}
 		}
 	}
-	return best, share / count
+	return best, math.Sqrt(share / count)
 }
 
 // reached says that a member is at or past a position. Where hosts check reads themselves, one expected there
