--- a/rules/rules.go
+++ b/rules/rules.go
@@ -254,10 +254,9 @@
 	if c.group.Need == Bounded {
 		need = r.now - r.Zero - c.group.Bound
 	}
-	var best *Node
-	if c.group.Need != Fresh {
-		share := 0.0
-		if best, share = s.least(c, need); best != nil && !c.lucky(share) {
+	best, fresh := (*Node)(nil), c.group.Need == Fresh
+	if !fresh {
+		if best = s.least(c, need); best != nil && !c.lucky(best.share) {
 			return false // what crowded hosts shed must not fall on the others
 		}
 		if best != nil && p != nil && r.chance() < spillShare && p.open(c, 0.5) && p.crowd < 1.3*best.crowd &&
@@ -265,7 +264,7 @@
 			best = p
 		}
 	}
-	if best == nil && p != nil && p.open(c, 0.7) && c.lucky(p.share) && (p.crowd < late || c.group.Need == Fresh) {
+	if best == nil && p != nil && p.open(c, 0.7) && c.lucky(p.share) && (fresh || p.crowd < late) {
 		best = p
 	}
 	return best != nil && c.dispatch(best, need)
@@ -287,20 +286,19 @@
 	return false
 }
 
-// least is the least loaded of the replicas at or past need, and the mean share of those. The more routers
-// there are, the more chance decides, in proportion, so that all do not move to one host at once.
-func (s *Set) least(c *Cmd, need Tenth) (best *Node, share float64) {
-	blind, least, count := 1.01-1/float64(s.r.Routers), 0.0, 0.0
+// least is the least loaded of the replicas at or past need. The more routers there are, the more chance
+// decides, in proportion, so that all do not move to one host at once.
+func (s *Set) least(c *Cmd, need Tenth) (best *Node) {
+	blind, least := 1.01-1/float64(s.r.Routers), 0.0
 	for _, n := range s.members {
-		if n != s.primary && n.reached(need) && !slices.Contains(c.tried, n) && n.open(c, 1) {
-			share, count = share+n.share*n.share, count+1
-			l := n.load() / n.share * math.Pow(-math.Log(1-s.r.chance()), blind)
-			if best == nil || l < least {
-				best, least = n, l
-			}
+		if n == s.primary || !n.reached(need) || slices.Contains(c.tried, n) || !n.open(c, 1) {
+			continue
+		}
+		if l := n.load() / n.share * math.Pow(-math.Log(1-s.r.chance()), blind); best == nil || l < least {
+			best, least = n, l
 		}
 	}
-	return best, math.Sqrt(share / count)
+	return best
 }
 
 // reached says that a member is at or past a position. Where hosts check reads themselves, one expected there
@@ -337,7 +335,6 @@
 	return float64(n.busy()) < n.cap*part
 }
 
-// lucky says whether the command is in a share of what comes.
 func (c *Cmd) lucky(share float64) bool { return share >= 1 || c.luck*c.set.r.worth <= share*c.rank() }
 
 func (n *Node) cold() bool { return n.boot != 0 && n.set.r.now < n.boot+n.set.r.ColdFor }
@@ -540,8 +537,8 @@
 		n.quickAt = max(n.quickAt, sentAt)
 	}
 	n.crowd += (min(part, 1) - n.crowd) * w
-	if grow := 1 + w*max(-1, 1-part/0.4); grow > 1 || float64(len(n.out)) < n.cap/4 {
-		n.share = min(1, max(1/float64(n.set.r.Routers), n.share*grow))
+	if grow := 1 + w*max(-1, 1-part/late); grow > 1 || float64(len(n.out)) < n.cap/4 {
+		n.share = min(1, max(4/float64(n.set.r.Routers), n.share*grow))
 	}
 	if n.crowd > late && now >= n.cutAt {
 		n.cap, n.cutAt = max(1, n.cap*0.85), now+second/10
@@ -698,16 +695,13 @@
 		limit = Tenth(mean+unusual*math.Sqrt(max(0, sq/count-mean*mean))) + 2*r.Tick
 	}
 	for _, n := range r.nodes {
-		n.crowd += (late/2 - n.crowd) / 400 // what has been spared is tried again
-		n.share = min(1, n.share*1.0035)
+		n.crowd, n.share = n.crowd+(late/2-n.crowd)/400, min(1, n.share*1.0035) // what is spared is tried again
 		if len(n.out) > 0 && r.now-max(n.since, r.stoodTo) > limit {
 			n.leave(limit)
 		}
 		for _, c := range n.out {
-			if c.late || r.now < c.sentAt+c.group.Target {
-				continue
-			}
-			if c.late = true; c.sentAt > n.quickAt { // nothing sent later was answered in good time: it isn't lost
+			fresh := !c.late // past its target; if nothing sent later was answered in good time, it is not lost
+			if c.late = r.now >= c.sentAt+c.group.Target; c.late && fresh && c.sentAt > n.quickAt {
 				n.judge(1, 0)
 				n.tell(1)
 			}
