--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -150,7 +150,7 @@
 			down(number(ev, "give_up_at")), down(maybeNumber(ev, "since_write_ms")),
 			r.shares[maybeText(ev, "realm")], flag(ev, "is_retry"))
 	case "attempt_end":
-		if c := r.cmds[text(ev, "req")]; c != nil {
+		if c := r.cmds[text(ev, "req")]; c != nil && integer(ev, "leg") == int64(c.Sent-1) {
 			r.report(c.Node, ev)
 			stamp := int64(0)
 			if ev["stamp"] != nil {
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -34,7 +34,8 @@
 	ask := `{"t":"ingress","who":3,"req":"c:<&>","tier_class":"look","group_no":1,"give_up_at":2800.0,"user":null}`
 	end := `{"t":"attempt_end","who":3,"req":"c:<&>","leg":0,"host":"10.0.0.1:7000","how":1,"cost_time":9.5,` +
 		`"ended":true,"stamp":8002,"telemetry":null}`
-	out, err := run(t, spawn+","+hosts, ask, end+","+end+`,{"t":"dropped","who":3,"req":"c:<&>"},{"t":"news","who":3}`)
+	old := strings.Replace(end, `"leg":0`, `"leg":-1`, 1)
+	out, err := run(t, spawn+","+hosts, ask, old+","+end+","+end+`,{"t":"dropped","who":3,"req":"c:<&>"},{"t":"news","who":3}`)
 	if err != nil || strings.Count(out, "call_out") != 1 || !strings.Contains(out, `"req":"c:<&>"`) {
 		t.Errorf("%s, %v", out, err)
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,6 +28,7 @@
 	now, wakeAt, lookAt, stoodTo  Tenth // the next wake; when hosts were gone over; when a stall ended
 	quiet, floor, draws           Tenth // how long a position stays good; no forgotten token is greater
 	sets                          map[int64]*Set
+	ordered                       []*Set
 	nodes                         []*Node
 	kinds                         map[string]*kind
 	ids                           map[string]*Node // by what routers call them
@@ -124,8 +125,7 @@
 		g.latency, g.count = float64(g.Target)/3, 1
 		r.latency += g.latency / float64(len(r.Groups))
 	}
-	r.Tick = max(r.Tick, 10)
-	r.words = r.chance() * float64(32*r.Routers)
+	r.Tick, r.words = max(r.Tick, 10), r.chance()*float64(32*r.Routers)
 	r.wake(2 * r.Tick)
 	return r
 }
@@ -156,7 +156,7 @@
 	s := r.sets[id]
 	if s == nil {
 		s = &Set{r: r}
-		r.sets[id] = s
+		r.sets[id], r.ordered = s, append(r.ordered, s)
 	}
 	return s
 }
@@ -671,8 +671,8 @@
 // Woke is called soon while commands are held, now and then otherwise: hundreds of hosts must cost little.
 func (r *Router) Woke() {
 	next := second / 20
-	for _, n := range r.nodes {
-		if s := n.set; n == s.members[0] && len(s.held) > 0 {
+	for _, s := range r.ordered { // those without a host too
+		if len(s.held) > 0 {
 			s.serve()
 			next = 2 * r.Tick
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -61,7 +61,6 @@
 	f.nodes[0].cap, f.nodes[1].cap = 0, 0
 	c := f.take(Bounded, Replayable, "", 0)
 	f.wait(1000)
-	f.nodes[1].learn(f.at - 5001)
 	f.nodes[1].pos = f.at - 5101
 	f.nodes[1].cap = 9
 	f.wait(100)
@@ -472,8 +471,7 @@
 	held := start(t, 1, nil)
 	f.take(Bounded, Replayable, "", 0)
 	f.wait(100)
-	f.at += 90000
-	f.r.Clock(f.at)
+	f.r.Clock(f.at + 90000)
 	f.r.Woke()
 	for _, n := range f.nodes {
 		f.never(n.left, "a host was taken for silent while the router stood still")
@@ -487,6 +485,13 @@
 	f.never(held.final[old] == "", "what became overdue while the router stood still waits on")
 }
 
+func TestACommandOfASetWithoutHostsIsAnswered(t *testing.T) {
+	f := start(t, 1, nil)
+	c := f.r.Take("1", f.r.Groups[0], 99, "", f.at+8000, 0, nil, false)
+	f.wait(4000)
+	f.never(f.final[c] != "throttled", "a set that no host is known of keeps its commands")
+}
+
 func TestWhatComesWithNoTimeLeftIsAnsweredAtOnce(t *testing.T) {
 	f := start(t, 1, nil)
 	f.nodes[0].cap = 0
