--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -5,11 +5,13 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"ferrypitch/internal/drill"
 )
 
 func main() {
+	debug.SetGCPercent(400) // hundreds of instances share the process here; their garbage is small
 	if err := drill.Run(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "drill:", err)
 		os.Exit(1)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -379,7 +379,7 @@
 		return
 	}
 	c.held = true
-	s.r.wake(2 * s.r.Tick)
+	s.r.wake(4 * s.r.Tick)
 	i := slices.IndexFunc(append(s.held, c), func(h *Cmd) bool { return h.rank() <= c.rank() })
 	s.held = slices.Insert(s.held, i, c)
 }
@@ -406,9 +406,9 @@
 func (c *Cmd) useful() bool {
 	r, g := c.set.r, c.group
 	if g.Need == Write {
-		return r.now < c.taken+(c.timeout-c.taken)/4 && r.now+2*r.Tick < c.timeout
+		return r.now < c.taken+(c.timeout-c.taken)/4 && r.now+4*r.Tick < c.timeout
 	}
-	return r.now+max(Tenth(g.latency), 2*r.Tick) < min(c.target, c.timeout)
+	return r.now+max(Tenth(g.latency), 4*r.Tick) < min(c.target, c.timeout)
 }
 
 // giveUp is the final answer of a command that has no place: throttled where a repeat is harmless.
@@ -674,7 +674,7 @@
 	for _, s := range r.ordered { // those without a host too
 		if len(s.held) > 0 {
 			s.serve()
-			next = 2 * r.Tick
+			next = 4 * r.Tick
 		}
 	}
 	if r.now >= r.lookAt+second/20 {
