--- /dev/null
+++ b/internal/protocol/message.go
@@ -0,0 +1,205 @@
+// Package protocol parses and writes what goes over the sockets, on bytes
+// alone: PostgreSQL's protocol version 3 from both ends, the comment of a
+// command, and discovery's HTTP.
+package protocol
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Message kinds that are looked at.
+const (
+	Query           = 'Q'
+	Terminate       = 'X'
+	Sync            = 'S'
+	Ready           = 'Z'
+	ErrorResponse   = 'E'
+	ParameterStatus = 'S'
+	RowDescription  = 'T'
+	DataRow         = 'D'
+	CommandComplete = 'C'
+	EmptyResponse   = 'I'
+	Authentication  = 'R'
+)
+
+// What a startup message asks for.
+const (
+	Version = 3 << 16
+	Cancel  = 1234<<16 | 5678
+	SSL     = 1234<<16 | 5679
+	GSS     = 1234<<16 | 5680
+)
+
+// SQLSTATE codes with a meaning of their own.
+const (
+	TooMany  = "53300"
+	NotNow   = "57P03"
+	ReadOnly = "25006"
+	Behind   = "72000"
+	Failed   = "58000"
+	Bad      = "08P01"
+	Unknown  = "42601"
+	NoSuch   = "0A000"
+)
+
+var (
+	ErrLength = errors.New("a message of impossible length")
+	ErrLong   = errors.New("a message of more than is taken")
+)
+
+// Next cuts the first message off b. n is 0 while it is not whole.
+func Next(b []byte, most int) (kind byte, body []byte, n int, err error) {
+	if len(b) < 5 {
+		return 0, nil, 0, nil
+	}
+	body, n, err = framed(b[1:], most)
+	if n > 0 {
+		n++
+	}
+	return b[0], body, n, err
+}
+
+// First cuts a startup message off b, which has no kind.
+func First(b []byte, most int) (code uint32, n int, err error) {
+	body, n, err := framed(b, most)
+	if n == 0 || err != nil {
+		return 0, 0, err
+	}
+	if len(body) < 4 {
+		return 0, 0, ErrLength
+	}
+	return binary.BigEndian.Uint32(body), n, nil
+}
+
+func framed(b []byte, most int) (body []byte, n int, err error) {
+	if len(b) < 4 {
+		return nil, 0, nil
+	}
+	size := binary.BigEndian.Uint32(b)
+	switch {
+	case size < 4 || size > 1<<31-1:
+		return nil, 0, ErrLength
+	case int(size) > most:
+		return nil, 0, ErrLong
+	case int(size) > len(b):
+		return nil, 0, nil
+	}
+	return b[4:size], int(size), nil
+}
+
+// message appends one message; fill appends its body.
+func message(b []byte, kind byte, fill func([]byte) []byte) []byte {
+	b = append(b, kind, 0, 0, 0, 0)
+	at := len(b)
+	b = fill(b)
+	binary.BigEndian.PutUint32(b[at-4:], uint32(len(b)-at+4))
+	return b
+}
+
+func text(b []byte, s string) []byte { return append(append(b, s...), 0) }
+
+// AppendStartup appends the message that opens a connection to a host.
+func AppendStartup(b []byte, user, database string) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0, 0, 3, 0, 0)
+	b = text(text(b, "user"), user)
+	b = text(text(b, "database"), database)
+	b = append(b, 0)
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at))
+	return b
+}
+
+func AppendQuery(b []byte, statement []byte) []byte {
+	return message(b, Query, func(b []byte) []byte { return append(append(b, statement...), 0) })
+}
+
+// AppendGreeting appends what a client is told before its first command.
+func AppendGreeting(b []byte) []byte {
+	b = message(b, Authentication, func(b []byte) []byte { return append(b, 0, 0, 0, 0) })
+	for _, p := range [][2]string{{"server_version", "15.0"}, {"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"}, {"standard_conforming_strings", "on"}, {"integer_datetimes", "on"}} {
+		b = message(b, ParameterStatus, func(b []byte) []byte { return text(text(b, p[0]), p[1]) })
+	}
+	b = message(b, 'K', func(b []byte) []byte { return append(b, 0, 0, 0, 0, 0, 0, 0, 0) })
+	return AppendReady(b)
+}
+
+func AppendReady(b []byte) []byte {
+	return message(b, Ready, func(b []byte) []byte { return append(b, 'I') })
+}
+
+func AppendEmpty(b []byte) []byte {
+	return message(b, EmptyResponse, func(b []byte) []byte { return b })
+}
+
+// AppendError appends an ErrorResponse; detail may be empty.
+func AppendError(b []byte, severity, code, say, detail string) []byte {
+	return message(b, ErrorResponse, func(b []byte) []byte {
+		b = text(append(b, 'S'), severity)
+		b = text(append(b, 'V'), severity)
+		b = text(append(b, 'C'), code)
+		b = text(append(b, 'M'), say)
+		if detail != "" {
+			b = text(append(b, 'D'), detail)
+		}
+		return append(b, 0)
+	})
+}
+
+// Code is the SQLSTATE of an ErrorResponse's body, empty where there is none.
+func Code(body []byte) string {
+	for len(body) > 1 && body[0] != 0 {
+		value, rest, whole := bytes.Cut(body[1:], []byte{0})
+		if !whole {
+			return ""
+		}
+		if body[0] == 'C' {
+			return string(value)
+		}
+		body = rest
+	}
+	return ""
+}
+
+// Parameter reads a ParameterStatus.
+func Parameter(body []byte) (name, value string, ok bool) {
+	n, rest, whole := bytes.Cut(body, []byte{0})
+	v, rest, ended := bytes.Cut(rest, []byte{0})
+	return string(n), string(v), whole && ended && len(rest) == 0
+}
+
+// Value is the first column of a DataRow, if it has just one that is not null.
+func Value(body []byte) ([]byte, bool) {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
+		return nil, false
+	}
+	size := binary.BigEndian.Uint32(body[2:])
+	if uint64(size) != uint64(len(body)-6) {
+		return nil, false
+	}
+	return body[6:], true
+}
+
+// Statement is the text of a Query's body.
+func Statement(body []byte) ([]byte, bool) {
+	if len(body) == 0 || bytes.IndexByte(body, 0) != len(body)-1 {
+		return nil, false
+	}
+	return body[:len(body)-1], true
+}
+
+// Field is the value of a name in a load report, as in inflight=7,util=0.61.
+func Field(report, name string) (float64, bool) {
+	for item := range strings.SplitSeq(report, ",") {
+		if is, value, ok := strings.Cut(item, "="); ok && is == name {
+			v, err := strconv.ParseFloat(value, 64)
+			return v, err == nil && !math.IsNaN(v) && !math.IsInf(v, 0)
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/routing/counts.go
@@ -0,0 +1,39 @@
+package routing
+
+import (
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"ferrypitch/rules"
+)
+
+// Counts are of what is taken in, sent and answered. Taken is the sum of
+// Answered, Throttled, Failed, Gone and those still out.
+type Counts struct {
+	Taken, Answered, Throttled, Failed, Gone atomic.Int64
+	Refused                                  atomic.Int64 // commands that could not be read
+	Dispatched, Probes, Lists, Stale, Faults atomic.Int64
+	Outcomes                                 [rules.Missed + 1]atomic.Int64
+}
+
+var outcomeNames = [rules.Missed + 1]string{"answered", "errored", "full", "timed_out", "unreached", "reset",
+	"cancelled", "moot", "missed"}
+
+// Fields are the counts for a line of the log. What is still out counts what the queue holds, too.
+func (r *Router) Fields() []zap.Field {
+	c := &r.Counts
+	out := c.Taken.Load() - c.Answered.Load() - c.Throttled.Load() - c.Failed.Load() - c.Gone.Load()
+	fields := []zap.Field{
+		zap.Int64("taken", c.Taken.Load()), zap.Int64("answered", c.Answered.Load()),
+		zap.Int64("throttled", c.Throttled.Load()), zap.Int64("failed", c.Failed.Load()),
+		zap.Int64("left", c.Gone.Load()), zap.Int64("out", out), zap.Int64("refused", c.Refused.Load()),
+		zap.Int64("dispatched", c.Dispatched.Load()), zap.Int64("probes", c.Probes.Load()),
+		zap.Int64("lists", c.Lists.Load()), zap.Int64("stale_lists", c.Stale.Load()),
+		zap.Int64("faults", c.Faults.Load()), zap.Int("queued", r.queue.length()),
+	}
+	for i := range c.Outcomes {
+		fields = append(fields, zap.Int64("outcome_"+outcomeNames[i], c.Outcomes[i].Load()))
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/setup/deployment.go
@@ -0,0 +1,104 @@
+package setup
+
+import (
+	"strconv"
+
+	"ferrypitch/rules"
+)
+
+// Terms is how commands, answers and load reports of a deployment are read.
+type Terms struct {
+	Groups         map[string]*rules.CmdGroup
+	Shares         map[string]*rules.Share
+	Fields         []string // of a load report, in order
+	Position, Role int      // the fields of a load report that hold them; -1: none
+	Positions      bool     // every answer carries one
+}
+
+// Deployment decodes the settings, once at start.
+func Deployment(env Object, seed uint32) (dep rules.Deployment, terms Terms) {
+	bounds, limits := env.Within("bounds"), env.Within("rules")
+	prices, tele := env.Within("prices"), env.Within("telemetry")
+	info := env.Within("family_info")
+	terms = Terms{Groups: map[string]*rules.CmdGroup{}, Shares: map[string]*rules.Share{},
+		Position: -1, Role: -1, Positions: info.Flag("stamps")}
+	for i, f := range tele.MaybeList("fields") {
+		name, _ := f.(string)
+		switch name {
+		case "x0":
+			terms.Position = i
+		case "x1":
+			terms.Role = i
+		}
+		terms.Fields = append(terms.Fields, name)
+	}
+	how, guards := tele.MaybeText("how"), info.MaybeText("guards")
+	dep = rules.Deployment{
+		Seed: seed, Zero: Down(info.MaybeNumber("origin_time")),
+		Tick: Up(env.MaybeNumber("tick")), Routers: int(max(1, env.MaybeNumber("peers_total"))),
+		Zone: env.MaybeText("zone"), Dispatches: int(bounds.MaybeNumber("send_cap")),
+		Guarded: guards == "bounce" || guards == "await",
+		Kept:    info.MaybeText("session_marks") == "kept",
+		Reports: (how == "answers" || how == "probe") && terms.Position >= 0,
+		Probes:  bounds.Flag("probes"),
+		Peers:   bounds.Flag("peers"), PeerPrice: prices.MaybeNumber("peer"),
+		ProbePrice: prices.MaybeNumber("probe"), ZonePrice: prices.MaybeNumber("cross_zone"),
+		OverShare:  env.MaybeNumber("over_share_worth"),
+		FallFactor: limits.MaybeNumber("overload_factor"), FallSpan: Down(limits.MaybeNumber("fall")),
+		ColdFrom: limits.MaybeNumber("cold_from"), ColdFor: Up(limits.MaybeNumber("cold")),
+		DrainAlone: limits.Flag("drain_binds_alone"),
+	}
+	if bounds.Flag("retry_after") {
+		dep.Comeback = Down(bounds.MaybeNumber("max_retry_after"))
+	}
+	reads, bound := info.MaybeList("class_read"), info.MaybeList("class_bound")
+	for i, c := range env.Objects("classes") {
+		g := &rules.CmdGroup{Target: Down(c.Number("promise")), Timeout: Down(c.Number("give_up")),
+			Memory: Down(c.MaybeNumber("memory_span")), EverySet: c.MaybeText("group") == "all",
+			Benefit: c.Number("worth"), LateShare: c.MaybeNumber("late_share")}
+		g.Effect = map[string]rules.Effect{
+			"deduplicated": rules.Keyed, "at_most_once": rules.Mutating}[c.Text("effect")]
+		if i < len(reads) {
+			word, _ := reads[i].(string)
+			g.Need = map[string]rules.Need{"lag_bound": rules.Bounded, "causal": rules.Session,
+				"strong": rules.Fresh, "mutate": rules.Write}[word]
+		}
+		if i < len(bound) {
+			ms, ok := AsNumber(bound[i])
+			if !ok {
+				info.fault("class_bound["+strconv.Itoa(i)+"]", "not a number")
+			}
+			g.Bound = Down(ms)
+		}
+		dep.Groups = append(dep.Groups, g)
+		terms.Groups[c.Text("name")] = g
+	}
+	if env.Has("tenants") {
+		for _, t := range env.Objects("tenants") {
+			s := &rules.Share{PerSecond: t.MaybeNumber("quota_per_s")}
+			dep.Shares = append(dep.Shares, s)
+			terms.Shares[t.Text("name")] = s
+		}
+	}
+	return dep, terms
+}
+
+// Report is what a load report says of position and role, if it says anything.
+func (t Terms) Report(field func(i int) (float64, bool)) (pos rules.Tenth, role rules.Role, ok bool) {
+	if t.Position < 0 {
+		return 0, rules.Unknown, false
+	}
+	seconds, ok := field(t.Position)
+	if !ok {
+		return 0, rules.Unknown, false
+	}
+	if t.Role >= 0 {
+		if is, known := field(t.Role); known {
+			role = rules.Replica
+			if is == 1 {
+				role = rules.Primary
+			}
+		}
+	}
+	return Down(1000 * seconds), role, true
+}
--- /dev/null
+++ b/internal/setup/setup.go
@@ -0,0 +1,149 @@
+// Package setup is the one place where configuration is read, checked and given
+// defaults. What it finds wrong it says in one line that names the key.
+package setup
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"ferrypitch/rules"
+)
+
+// Start is what one router starts with.
+type Start struct {
+	Name, Listen, Discovery, PeerListen, PeersAll string
+	Peers                                         []string
+	Known                                         Object // the last list; Has("targets") is false without one
+	Deployment                                    rules.Deployment
+	Terms                                         Terms
+	Limits                                        Limits
+}
+
+// Limits holds all sizes, counts and times that the sockets keep to.
+type Limits struct {
+	Cores  int
+	Memory int64 // what the collector is told, in bytes
+
+	Clients, Hosts int   // descriptors for each
+	Backlog        int   // commands waiting for the owner of the module
+	Ahead          int   // commands taken from one client connection and not answered
+	Message        int   // the longest message taken from a client or a host
+	Line           int   // the longest line taken from discovery
+	Datagram       int   // the longest message between routers
+	Buffer         int   // what a connection's buffer starts with, and returns to
+	Buffers        int64 // what all buffers may take together past that
+
+	Connect time.Duration // for a host connection to come up
+	Idle    time.Duration // after which an idle host connection is no longer used
+	Early   time.Duration // how long before the client timeout a last answer is sent
+	Ready   time.Duration // for a first list to come, before an empty query is refused
+	Startup time.Duration // for a client to finish its startup message
+	Stuck   time.Duration // for a client to read some of its answers
+	Quiet   time.Duration // of discovery, before it is asked anew
+	Again   time.Duration // the first wait before asking anew; it doubles
+	Linger  time.Duration // after SIGTERM, in which connections are still taken and kept
+	End     time.Duration // after SIGTERM, at which the program exits at the latest
+}
+
+// Load reads the environment and the file that it names.
+func Load(getenv func(string) string) (s *Start, err error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("GW_CONFIG: missing")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	top, err := Decode("", text)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
+	}
+	defer Catch(&err)
+	given := func(variable, key string) string {
+		if v := getenv(variable); v != "" {
+			return v
+		}
+		if !top.Has(key) {
+			return ""
+		}
+		return top.Text(key)
+	}
+	s = &Start{Name: given("GW_NAME", "name"), Listen: given("GW_LISTEN", "listen"),
+		Discovery: given("GW_DISCOVERY", "discovery"), PeerListen: top.MaybeText("peer_listen"),
+		PeersAll: top.MaybeText("peers_all")}
+	seed, err := strconv.ParseUint(top.Text("seed"), 16, 64)
+	if err != nil {
+		top.fault("seed", "not a number in hexadecimal digits")
+	}
+	s.Deployment, s.Terms = Deployment(top.Within("settings"), uint32(seed)^uint32(seed>>32))
+	s.Deployment.Zero = 0 // positions on sockets are Unix times
+	for _, p := range top.MaybeList("peers") {
+		peer, _ := p.(string)
+		s.Peers = append(s.Peers, peer)
+	}
+	if s.Deployment.Peers = s.Deployment.Peers && s.PeerListen != "" && s.PeersAll != ""; s.Deployment.Peers {
+		address(s.PeerListen, "peer_listen")
+		address(s.PeersAll, "peers_all")
+		for i, p := range s.Peers {
+			address(p, "peers["+strconv.Itoa(i)+"]")
+		}
+	}
+	if s.Name == "" {
+		panic(Fault("GW_NAME: missing, and no name in the file"))
+	}
+	address(s.Listen, "GW_LISTEN (listen)")
+	address(s.Discovery, "GW_DISCOVERY (discovery)")
+	if top.Has("known") {
+		s.Known = top.Within("known")
+		if s.Known.Has("targets") {
+			s.Known.Objects("targets")
+			s.Known.Integer("rev")
+		}
+	}
+	s.Limits = limits(top)
+	return s, nil
+}
+
+func address(text, key string) {
+	if text == "" {
+		panic(Fault(key + ": missing"))
+	}
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		panic(Fault(key + ": not an address and port: " + strconv.Quote(text)))
+	}
+}
+
+// limits divides what the platform allows.
+func limits(top Object) Limits {
+	given, bounds := top.Within("limits"), top.Within("settings").Within("bounds")
+	least := func(o Object, field string, floor float64) float64 {
+		v := o.Number(field)
+		if v < floor {
+			o.fault(field, "less than "+strconv.FormatFloat(floor, 'f', -1, 64))
+		}
+		return v
+	}
+	cores := least(given, "cores", 0.01)
+	memory := int64(least(given, "memory_mb", 32)) << 20
+	sockets := int(least(given, "sockets", 64))
+	reserve := min(64, sockets/4) // listener, discovery, peers, log, the runtime's own, and some to spare
+	ms := func(field string, floor float64) time.Duration {
+		return time.Duration(least(bounds, field, floor) * float64(time.Millisecond))
+	}
+	idle := ms("conn_idle", 1)
+	l := Limits{
+		Cores: int(max(1, cores+0.5)), Memory: memory * 3 / 4,
+		Hosts: (sockets - reserve) * 2 / 5, Backlog: 1024, Ahead: 64,
+		Message: 256 << 10, Line: 4 << 20, Datagram: 256, Buffer: 4 << 10, Buffers: memory / 4,
+		Connect: ms("connect_timeout", 1), Idle: idle - min(idle/4, 2*time.Second),
+		Early: 4 * time.Millisecond, Ready: 10 * time.Second, Startup: 10 * time.Second, Stuck: 15 * time.Second,
+		Quiet: 4500 * time.Millisecond, Again: 50 * time.Millisecond,
+		Linger: 500 * time.Millisecond, End: 3500 * time.Millisecond,
+	}
+	l.Clients = sockets - reserve - l.Hosts
+	return l
+}
--- /dev/null
+++ b/internal/transport/peers.go
@@ -0,0 +1,99 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"ferrypitch/internal/setup"
+)
+
+// Peers carries datagrams between the routers.
+type Peers struct {
+	limits  *setup.Limits
+	conn    *net.UDPConn
+	all     netip.AddrPort
+	from    map[netip.AddrPort]bool
+	out     chan string
+	heard   func(body string)
+	Sent    atomic.Int64
+	Heard   atomic.Int64
+	Dropped atomic.Int64 // foreign, too long, or more than can be sent
+}
+
+// NewPeers listens. Datagrams of this router itself, or of none of its peers, are dropped.
+func NewPeers(s *setup.Start, heard func(string)) (*Peers, error) {
+	listen, err := netip.ParseAddrPort(s.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+	if err != nil {
+		return nil, err
+	}
+	p := &Peers{limits: &s.Limits, conn: conn, from: map[netip.AddrPort]bool{}, out: make(chan string, 64), heard: heard}
+	if p.all, err = netip.ParseAddrPort(s.PeersAll); err != nil {
+		return nil, err
+	}
+	for _, text := range s.Peers {
+		if a, err := netip.ParseAddrPort(text); err == nil && a != listen {
+			p.from[a] = true
+		}
+	}
+	return p, nil
+}
+
+// Tell sends to all others, unless too much waits to be sent already.
+func (p *Peers) Tell(body string) {
+	if len(body) <= p.limits.Datagram {
+		select {
+		case p.out <- body:
+			return
+		default:
+		}
+	}
+	p.Dropped.Add(1)
+}
+
+// Run receives until the context ends.
+func (p *Peers) Run(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() { p.conn.Close() })()
+	b := make([]byte, p.limits.Datagram+1)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(b)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil { // it must not spin
+			select {
+			case <-ctx.Done():
+			case <-time.After(p.limits.Again):
+			}
+		}
+		switch from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port()); {
+		case err != nil || n == 0 || n > p.limits.Datagram || !p.from[from]:
+			p.Dropped.Add(1)
+		default:
+			p.Heard.Add(1)
+			p.heard(string(b[:n]))
+		}
+	}
+}
+
+// Send sends until the context ends.
+func (p *Peers) Send(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case body := <-p.out:
+			if _, err := p.conn.WriteToUDPAddrPort([]byte(body), p.all); err != nil {
+				p.Dropped.Add(1)
+			} else {
+				p.Sent.Add(1)
+			}
+		}
+	}
+}
