A call given up on before its connection begins no longer ends the program

At fault: hosts.go, 'first := c.call' and Abandon's 'c.call = nil', when a command's time ended between the two. The call is now handed to run.

--- a/internal/transport/hosts.go
+++ b/internal/transport/hosts.go
@@ -151,7 +151,7 @@
 	c := &hostConn{host: n, call: call, next: make(chan *Call, 1)}
 	call.conn = c
 	c.ctx, c.cancel = context.WithCancel(h.ctx)
-	h.tasks.Go(func() { c.run(address) })
+	h.tasks.Go(func() { c.run(address, call) })
 	return call
 }
 
@@ -233,8 +233,8 @@
 	}
 }
 
-// run is the life of a connection.
-func (c *hostConn) run(address string) {
+// run is the life of a connection. Its first call may be given up on before it begins.
+func (c *hostConn) run(address string, first *Call) {
 	h := c.host.hosts
 	defer func() {
 		c.close()
@@ -248,7 +248,6 @@
 		}
 		h.mu.Unlock()
 	}()
-	first := c.call
 	up, cancel := context.WithTimeout(c.ctx, min(h.limits.Connect, time.Until(first.until)))
 	defer cancel()
 	conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(up, "tcp", address)
