A client connection that was never used makes way last; what is left at the end fails

Ruled out: memory (7 MB), hosts' connections (38, their limit). At fault: evict() in clients.go took connections just accepted, whose clients write their first command right behind the startup message, for idle ones. Now those that were answered make way first, others after a second, and what was not read in whole never counts as idle.

Also: accepting goes on when a client becomes idle, not only when one ends; commands still owed when the time after SIGTERM is up fail and are written; a command for a replica set never listed is answered at once, since the module would keep every number that clients make up.

--- a/cmd/ferrypitch/main.go
+++ b/cmd/ferrypitch/main.go
@@ -113,17 +113,15 @@
 				p.log.Info("stopping", zap.String("signal", s.String()))
 				drain, stop = time.After(p.limits.Linger), time.After(p.limits.End)
 			}
-			continue
 		case <-drain:
-			drain = nil
-			select {
-			case <-p.clients.Drain():
-				return
-			case <-stop:
-			case <-ctx.Done():
+			if drain = time.After(p.limits.Again); p.clients.Drain() == 0 {
 				return
 			}
+		case <-stop:
 			p.router.Stop()
+			for till := time.Now().Add(p.limits.Again); p.clients.Drain() > 0 && time.Now().Before(till); {
+				time.Sleep(time.Millisecond) // for the last answers to be written
+			}
 			return
 		}
 	}
--- a/cmd/ferrypitch/program_test.go
+++ b/cmd/ferrypitch/program_test.go
@@ -260,11 +260,84 @@
 
 func TestMoreClientsThanDescriptors(t *testing.T) {
 	s := begin(t, 1, func(c map[string]any) { within(c, "limits")["sockets"] = 64 })
+	var unused []*client
+	for range 10 {
+		unused = append(unused, s.client())
+	}
 	for range 100 { // held open; the idle ones make way
 		if code, _, err := s.client().ask(look("list", "800", "")); code != "" || err != nil {
 			t.Fatalf("code %q, %v", code, err)
 		}
 	}
+	for _, c := range unused {
+		if code, _, err := c.ask(look("list", "800", "")); code != "" || err != nil {
+			t.Fatalf("a connection never used made way before one that was: %q, %v", code, err)
+		}
+	}
+	var fresh []*client
+	for range 100 { // with the first command right behind the startup
+		conn, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		conn.Write(protocol.AppendQuery(protocol.AppendStartup(nil, "svc", "main"), []byte(look("list", "800", ""))))
+		fresh = append(fresh, &client{t: t, conn: conn})
+	}
+	for _, c := range fresh {
+		c.greet()
+		if _, _, err := c.answer(); err != nil {
+			t.Fatalf("a first command was lost: %v", err)
+		}
+	}
+	asked, let := make(chan bool, 99), make(chan bool)
+	s.hosts[0].answer(func(b *box, q string) {
+		asked <- true
+		<-let
+		b.row("x", "leader")
+	})
+	var busy []*client
+	for range 29 { // as many as it serves; the module has no more than four out at once
+		busy = append(busy, s.client())
+		busy[len(busy)-1].send(write("order", "3000"))
+	}
+	<-asked
+	waits := make(chan error)
+	go func() {
+		conn, err := net.Dial("tcp", s.listen)
+		if err == nil {
+			conn.SetDeadline(time.Now().Add(patience))
+			conn.Write(protocol.AppendStartup(nil, "svc", "main"))
+			_, err = conn.Read(make([]byte, 1))
+			conn.Close()
+		}
+		waits <- err
+	}()
+	close(let) // those that are answered are idle, and make way
+	if err := <-waits; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestWhatIsOwedWhenTheTimeAfterSIGTERMIsUpFails(t *testing.T) {
+	t.Parallel()
+	s := begin(t, 1, nil)
+	asked := make(chan bool, 9)
+	s.hosts[0].answer(func(b *box, q string) {
+		asked <- true
+		io.Copy(io.Discard, b.conn)
+	})
+	c := s.client()
+	c.send(write("order", "60000"))
+	<-asked
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	if code, _, err := c.answer(); code != protocol.Failed || err != nil {
+		t.Errorf("code %q, %v", code, err)
+	}
+	if err := s.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
 }
 
 func TestCommandsWrittenAheadAreAnsweredInOrderHoweverTheyAreSplit(t *testing.T) {
@@ -291,6 +364,8 @@
 	}
 	all = protocol.AppendQuery(all, []byte(" ;"))
 	all = protocol.AppendQuery(all, []byte("SELECT 1"))
+	all = protocol.AppendQuery(all, []byte(write("nothing", "3000")))
+	all = protocol.AppendQuery(all, []byte(strings.Replace(write("order", "3000"), "cluster=2", "cluster=9", 1)))
 	all = append(all, 'P', 0, 0, 0, 4, 'B', 0, 0, 0, 4, 'S', 0, 0, 0, 4)
 	for i := range all {
 		conn.Write(all[i : i+1])
@@ -305,8 +380,10 @@
 	if code, value, err := c.answer(); code+value != "" || err != nil {
 		t.Errorf("empty query: %s %q %v", code, value, err)
 	}
-	if code, _, _ := c.answer(); code != protocol.Unknown {
-		t.Errorf("no comment: %s", code)
+	for _, what := range []string{"comment", "command group", "replica set"} {
+		if code, _, _ := c.answer(); code != protocol.Unknown {
+			t.Errorf("no known %s: %s", what, code)
+		}
 	}
 	if code, _, _ := c.answer(); code != protocol.NoSuch {
 		t.Errorf("another message: %s", code)
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -49,7 +49,7 @@
 		h := r.hosts[uid]
 		if h == nil {
 			h = &host{set: read[i].set, conns: r.pool.Add(endpoint), node: r.rules.Host(uid, read[i].set)}
-			r.hosts[uid], r.nodes[h.node] = h, h
+			r.hosts[uid], r.nodes[h.node], r.sets[h.set] = h, h, true
 		}
 		read[i].node, read[i].conns, read[i].set = h.node, h.conns, h.set
 		*h = read[i]
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -32,6 +32,7 @@
 	rules  *rules.Router
 	hosts  map[string]*host
 	nodes  map[*rules.Node]*host
+	sets   map[int64]bool // that the list has named
 	cmds   map[string]*command
 	slots  map[*transport.Slot]*command // of commands that are owed an answer
 	due    deadlines
@@ -60,7 +61,7 @@
 // New makes a router that knows the list of the last run, if there was one.
 func New(s *setup.Start, pool *transport.Hosts, tell func(string), log *zap.Logger) (*Router, error) {
 	r := &Router{start: s, log: log, queue: newQueue(s.Limits.Backlog), clock: newClock(time.Now), pool: pool,
-		tell: tell, hosts: map[string]*host{}, nodes: map[*rules.Node]*host{}, cmds: map[string]*command{},
+		tell: tell, hosts: map[string]*host{}, nodes: map[*rules.Node]*host{}, sets: map[int64]bool{}, cmds: map[string]*command{},
 		slots: map[*transport.Slot]*command{}, began: time.Now()}
 	r.rev.Store(-1)
 	r.rules = rules.New(r, s.Deployment, r.clock.now())
@@ -282,6 +283,11 @@
 // take brings a command to the module.
 func (r *Router) take(s *transport.Slot, statement []byte, g *rules.CmdGroup, key string, set int64,
 	until time.Time, written float64, again bool) {
+	if r.listed && !r.sets[set] { // the module would keep every number that clients make up
+		r.Refused.Add(1)
+		s.Fail(protocol.Unknown, "no host of replica set "+strconv.FormatInt(set, 10)+" has been listed")
+		return
+	}
 	now := r.moment()
 	since := rules.Tenth(0)
 	if written > 0 { // a commit's time is rounded up, so this errs towards fresh
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -42,6 +42,7 @@
 	Early   time.Duration // how long before the client timeout a last answer is sent
 	Ready   time.Duration // for a first list to come, before an empty query is refused
 	Startup time.Duration // for a client to finish its startup message
+	Unused  time.Duration // for a client to send its first command, before its connection may make way
 	Stuck   time.Duration // for a client to read some of its answers
 	Quiet   time.Duration // of discovery, before it is asked anew
 	Again   time.Duration // the first wait before asking anew; it doubles
@@ -143,7 +144,8 @@
 		Hosts: (sockets - reserve) * 2 / 5, Backlog: 1024, Ahead: 32,
 		Message: 160 << 10, Answer: 96 << 10, Line: 4 << 20, Datagram: 256, Buffer: 4 << 10, Buffers: memory / 4,
 		Connect: ms("connect_timeout", 1), Idle: idle - min(idle/4, 2*time.Second),
-		Early: 4 * time.Millisecond, Ready: 10 * time.Second, Startup: 10 * time.Second, Stuck: 15 * time.Second,
+		Early: 4 * time.Millisecond, Ready: 10 * time.Second, Startup: 10 * time.Second,
+		Unused: time.Second, Stuck: 15 * time.Second,
 		Quiet: 4500 * time.Millisecond, Again: 50 * time.Millisecond,
 		Pulse: 50 * time.Millisecond, Settle: 5 * time.Millisecond,
 		Linger: 500 * time.Millisecond, End: 500 * time.Millisecond,
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -33,6 +33,7 @@
 	changed  *sync.Cond // a connection has ended
 	open     map[*client]struct{}
 	draining bool
+	full     bool // Serve waits for one to end or to become idle
 
 	Accepted, Evicted, Foreign atomic.Int64 // connections; made way; commands in other messages or torn
 }
@@ -76,15 +77,17 @@
 			continue
 		}
 		s.Accepted.Add(1)
-		c := &client{server: s, conn: conn, idle: time.Now()}
+		c := &client{server: s, conn: conn, partial: true, idle: time.Now()}
 		c.changed = sync.NewCond(&c.mu)
 		s.mu.Lock()
 		s.open[c] = struct{}{}
 		s.tasks.Go(c.read)
 		s.tasks.Go(c.write)
 		for len(s.open) >= s.limits.Clients && ctx.Err() == nil {
-			if !s.evict(c) {
+			if s.full = !s.evict(c); s.full {
+				again := time.AfterFunc(s.limits.Again, s.changed.Broadcast) // some may have stayed unused
 				s.changed.Wait()
+				again.Stop()
 			}
 		}
 		s.mu.Unlock()
@@ -92,19 +95,23 @@
 }
 
 // evict closes the client connection that has been idle for longest, and has it count as
-// gone. Guards against a full table of them keeping new clients out.
+// gone; one that was never used only if there is no other. Guards against a full table of
+// them keeping new clients out.
 func (s *Clients) evict(but *client) bool {
 	var oldest *client
 	var since time.Time
+	var used bool
 	for c := range s.open {
-		if at, idle := c.idleSince(); idle && c != but && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
+		if at, answered, idle := c.idleSince(); idle && c != but && (oldest == nil ||
+			answered && !used || answered == used && at.Before(since)) {
+			oldest, since, used = c, at, answered
 		}
 	}
 	if oldest == nil {
 		return false
 	}
-	if delete(s.open, oldest); oldest.settle() {
+	if oldest.settle() { // else it has just become busy
+		delete(s.open, oldest)
 		s.Evicted.Add(1)
 	}
 	return true
@@ -117,31 +124,28 @@
 	return len(s.open)
 }
 
-// Drain closes each connection as soon as it is between commands. What it
-// returns is closed when none is left.
-func (s *Clients) Drain() <-chan struct{} {
+// Drain closes each connection that is between commands, from now on as soon as it is, and
+// says how many are left.
+func (s *Clients) Drain() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
 	for c := range s.open {
 		c.settle()
 	}
-	none := make(chan struct{})
-	s.tasks.Go(func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for len(s.open) > 0 {
-			s.changed.Wait()
-		}
-		close(none)
-	})
-	return none
+	return len(s.open)
 }
 
-func (s *Clients) isDraining() bool {
+// answered is told when a client has been sent an answer, and may be between commands.
+func (s *Clients) answered(c *client) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	if s.draining {
+		c.settle()
+	}
+	if s.full {
+		s.changed.Broadcast()
+	}
 }
 
 // client is one connection. Its slots are answered in order.
@@ -170,14 +174,17 @@
 	done   bool
 }
 
-func (c *client) idleSince() (time.Time, bool) {
+func (c *client) idleSince() (at time.Time, answered, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle, c.between()
+	return c.idle, c.answered, c.between()
 }
 
+// between says whether nothing is owed. A client may write its first command right behind its
+// startup message, so one that was never answered is left alone for a while.
 func (c *client) between() bool {
-	return !c.closed && !c.writing && !c.partial && len(c.slots) == 0 && len(c.out) == 0
+	return !c.closed && !c.writing && !c.partial && len(c.slots) == 0 && len(c.out) == 0 &&
+		(c.answered || time.Since(c.idle) > c.server.limits.Unused)
 }
 
 // settle closes a connection if it is between commands. What is read after that
@@ -301,8 +308,8 @@
 		c.changed.Broadcast()
 		answered := c.answered
 		c.mu.Unlock()
-		if answered && c.server.isDraining() {
-			c.settle()
+		if answered {
+			c.server.answered(c)
 		}
 	}
 }
@@ -312,6 +319,7 @@
 	s, l := c.server, c.server.limits
 	in := newBuffer(s.room, l.Buffer, l.Message)
 	if c.greet(in) {
+		c.rest(in)
 		for c.take(in) {
 		}
 	}
@@ -395,9 +403,7 @@
 			}
 			ok := c.message(kind, body, at)
 			in.use(n)
-			c.mu.Lock()
-			c.partial = len(in.bytes()) > 0
-			c.mu.Unlock()
+			c.rest(in)
 			return ok
 		}
 		if err := in.fill(c.conn); err != nil {
@@ -417,6 +423,13 @@
 	}
 }
 
+// rest notes whether more has come than was taken.
+func (c *client) rest(in *buffer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partial = len(in.bytes()) > 0
+}
+
 func (c *client) message(kind byte, body []byte, at time.Time) bool {
 	switch {
 	case kind == protocol.Terminate:
