Throttle at once what comes when all client connections are busy

A command counts as taken once it is written to a connection that the machine has accepted, and with all 44 connections busy ours waited unaccepted. Ruled out: processor (0.12 s in the worst second), memory (7 MB). At fault: Clients.Serve, which stopped accepting. Half of the reserve now takes such connections; their commands, none of which was sent anywhere, are throttled at once.

--- a/cmd/ferrypitch/main.go
+++ b/cmd/ferrypitch/main.go
@@ -130,7 +130,8 @@
 func (p *program) counts() []zap.Field {
 	fields := append(p.router.Fields(),
 		zap.Int64("clients_accepted", p.clients.Accepted.Load()), zap.Int("clients_open", p.clients.Open()),
-		zap.Int64("clients_made_way", p.clients.Evicted.Load()), zap.Int64("messages_foreign", p.clients.Foreign.Load()),
+		zap.Int64("clients_made_way", p.clients.Evicted.Load()),
+		zap.Int64("commands_shed", p.clients.Shed.Load()), zap.Int64("messages_foreign", p.clients.Foreign.Load()),
 		zap.Int64("hosts_opened", p.hosts.Opened.Load()), zap.Int64("hosts_reused", p.hosts.Reused.Load()),
 		zap.Int64("hosts_not_up", p.hosts.Broken.Load()), zap.Int64("hosts_no_descriptor", p.hosts.Refused.Load()),
 		zap.Int("hosts_open", p.hosts.Open()), zap.Int64("buffers", p.room.Used()),
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -28,6 +28,7 @@
 	Memory int64 // what the collector is told, in bytes
 
 	Clients, Hosts int   // descriptors for each
+	Spare          int   // descriptors for clients past theirs, whose commands are throttled
 	Backlog        int   // commands waiting for the owner of the module
 	Ahead          int   // commands taken from one client connection and not answered
 	Message        int   // the longest message taken from a client
@@ -141,7 +142,7 @@
 	idle := ms("conn_idle", 1)
 	l := Limits{
 		Cores: int(max(1, cores+0.5)), Memory: memory * 3 / 4,
-		Hosts: (sockets - reserve) * 2 / 5, Backlog: 1024, Ahead: 32,
+		Hosts: (sockets - reserve) * 2 / 5, Spare: reserve / 2, Backlog: 1024, Ahead: 32,
 		Message: 160 << 10, Answer: 96 << 10, Line: 4 << 20, Datagram: 256, Buffer: 4 << 10, Buffers: memory / 4,
 		Connect: ms("connect_timeout", 1), Idle: idle - min(idle/4, 2*time.Second),
 		Early: 4 * time.Millisecond, Ready: 10 * time.Second, Startup: 10 * time.Second,
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -35,7 +35,8 @@
 	draining bool
 	full     bool // Serve waits for one to end or to become idle
 
-	Accepted, Evicted, Foreign atomic.Int64 // connections; made way; commands in other messages or torn
+	Accepted, Evicted atomic.Int64 // connections
+	Shed, Foreign     atomic.Int64 // commands for which there was no connection; in other messages or torn
 }
 
 // NewClients serves whoever Serve accepts.
@@ -81,10 +82,14 @@
 		c.changed = sync.NewCond(&c.mu)
 		s.mu.Lock()
 		s.open[c] = struct{}{}
+		c.over = len(s.open) > s.limits.Clients
 		s.tasks.Go(c.read)
 		s.tasks.Go(c.write)
 		for len(s.open) >= s.limits.Clients && ctx.Err() == nil {
 			if s.full = !s.evict(c); s.full {
+				if len(s.open) < s.limits.Clients+s.limits.Spare {
+					break
+				}
 				again := time.AfterFunc(s.limits.Again, s.changed.Broadcast) // some may have stayed unused
 				s.changed.Wait()
 				again.Stop()
@@ -136,6 +141,14 @@
 	return len(s.open)
 }
 
+// isOver says whether a client came past the limit and others are still too many.
+func (s *Clients) isOver(c *client) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.over = c.over && len(s.open) > s.limits.Clients
+	return c.over
+}
+
 // answered is told when a client has been sent an answer, and may be between commands.
 func (s *Clients) answered(c *client) {
 	s.mu.Lock()
@@ -162,6 +175,7 @@
 	closed   bool
 	answered bool
 	skipping bool // what comes before the next Sync
+	over     bool // it came when all others were busy: its commands are throttled
 	last     bool // no more commands are taken; what is owed is written
 	idle     time.Time
 }
@@ -447,6 +461,9 @@
 			slot.Fail(protocol.Bad, "a query that does not end where its message does")
 		case protocol.Empty(statement):
 			c.server.taker.Empty(slot)
+		case c.server.isOver(c): // else it would wait unread until its time is up
+			c.server.Shed.Add(1)
+			slot.Throttle(0)
 		case len(statement) > c.server.limits.Buffer && !c.hold(slot, len(statement)):
 			slot.Throttle(0) // nothing of it was sent
 		default:
