End every call of a host connection in one place; idle clients leave by their reader

Seen, by running the story of an answer that nobody asked for 300 times under the race detector: a call that never ended. A dump showed no goroutine of its connection left. At fault: hosts.go, where reader and writer each left the last verdict to the other; the reader had returned for what came behind an answer, the writer went past its check just before the connection closed, and the call given in between was nobody's (its command would have been answered only at its client timeout). Tried first: emptying the channel when the writer ends, which did not help. Now whatever call is left once both have ended gets its outcome in run: reset if it may have been sent, else unreached; the two older defences went out. 300 runs pass.

At fault: settle() in clients.go closed a connection whose reader had just read a command and not handed it on.

--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -135,14 +135,15 @@
 	cores := least(given, "cores", 0.01)
 	memory := int64(least(given, "memory_mb", 32)) << 20
 	sockets := int(least(given, "sockets", 64))
-	reserve := min(64, sockets/4) // listener, discovery, peers, log, the runtime's own, and some to spare
+	const own = 16 // listener, discovery, peers, log, and the runtime's
+	reserve := max(own+8, min(64, sockets/4))
 	ms := func(field string, floor float64) time.Duration {
 		return time.Duration(least(bounds, field, floor) * float64(time.Millisecond))
 	}
 	idle := ms("conn_idle", 1)
 	l := Limits{
 		Cores: int(max(1, cores+0.5)), Memory: memory * 3 / 4,
-		Hosts: (sockets - reserve) * 2 / 5, Spare: reserve / 2, Backlog: 1024, Ahead: 32,
+		Hosts: (sockets - reserve) * 2 / 5, Spare: min(reserve/2, reserve-own), Backlog: 1024, Ahead: 32,
 		Message: 160 << 10, Answer: 96 << 10, Line: 4 << 20, Datagram: 256, Buffer: 4 << 10, Buffers: memory / 4,
 		Connect: ms("connect_timeout", 1), Idle: idle - min(idle/4, 2*time.Second),
 		Early: 4 * time.Millisecond, Ready: 10 * time.Second, Startup: 10 * time.Second,
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -86,22 +87,21 @@
 		s.tasks.Go(c.read)
 		s.tasks.Go(c.write)
 		for len(s.open) >= s.limits.Clients && ctx.Err() == nil {
-			if s.full = !s.evict(c); s.full {
-				if len(s.open) < s.limits.Clients+s.limits.Spare {
-					break
-				}
-				again := time.AfterFunc(s.limits.Again, s.changed.Broadcast) // some may have stayed unused
-				s.changed.Wait()
-				again.Stop()
+			if s.full = true; !s.evict(c) && len(s.open) < s.limits.Clients+s.limits.Spare {
+				break
 			}
+			again := time.AfterFunc(s.limits.Again, s.changed.Broadcast) // some may have stayed unused
+			s.changed.Wait()
+			again.Stop()
 		}
+		s.full = false
 		s.mu.Unlock()
 	}
 }
 
-// evict closes the client connection that has been idle for longest, and has it count as
-// gone; one that was never used only if there is no other. Guards against a full table of
-// them keeping new clients out.
+// evict has the client connection leave that has been idle for longest, and one that was
+// never used only if there is no other. Guards against a full table of them keeping new
+// clients out.
 func (s *Clients) evict(but *client) bool {
 	var oldest *client
 	var since time.Time
@@ -112,13 +112,10 @@
 			oldest, since, used = c, at, answered
 		}
 	}
-	if oldest == nil {
+	if oldest == nil || !oldest.settle() {
 		return false
 	}
-	if oldest.settle() { // else it has just become busy
-		delete(s.open, oldest)
-		s.Evicted.Add(1)
-	}
+	s.Evicted.Add(1)
 	return true
 }
 
@@ -153,7 +150,7 @@
 func (s *Clients) answered(c *client) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
+	if s.draining || c.isLeaving() {
 		c.settle()
 	}
 	if s.full {
@@ -175,6 +172,7 @@
 	closed   bool
 	answered bool
 	skipping bool // what comes before the next Sync
+	leaving  bool // it closes as soon as it is between commands
 	over     bool // it came when all others were busy: its commands are throttled
 	last     bool // no more commands are taken; what is owed is written
 	idle     time.Time
@@ -191,7 +189,7 @@
 func (c *client) idleSince() (at time.Time, answered, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle, c.answered, c.between()
+	return c.idle, c.answered, c.between() && !c.leaving
 }
 
 // between says whether nothing is owed. A client may write its first command right behind its
@@ -201,18 +199,37 @@
 		(c.answered || time.Since(c.idle) > c.server.limits.Unused)
 }
 
-// settle closes a connection if it is between commands. What is read after that
-// is not handed on: its client sends it again elsewhere.
+// settle has a connection close if it is between commands. Its reader does that, unless it has
+// just read a command, which is answered first: what was read is not lost, what was
+// not is sent again by its client.
 func (c *client) settle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.between() {
 		return false
 	}
-	c.shut()
+	c.leaving = true
+	c.conn.SetReadDeadline(time.Now())
 	return true
 }
 
+func (c *client) isLeaving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving
+}
+
+// leave is the reader's side of settle.
+func (c *client) leave() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.between() {
+		return true
+	}
+	c.conn.SetReadDeadline(time.Time{})
+	return false
+}
+
 func (c *client) shut() {
 	c.closed = true
 	c.changed.Broadcast()
@@ -420,20 +437,23 @@
 			c.rest(in)
 			return ok
 		}
-		if err := in.fill(c.conn); err != nil {
-			if err == errRoom {
-				c.fatal(protocol.TooMany, err.Error())
+		err = in.fill(c.conn)
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if c.leave() {
+				return false
 			}
+			continue
+		case err == errRoom:
+			c.fatal(protocol.TooMany, err.Error())
+		}
+		if err != nil {
 			return false
 		}
 		at = time.Now()
 		c.mu.Lock()
 		c.partial = true
-		closed := c.closed
 		c.mu.Unlock()
-		if closed {
-			return false
-		}
 	}
 }
 
--- a/internal/transport/hosts.go
+++ b/internal/transport/hosts.go
@@ -101,18 +101,10 @@
 	done      func(Answer)
 
 	conn *hostConn
-	sent sending // guarded by conn.mu
+	sent bool // some bytes, perhaps all, are on their way; guarded by conn.mu
 	over bool
 }
 
-type sending uint8
-
-const (
-	unsent  sending = iota
-	writing         // some bytes, perhaps all, are on their way
-	written
-)
-
 // Send starts a call on an idle connection or a new one. done is called once,
 // from another goroutine, unless Abandon says how it ended. Nothing is sent again on its own,
 // and nothing at all past by.
@@ -186,7 +178,7 @@
 	}
 	call.over, c.call = true, nil
 	o = rules.TimedOut
-	if call.sent == unsent {
+	if !call.sent {
 		o = rules.Unreached
 	}
 	c.mu.Unlock()
@@ -280,6 +272,18 @@
 	c.read(in)
 	c.close()
 	<-writer
+	// What is left has no answer, and nobody who could still send it. Guards against a call that
+	// is given to the connection, or on its way, while that ends.
+	c.mu.Lock()
+	call := c.call
+	c.mu.Unlock()
+	switch {
+	case call == nil:
+	case call.sent:
+		c.end(call, Answer{Outcome: rules.Reset})
+	default:
+		c.end(call, Answer{Outcome: rules.Unreached})
+	}
 }
 
 // greet brings a connection up. Whatever fails, no command has been sent yet.
@@ -323,11 +327,6 @@
 		select {
 		case call = <-c.next:
 		case <-c.ctx.Done():
-			select {
-			case call = <-c.next: // it came just before the end
-				c.end(call, Answer{Outcome: rules.Unreached})
-			default:
-			}
 			return
 		}
 		// A decision is not carried out much later: the host may have begun to drain, or its data
@@ -346,23 +345,14 @@
 		c.mu.Lock()
 		if c.closed || call.over {
 			c.mu.Unlock()
-			c.end(call, Answer{Outcome: rules.Unreached})
 			return
 		}
-		call.sent = writing
-		c.mu.Unlock()
-		n, err := c.conn.Write(out)
-		c.mu.Lock()
-		call.sent = written
-		gone := c.closed
+		call.sent = true
 		c.mu.Unlock()
-		switch {
-		case err != nil && n < len(out):
-			c.close()
-			c.end(call, Answer{Outcome: rules.Unreached})
-			return
-		case gone: // the reader has left the verdict to this side
-			c.end(call, Answer{Outcome: rules.Reset})
+		if n, _ := c.conn.Write(out); n < len(out) {
+			c.mu.Lock()
+			call.sent = false // never whole, so it never ran
+			c.mu.Unlock()
 			return
 		}
 		if cap(out) > c.host.hosts.limits.Buffer {
@@ -381,16 +371,17 @@
 			err = in.fill(c.conn)
 		}
 		if err != nil {
-			c.broke(a, rows)
+			if call := c.asked(); call != nil && (a.Code != "" || a.Outcome == rules.Answered && rows == 1) {
+				c.end(call, finish(a, rows)) // all of it had come
+			}
 			return
 		}
 		if n == 0 {
 			continue
 		}
-		if !c.asked() && kind != protocol.Ready {
+		if c.asked() == nil && kind != protocol.Ready {
 			if kind == protocol.RowDescription || kind == protocol.DataRow || kind == protocol.ErrorResponse {
-				c.broke(a, rows) // it would be taken for the next command's
-				return
+				return // it would be taken for the next command's
 			}
 			in.use(n)
 			continue
@@ -433,11 +424,14 @@
 	}
 }
 
-// asked says whether a call is out that an answer may be for.
-func (c *hostConn) asked() bool {
+// asked is the call that is out, if there is one that an answer may be for.
+func (c *hostConn) asked() *Call {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.call != nil && c.call.sent != unsent
+	if c.call == nil || !c.call.sent {
+		return nil
+	}
+	return c.call
 }
 
 // finish says what an answer amounts to. One that is not understood may have run.
@@ -459,7 +453,7 @@
 	h, n := c.host.hosts, c.host
 	c.mu.Lock()
 	call := c.call
-	if call == nil || call.over || call.sent == unsent || c.closed {
+	if call == nil || call.over || !call.sent || c.closed {
 		c.mu.Unlock()
 		return false // nobody asked
 	}
@@ -474,27 +468,6 @@
 	return true
 }
 
-// broke ends the call of a connection that has ended, if there is one.
-func (c *hostConn) broke(a Answer, rows int) {
-	c.mu.Lock()
-	call := c.call
-	if call == nil || call.over || call.sent != written {
-		c.closed = true
-		c.mu.Unlock()
-		c.cancel()
-		c.conn.Close() // the writer, if it has a call, sees to it
-		return
-	}
-	c.mu.Unlock()
-	switch {
-	case a.Code != "" || a.Outcome == rules.Answered && rows == 1:
-		a = finish(a, rows) // all of it had come
-	default:
-		a.Outcome = rules.Reset
-	}
-	c.end(call, a)
-}
-
 // end ends a call once.
 func (c *hostConn) end(call *Call, a Answer) {
 	c.mu.Lock()
