--- a/cmd/ferrypitch/program_test.go
+++ b/cmd/ferrypitch/program_test.go
@@ -116,9 +116,14 @@
 }
 
 func TestNothingNewGoesToAHostThatDrainsOrLeft(t *testing.T) {
-	for _, state := range []string{"draining", "removed", "a state not known"} {
+	for _, state := range []string{"draining", "removed", "a state not known", "missing from a whole list"} {
 		s := begin(t, 3, nil)
-		s.list(2, s.entry(1, state))
+		if state == "missing from a whole list" {
+			s.lines <- fmt.Sprintf(`{"rev":2,"all":true,"targets":[%s,%s]}`, s.entry(0, "up"), s.entry(2, "up"))
+			s.logged(`"rev":2,`)
+		} else {
+			s.list(2, s.entry(1, state))
+		}
 		before := s.hosts[1].count()
 		c := s.client()
 		for range 30 {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -86,6 +86,21 @@
 	}
 }
 
+func TestAStandstillIsNoticedAndLetsSocketsBeReadFirst(t *testing.T) {
+	r := &Router{start: &setup.Start{Limits: setup.Limits{Pulse: time.Minute, Settle: time.Millisecond}}}
+	r.stepAt = time.Now().Add(-time.Hour)
+	at := time.Now()
+	if r.catchUp(); r.Stalls.Load() != 1 || time.Since(at) < time.Millisecond {
+		t.Errorf("%d stalls after an hour", r.Stalls.Load())
+	}
+	if r.catchUp(); r.Stalls.Load() != 1 {
+		t.Error("going on at once counts as a stall")
+	}
+	if next := r.next(); next.After(time.Now().Add(time.Minute)) {
+		t.Errorf("the owner rests until %v", next)
+	}
+}
+
 func TestMomentsFollowTheSystemClockForwardAtOnceAndNeverGoBack(t *testing.T) {
 	at := time.Now()
 	mono := at
