SIGHUP reads the configuration again and follows discovery to a new address

Cause: main.go notified no SIGHUP, whose default ends a Go program; transport.Watch had one fixed address, and routing.list ignored lower revisions. A file that has changed its discovery goes before GW_DISCOVERY; SIGHUP has a channel of its own, so it takes no other signal's place.

--- a/cmd/ferrypitch/main.go
+++ b/cmd/ferrypitch/main.go
@@ -21,6 +21,9 @@
 )
 
 func main() {
+	signals, reload := make(chan os.Signal, 4), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(reload, syscall.SIGHUP) // never the end of the program, and no other signal's place
 	start, err := setup.Load(os.Getenv)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "ferrypitch:", err)
@@ -32,9 +35,7 @@
 		os.Exit(2)
 	}
 	log = log.Named(start.Name)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	if err := run(start, signals, log); err != nil {
+	if err := run(start, signals, reload, log); err != nil {
 		log.Error("ended", zap.Error(err))
 		os.Exit(1)
 	}
@@ -42,6 +43,7 @@
 
 // program is what a running router is made of.
 type program struct {
+	start   *setup.Start
 	limits  *setup.Limits
 	log     *zap.Logger
 	room    *transport.Room
@@ -50,11 +52,13 @@
 	clients *transport.Clients
 	watch   *transport.Watch
 	peers   *transport.Peers // nil where routers don't talk
+
+	reloads, refused int // of the configuration, only attend's
 }
 
 // run lives from the first socket to the last.
-func run(start *setup.Start, signals <-chan os.Signal, log *zap.Logger) (err error) {
-	p := program{limits: &start.Limits, log: log, room: transport.NewRoom(&start.Limits)}
+func run(start *setup.Start, signals, reload <-chan os.Signal, log *zap.Logger) (err error) {
+	p := program{start: start, limits: &start.Limits, log: log, room: transport.NewRoom(&start.Limits)}
 	runtime.GOMAXPROCS(p.limits.Cores)
 	debug.SetMemoryLimit(p.limits.Memory)
 	listener, err := net.Listen("tcp", start.Listen)
@@ -89,7 +93,7 @@
 	}
 	log.Info("started", zap.Stringer("listen", listener.Addr()), zap.Int("clients", p.limits.Clients),
 		zap.Int("hosts", p.limits.Hosts))
-	p.attend(ctx, signals)
+	p.attend(ctx, signals, reload)
 	end()
 	err = tasks.Wait()
 	p.hosts.Wait()
@@ -100,7 +104,7 @@
 // attend waits for the signal to stop, and stops: connections are taken and kept for as long
 // as new ones may come, then closed as they are between commands. What is still owed when the
 // time is up fails.
-func (p *program) attend(ctx context.Context, signals <-chan os.Signal) {
+func (p *program) attend(ctx context.Context, signals, reload <-chan os.Signal) {
 	var drain, stop <-chan time.Time
 	for {
 		select {
@@ -113,6 +117,8 @@
 				p.log.Info("stopping", zap.String("signal", s.String()))
 				drain, stop = time.After(p.limits.Linger), time.After(p.limits.End)
 			}
+		case <-reload:
+			p.reload()
 		case <-drain:
 			if drain = time.After(p.limits.Again); p.clients.Drain() == 0 {
 				return
@@ -127,6 +133,21 @@
 	}
 }
 
+// reload takes in what the file says now. What is wrong with it changes nothing.
+func (p *program) reload() {
+	next, kept, err := p.start.Again(os.Getenv)
+	if err != nil {
+		p.refused++
+		p.log.Warn("the configuration stays as it was", zap.Error(err))
+		return
+	}
+	p.reloads++
+	p.log.Info("configuration read again", zap.String("discovery", next.Discovery),
+		zap.Strings("from the next start only", kept))
+	p.watch.Move(next.Discovery)
+	p.start = next
+}
+
 func (p *program) counts() []zap.Field {
 	fields := append(p.router.Fields(),
 		zap.Int64("clients_accepted", p.clients.Accepted.Load()), zap.Int("clients_open", p.clients.Open()),
@@ -135,6 +156,7 @@
 		zap.Int64("hosts_opened", p.hosts.Opened.Load()), zap.Int64("hosts_reused", p.hosts.Reused.Load()),
 		zap.Int64("hosts_not_up", p.hosts.Broken.Load()), zap.Int64("hosts_no_descriptor", p.hosts.Refused.Load()),
 		zap.Int("hosts_open", p.hosts.Open()), zap.Int64("buffers", p.room.Used()),
+		zap.Int("reloads", p.reloads), zap.Int("reloads_refused", p.refused),
 		zap.Int64("watches", p.watch.Started.Load()), zap.Int64("list_lines", p.watch.Lines.Load()))
 	if p.peers != nil {
 		fields = append(fields, zap.Int64("datagrams_sent", p.peers.Sent.Load()),
--- a/cmd/ferrypitch/program_test.go
+++ b/cmd/ferrypitch/program_test.go
@@ -235,6 +235,88 @@
 	}
 }
 
+func TestSIGHUPFollowsDiscoveryToANewAddress(t *testing.T) {
+	s := begin(t, 2, nil)
+	old := s.discovery
+	s.list(41, s.entry(1, "draining"))
+	asked, let := make(chan bool), make(chan bool)
+	s.hosts[0].answer(func(b *box, q string) {
+		asked <- true
+		<-let
+		b.row("x", "leader")
+	})
+	c := s.client()
+	c.send(write("order", "3000"))
+	<-asked
+	s.moved = make(chan string)
+	next := hear(t)
+	go s.discover(next, s.moved)
+	s.configure(old, next.Addr().String())
+	s.cmd.Process.Signal(syscall.SIGHUP)
+	s.logged("configuration read again")
+	s.moved <- fmt.Sprintf(`{"rev":3,"all":true,"targets":[%s,%s]}`, s.entry(0, "up"), s.entry(1, "up"))
+	s.logged(`"rev":3,`)
+	s.moved <- fmt.Sprintf(`{"rev":4,"all":false,"targets":[%s]}`, s.entry(1, "draining"))
+	s.logged(`"rev":4,`)
+	close(let)
+	if code, value, err := c.answer(); code != "" || value != "x" || err != nil {
+		t.Errorf("in flight meanwhile: %s %q %v", code, value, err)
+	}
+	<-s.ended // the old address's watch
+	s.moved <- fmt.Sprintf(`{"rev":2,"all":false,"targets":[%s]}`, s.entry(1, "up"))
+	s.logged("older than the one held")
+}
+
+func TestAFaultyFileAtSIGHUPChangesNothing(t *testing.T) {
+	s := begin(t, 1, nil)
+	whole := s.config
+	for _, wrong := range [][2]string{{"{", "GW_CONFIG"}, {whole[:len(whole)/2], "GW_CONFIG"},
+		{strings.Replace(whole, `"send_cap":8,"probes":true`, `"send_cap":8,"probes":"yes"`, 1), "settings.bounds.probes"},
+		{strings.Replace(whole, s.discovery, "nowhere", 1), "discovery: not an address"}} {
+		os.WriteFile(s.path, []byte(wrong[0]), 0o600)
+		s.cmd.Process.Signal(syscall.SIGHUP)
+		if line := s.logged("the configuration stays as it was"); !strings.Contains(line, wrong[1]) {
+			t.Errorf("%s is not named: %s", wrong[1], line)
+		}
+	}
+	s.configure(`"memory_mb":192`, `"memory_mb":64`)
+	s.cmd.Process.Signal(syscall.SIGHUP)
+	if line := s.logged("configuration read again"); !strings.Contains(line, `"limits"`) {
+		t.Errorf("what needs a restart is not named: %s", line)
+	}
+	s.list(2, s.entry(0, "up"))
+	if code, _, _ := s.client().ask(write("order", "3000")); code != "" {
+		t.Errorf("code %s", code)
+	}
+}
+
+func TestSIGHUPNeverEndsTheProgramAndNeverHidesSIGTERM(t *testing.T) {
+	s := begin(t, 1, nil)
+	asked, let := make(chan bool), make(chan bool)
+	s.hosts[0].answer(func(b *box, q string) {
+		asked <- true
+		<-let
+		b.row("x", "leader")
+	})
+	c := s.client()
+	c.send(write("order", "3000"))
+	<-asked
+	for range 50 {
+		s.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	s.logged("stopping")
+	s.cmd.Process.Signal(syscall.SIGHUP)
+	s.logged("configuration read again")
+	close(let)
+	if code, value, err := c.answer(); code != "" || value != "x" || err != nil {
+		t.Errorf("%s %q %v", code, value, err)
+	}
+	if err := s.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
 func TestWhatIsWrongAtStartIsNamedInOneLine(t *testing.T) {
 	taken := hear(t)
 	for name, wrong := range map[string]func(map[string]any, []string) ([]string, string){
@@ -484,26 +566,34 @@
 }
 
 type stand struct {
-	t       *testing.T
-	hosts   []*host
-	config  string
-	listen  string
-	cmd     *exec.Cmd
-	log     chan string
-	lines   chan string // of discovery
-	watches chan string
-	silent  bool
+	t      *testing.T
+	hosts  []*host
+	config string
+	path   string // of its file
+	env    []string
+	listen string
+	cmd    *exec.Cmd
+	log    chan string
+	lines  chan string // of discovery
+	moved  chan string // of discovery at another address
+
+	discovery string
+	watches   chan string
+	ended     chan bool // a watch that its client closed
+	silent    bool
 }
 
 // begin starts hosts a (the primary), b, c..., discovery and the program.
 func begin(t *testing.T, hosts int, change func(map[string]any)) *stand {
-	s := &stand{t: t, lines: make(chan string), watches: make(chan string, 99)}
+	s := &stand{t: t, lines: make(chan string), watches: make(chan string, 99), ended: make(chan bool, 99)}
 	for i := range hosts {
 		s.hosts = append(s.hosts, s.host(string(rune('a'+i))))
 	}
 	s.hosts[0].primary = true
 	discovery := hear(t)
-	go s.discover(discovery)
+	s.discovery = discovery.Addr().String()
+	s.env = []string{"GW_DISCOVERY=" + s.discovery}
+	go s.discover(discovery, s.lines)
 	var entries []string
 	for i := range s.hosts {
 		entries = append(entries, s.entry(i, "up"))
@@ -552,10 +642,10 @@
 }
 
 func (s *stand) start() {
-	path := filepath.Join(s.t.TempDir(), "config.json")
-	os.WriteFile(path, []byte(s.config), 0o600)
+	s.path = filepath.Join(s.t.TempDir(), "config.json")
+	os.WriteFile(s.path, []byte(s.config), 0o600)
 	s.cmd = exec.Command(binary)
-	s.cmd.Env = []string{"GW_CONFIG=" + path}
+	s.cmd.Env = append(s.env, "GW_CONFIG="+s.path)
 	out, err := s.cmd.StderrPipe()
 	if err != nil {
 		s.t.Fatal(err)
@@ -616,7 +706,14 @@
 	s.logged(fmt.Sprintf(`"rev":%d,`, rev))
 }
 
-func (s *stand) discover(l net.Listener) {
+// configure replaces a part of the program's file.
+func (s *stand) configure(old, now string) {
+	s.config = strings.Replace(s.config, old, now, 1)
+	os.WriteFile(s.path+".new", []byte(s.config), 0o600)
+	os.Rename(s.path+".new", s.path)
+}
+
+func (s *stand) discover(l net.Listener, lines <-chan string) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -640,9 +737,10 @@
 			for beat := time.NewTicker(time.Second); ; {
 				text := ""
 				select {
-				case text = <-s.lines:
+				case text = <-lines:
 				case <-beat.C:
 				case <-left:
+					s.ended <- true
 					return
 				}
 				if _, err := fmt.Fprintf(conn, "%x\r\n%s\n\r\n", len(text)+1, text); err != nil {
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -21,10 +21,11 @@
 }
 
 // list takes in a list, whole or the changes since the last. One that has a fault changes nothing.
-func (r *Router) list(o setup.Object) (err error) {
+// anew: versions are counted otherwise than before.
+func (r *Router) list(o setup.Object, anew bool) (err error) {
 	defer setup.Catch(&err)
 	rev, whole, targets := o.Integer("rev"), o.Flag("all"), o.Objects("targets")
-	if rev < r.rev.Load() {
+	if rev < r.rev.Load() && !anew {
 		r.Stale.Add(1)
 		r.log.Warn("a list that is older than the one held", zap.Int64("rev", rev), zap.Int64("held", r.rev.Load()))
 		return nil
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -68,7 +68,7 @@
 	if !s.Known.Has("targets") {
 		return r, nil
 	}
-	return r, r.list(s.Known)
+	return r, r.list(s.Known, false)
 }
 
 // Rev is the version of the list that is held.
@@ -116,13 +116,14 @@
 	})
 }
 
-// List takes one line of discovery's, and returns when the module knows it.
-func (r *Router) List(line []byte) error {
+// List takes one line of discovery's, and returns when the module knows it. anew: of an address
+// that speaks for the first time.
+func (r *Router) List(line []byte, anew bool) error {
 	told := make(chan error, 1)
 	if !r.queue.put(lists, func() {
 		o, err := setup.Decode("", line)
 		if err == nil {
-			err = r.list(o)
+			err = r.list(o, anew)
 		}
 		told <- err
 	}) {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +22,9 @@
 	Deployment                                    rules.Deployment
 	Terms                                         Terms
 	Limits                                        Limits
+
+	discovery string         // what the file said of it
+	fields    map[string]any // of the file
 }
 
 // Limits holds all sizes, counts and times that the sockets keep to.
@@ -110,9 +115,41 @@
 		}
 	}
 	s.Limits = limits(top)
+	s.discovery, s.fields = top.MaybeText("discovery"), top.fields
 	return s, nil
 }
 
+// Again reads and checks the same file once more, while the program runs. Discovery's address is
+// followed: one that the file has changed goes before the environment, which cannot have changed. kept
+// names the keys whose new values count from the next start only.
+func (s *Start) Again(getenv func(string) string) (next *Start, kept []string, err error) {
+	if next, err = Load(getenv); err != nil {
+		return nil, nil, err
+	}
+	if next.discovery != "" && next.discovery != s.discovery {
+		if err := valid(next.discovery, "discovery"); err != nil {
+			return nil, nil, err
+		}
+		next.Discovery = next.discovery
+	} else {
+		next.Discovery = s.Discovery
+	}
+	for key := range next.fields {
+		if key != "discovery" && key != "known" && !reflect.DeepEqual(next.fields[key], s.fields[key]) {
+			kept = append(kept, key)
+		}
+	}
+	slices.Sort(kept)
+	next.fields = s.fields // what is in force
+	return next, kept, nil
+}
+
+func valid(text, key string) (err error) {
+	defer Catch(&err)
+	address(text, key)
+	return nil
+}
+
 func address(text, key string) {
 	if text == "" {
 		panic(Fault(key + ": missing"))
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,45 +16,92 @@
 
 // Watch follows discovery's list.
 type Watch struct {
-	limits  *setup.Limits
-	room    *Room
+	limits *setup.Limits
+	room   *Room
+	rev    func() int64                       // the version that is held
+	line   func(text []byte, anew bool) error // a list or its changes, owned by whoever is told
+	fault  func(error)
+
+	mu      sync.Mutex
 	address string
-	rev     func() int64            // the version that is held
-	line    func(text []byte) error // a list or its changes, owned by whoever is told
-	fault   func(error)
+	fresh   bool               // nothing has come from this address yet, whose versions may be others
+	leave   context.CancelFunc // ends the watch that is open
 
 	Started, Lines atomic.Int64
 }
 
-// NewWatch asks for what came after rev, each time it has to ask anew.
-func NewWatch(l *setup.Limits, room *Room, address string, rev func() int64, line func([]byte) error,
+// NewWatch asks for what came after rev, each time it has to ask anew. line's anew says that an
+// address speaks for the first time, whatever version it names.
+func NewWatch(l *setup.Limits, room *Room, address string, rev func() int64, line func([]byte, bool) error,
 	fault func(error)) *Watch {
 	return &Watch{limits: l, room: room, address: address, rev: rev, line: line, fault: fault}
 }
 
+// Move follows another address from now on; the list is kept until that one speaks.
+func (w *Watch) Move(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if address == w.address {
+		return
+	}
+	if w.address, w.fresh = address, true; w.leave != nil {
+		w.leave()
+	}
+}
+
 // Run watches until the context ends.
 func (w *Watch) Run(ctx context.Context) error {
-	for wait := w.limits.Again; ctx.Err() == nil; wait = min(2*wait, w.limits.Quiet/2) {
+	for wait := w.limits.Again; ctx.Err() == nil; wait = min(2*wait, w.limits.Quiet/8) {
 		w.Started.Add(1)
-		told, err := w.follow(ctx)
-		if ctx.Err() != nil {
+		watch, leave := context.WithCancel(ctx)
+		w.mu.Lock()
+		w.leave = leave
+		address, fresh := w.address, w.fresh
+		w.mu.Unlock()
+		told, err := w.follow(watch, address, fresh)
+		moved := watch.Err() != nil
+		if leave(); ctx.Err() != nil {
 			break
 		}
-		if told {
+		if told || moved {
 			wait = w.limits.Again
 		}
+		if moved {
+			continue
+		}
 		w.fault(err)
 		select {
 		case <-ctx.Done():
+		case <-watch.Done():
 		case <-time.After(wait):
 		}
 	}
 	return nil
 }
 
+// hand tells of a line, unless the address it came from is followed no more.
+func (w *Watch) hand(ctx context.Context, text []byte) error {
+	w.mu.Lock()
+	fresh, err := w.fresh, ctx.Err()
+	w.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	w.Lines.Add(1)
+	if err := w.line(bytes.Clone(text), fresh); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() == nil {
+		w.fresh = false
+	}
+	return nil
+}
+
 // follow is one watch, up to its end. told says that it brought anything.
-func (w *Watch) follow(ctx context.Context) (told bool, err error) {
-	conn, err := (&net.Dialer{Timeout: w.limits.Quiet}).DialContext(ctx, "tcp", w.address)
+func (w *Watch) follow(ctx context.Context, address string, fresh bool) (told bool, err error) {
+	conn, err := (&net.Dialer{Timeout: w.limits.Quiet / 4}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return false, err
 	}
@@ -62,7 +110,11 @@
 	// Discovery that says nothing, not even that nothing has changed, may be cut off: a
 	// connection that stays open tells nothing.
 	conn.SetDeadline(time.Now().Add(w.limits.Quiet))
-	if _, err := conn.Write(protocol.AppendWatch(nil, w.address, w.rev())); err != nil {
+	rev := w.rev()
+	if fresh { // what that version held at this address nobody knows
+		rev = 0
+	}
+	if _, err := conn.Write(protocol.AppendWatch(nil, address, rev)); err != nil {
 		return false, err
 	}
 	in := newBuffer(w.room, w.limits.Buffer, w.limits.Line)
@@ -106,8 +158,7 @@
 				break
 			}
 			if text = bytes.TrimSpace(text); len(text) > 0 {
-				w.Lines.Add(1)
-				if err := w.line(bytes.Clone(text)); err != nil {
+				if err := w.hand(ctx, text); err != nil {
 					return false, err // what it told is asked for again
 				}
 			}
