Bad clients and bad hosts: limits for half commands, strict forms, no stray answers

A trace of accepts and ends showed client connections at their limit (192) since silent ones and halves of commands lived for 10 s and could not make way (clients.go: evict took only connections that were between commands). A trace of host connections showed rows missing, doubled or of wrong length, each waited for until the deadline or told as an error of the command; its position was believed (hosts.go read, finish; routing.go ended).

Changed: a first command and the rest of one have 2.5 s; those who say nothing or half of something make way first, after 0.25 s; what is refused 16 times in a row ends its connection; the reason is written before a half-close and what still comes is dropped slowly. Only the protocol's two forms, with an id that is not open, figures of digits and the form of their group are commands. An answer is a description, a row, a completion and nothing else, else the attempt is a reset, nothing of it is believed, and the connection closes at once. Reading a host takes the lock that marks a command as sent, so earlier bytes are never its answer. Positions ahead of the clock are not believed.

--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -3,32 +3,30 @@
 import (
 	"bytes"
 	"errors"
-	"math"
 	"strconv"
 )
 
-// ErrComment tells of a statement without a usable comment.
-var ErrComment = errors.New("no comment with id, c, d and cluster before the statement")
+var (
+	ErrComment = errors.New("no comment with id, c, d and cluster before the statement")
+	ErrForm    = errors.New("a statement of another form than is served")
+)
+
+const longestName = 1 << 10 // of an id or a key
 
-// Comment reads what a statement's leading comment and its first quoted word
-// say. wait is in milliseconds, after a Unix time in them, 0 where there is none.
-func Comment(statement []byte) (group, key string, set int64, wait, after float64, again bool, err error) {
+// Comment reads what a statement's leading comment and the statement itself say. wait is in milliseconds,
+// after a Unix time in them, 0 where there is none; writes says which of the two forms it has.
+func Comment(statement []byte) (id, group, key string, set int64, wait, after float64, again, writes bool,
+	err error) {
 	inside, rest, ok := comment(statement)
-	if !ok {
-		return "", "", 0, 0, 0, false, ErrComment
-	}
-	id := false
-	for len(inside) > 0 {
+	for ok && len(inside) > 0 {
 		var item []byte
 		item, inside, _ = bytes.Cut(inside, []byte{','})
-		name, value, ok := bytes.Cut(bytes.TrimSpace(item), []byte{'='})
-		if !ok {
-			return "", "", 0, 0, 0, false, ErrComment
-		}
+		name, value, cut := bytes.Cut(bytes.TrimSpace(item), []byte{'='})
+		ok = cut
 		var bad error
 		switch string(name) {
 		case "id":
-			id = len(value) > 0
+			id = string(value)
 		case "c":
 			group = string(value)
 		case "d":
@@ -40,14 +38,37 @@
 		case "r":
 			again = string(value) == "1"
 		}
-		if bad != nil {
-			return "", "", 0, 0, 0, false, ErrComment
-		}
+		ok = ok && bad == nil
+	}
+	if !ok || id == "" || len(id) > longestName || group == "" || wait <= 0 {
+		return "", "", "", 0, 0, 0, false, false, ErrComment
 	}
-	if !id || group == "" || wait <= 0 {
-		return "", "", 0, 0, 0, false, ErrComment
+	if key, writes, ok = form(rest); !ok {
+		return "", "", "", 0, 0, 0, false, false, ErrForm
 	}
-	return group, quoted(rest), set, wait, after, again, nil
+	return id, group, key, set, wait, after, again, writes, nil
+}
+
+// form reads the two forms that statements have: of a read and of a write.
+func form(s []byte) (key string, writes, ok bool) {
+	s = bytes.TrimRight(bytes.TrimSpace(s), "; ")
+	if inside, read := bytes.CutPrefix(s, []byte("SELECT v FROM records WHERE k = ")); read {
+		key, rest, ok := quoted(inside)
+		return key, false, ok && len(rest) == 0
+	}
+	inside, write := bytes.CutPrefix(s, []byte("INSERT INTO records (k, v) VALUES ("))
+	if !write {
+		return "", false, false
+	}
+	key, rest, ok := quoted(inside)
+	value, lead := bytes.CutPrefix(rest, []byte(`, '\x`))
+	value, tail := bytes.CutSuffix(value, []byte("') RETURNING v"))
+	for _, d := range value {
+		if !(d >= '0' && d <= '9' || d >= 'a' && d <= 'f' || d >= 'A' && d <= 'F') {
+			return "", true, false
+		}
+	}
+	return key, true, ok && lead && tail && len(value)%2 == 0
 }
 
 // AppendFor appends a statement with the time in its comment replaced; all
@@ -86,30 +107,32 @@
 	return bytes.Cut(s[2:], []byte("*/"))
 }
 
+// figure reads digits, perhaps with a fraction.
 func figure(b []byte) (float64, error) {
+	for _, d := range b {
+		if (d < '0' || d > '9') && d != '.' {
+			return 0, ErrComment
+		}
+	}
 	v, err := strconv.ParseFloat(string(b), 64)
-	if err == nil && (math.IsNaN(v) || v < 0 || v > 1e15) {
+	if err == nil && v > 1e15 {
 		err = ErrComment
 	}
 	return v, err
 }
 
-// quoted is the first quoted word of a statement.
-func quoted(s []byte) string {
-	_, s, ok := bytes.Cut(s, []byte{'\''})
-	if !ok {
-		return ""
-	}
-	var word []byte
-	for {
-		part, rest, ok := bytes.Cut(s, []byte{'\''})
-		if !ok {
-			return ""
+// quoted reads the quoted word that s begins with.
+func quoted(s []byte) (word string, rest []byte, ok bool) {
+	s, ok = bytes.CutPrefix(s, []byte{'\''})
+	for ok {
+		var part []byte
+		if part, s, ok = bytes.Cut(s, []byte{'\''}); !ok || len(word)+len(part) > longestName {
+			return "", nil, false
 		}
-		word = append(word, part...)
-		if len(rest) == 0 || rest[0] != '\'' {
-			return string(word)
+		if word += string(part); len(s) == 0 || s[0] != '\'' {
+			return word, s, word != ""
 		}
-		word, s = append(word, '\''), rest[1:]
+		word, s = word+"'", s[1:]
 	}
+	return "", nil, false
 }
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -24,6 +24,7 @@
 	DataRow         = 'D'
 	CommandComplete = 'C'
 	EmptyResponse   = 'I'
+	Notice          = 'N'
 	Authentication  = 'R'
 )
 
@@ -35,6 +36,9 @@
 	GSS     = 1234<<16 | 5680
 )
 
+// LongestStartup is what PostgreSQL takes at most.
+const LongestStartup = 10000
+
 // SQLSTATE codes with a meaning of their own.
 const (
 	TooMany  = "53300"
@@ -153,17 +157,21 @@
 
 // Code is the SQLSTATE of an ErrorResponse's body, empty where there is none.
 func Code(body []byte) string {
+	code := ""
 	for len(body) > 1 && body[0] != 0 {
 		value, rest, whole := bytes.Cut(body[1:], []byte{0})
 		if !whole {
 			return ""
 		}
 		if body[0] == 'C' {
-			return string(value)
+			code = string(value)
 		}
 		body = rest
 	}
-	return ""
+	if len(body) != 1 || body[0] != 0 || len(code) != 5 {
+		return "" // torn
+	}
+	return code
 }
 
 // Parameter reads a ParameterStatus.
@@ -185,6 +193,26 @@
 	return body[6:], true
 }
 
+// Row says whether a RowDescription's body describes one column.
+func Row(body []byte) bool {
+	if len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
+		return false
+	}
+	_, rest, whole := bytes.Cut(body[2:], []byte{0})
+	return whole && len(rest) == 18
+}
+
+// Tag says whether a CommandComplete's body is a tag, as in INSERT 0 1.
+func Tag(body []byte) bool {
+	tag, rest, whole := bytes.Cut(body, []byte{0})
+	for _, b := range tag {
+		if b < ' ' || b > '~' {
+			return false
+		}
+	}
+	return whole && len(rest) == 0 && len(tag) > 0
+}
+
 // Statement is the text of a Query's body.
 func Statement(body []byte) ([]byte, bool) {
 	if len(body) == 0 || bytes.IndexByte(body, 0) != len(body)-1 {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -38,7 +38,6 @@
 	due    deadlines
 	wakeAt time.Time
 	stepAt time.Time // when the owner last went on
-	names  int64
 	listed bool
 	began  time.Time
 	asking []*transport.Slot // empty queries that wait for a first list
@@ -77,24 +76,32 @@
 // Command, Empty, Left, List and Heard are called from other goroutines.
 
 func (r *Router) Command(s *transport.Slot, statement []byte, at time.Time) {
-	group, key, set, wait, after, again, err := protocol.Comment(statement)
-	if err != nil {
-		r.Refused.Add(1)
-		s.Fail(protocol.Unknown, err.Error())
-		return
-	}
+	id, group, key, set, wait, after, again, writes, err := protocol.Comment(statement)
 	g := r.start.Terms.Groups[group]
-	if g == nil {
-		r.Refused.Add(1)
-		s.Fail(protocol.Unknown, "no command group of the name "+strconv.Quote(group))
+	switch {
+	case err != nil:
+		r.refuse(s, err.Error())
+		return
+	case g == nil:
+		r.refuse(s, "no command group of the name "+strconv.Quote(group[:min(len(group), 64)]))
+		return
+	case writes != (g.Need == rules.Write):
+		r.refuse(s, "a statement that its command group does not have")
 		return
 	}
-	until := at.Add(time.Duration(wait*float64(time.Millisecond)) - r.start.Limits.Early)
-	if !r.queue.put(commands, func() { r.take(s, statement, g, key, set, until, after, again) }) {
+	longest := span(g.Timeout) // nobody waits for longer, whatever is said
+	until := at.Add(min(time.Duration(min(wait, 1e9)*float64(time.Millisecond)), longest) - r.start.Limits.Early)
+	if !r.queue.put(commands, func() { r.take(s, statement, g, id, key, set, until, after, again) }) {
 		s.Fail(protocol.Failed, errStopped.Error())
 	}
 }
 
+// refuse answers what is no command; it costs less than serving one.
+func (r *Router) refuse(s *transport.Slot, why string) {
+	r.Refused.Add(1)
+	s.Refuse(protocol.Unknown, why)
+}
+
 func (r *Router) Empty(s *transport.Slot) {
 	r.queue.put(commands, func() {
 		if r.listed {
@@ -282,24 +289,26 @@
 }
 
 // take brings a command to the module.
-func (r *Router) take(s *transport.Slot, statement []byte, g *rules.CmdGroup, key string, set int64,
+func (r *Router) take(s *transport.Slot, statement []byte, g *rules.CmdGroup, id, key string, set int64,
 	until time.Time, written float64, again bool) {
-	if r.listed && !r.sets[set] { // the module would keep every number that clients make up
-		r.Refused.Add(1)
-		s.Fail(protocol.Unknown, "no host of replica set "+strconv.FormatInt(set, 10)+" has been listed")
+	switch {
+	case r.listed && !r.sets[set]: // the module would keep every number that clients make up
+		r.refuse(s, "no host of replica set "+strconv.FormatInt(set, 10)+" has been listed")
+		return
+	case r.cmds[id] != nil: // each has its own; the first may have had its effect
+		r.refuse(s, "the id of a command that is open")
 		return
 	}
+	s.Taken()
 	now := r.moment()
 	since := rules.Tenth(0)
 	if written > 0 { // a commit's time is rounded up, so this errs towards fresh
 		since = max(1, now-setup.Up(written))
 	}
-	r.names++
-	name := strconv.FormatInt(r.names, 36)
 	c := &command{slot: s, statement: statement, until: until}
-	r.cmds[name], r.slots[s] = c, c
+	r.cmds[id], r.slots[s] = c, c
 	r.Taken.Add(1)
-	c.handle = r.rules.Take(name, g, set, key, now+rules.Tenth(time.Until(until)/tenth), since, nil, again)
+	c.handle = r.rules.Take(id, g, set, key, now+rules.Tenth(time.Until(until)/tenth), since, nil, again)
 	r.settle(c)
 }
 
@@ -314,7 +323,7 @@
 	}
 	r.report(c.handle.Node, a.Load)
 	pos, role := rules.Tenth(-1), rules.Unknown
-	if v, err := strconv.ParseFloat(a.Position, 64); err == nil && v > 0 {
+	if v, err := strconv.ParseFloat(a.Position, 64); err == nil && v > 0 && v <= r.ahead() {
 		pos = setup.Down(v)
 	}
 	switch a.Role {
@@ -331,11 +340,15 @@
 func (r *Router) report(n *rules.Node, load string) {
 	t := r.start.Terms
 	pos, role, ok := t.Report(func(i int) (float64, bool) { return protocol.Field(load, t.Fields[i]) })
-	if n != nil && ok {
+	if n != nil && ok && pos >= 0 && float64(pos) <= 10*r.ahead() {
 		n.Reported(pos, role)
 	}
 }
 
+// ahead is the greatest position that can be true, in milliseconds: that of a commit now, rounded up.
+// Guards against stale reads by positions of the future.
+func (r *Router) ahead() float64 { return float64(r.clock.now())/10 + 2 }
+
 // final notes that a command is owed no answer any more.
 func (r *Router) final(c *command) {
 	delete(r.slots, c.slot)
--- a/internal/setup/deployment.go
+++ b/internal/setup/deployment.go
@@ -89,7 +89,8 @@
 		return 0, rules.Unknown, false
 	}
 	seconds, ok := field(t.Position)
-	if !ok {
+	if !ok || seconds < 0 || seconds > 1e12 { // not even as a whole number of tenths
+
 		return 0, rules.Unknown, false
 	}
 	if t.Role >= 0 {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -36,6 +36,7 @@
 	Spare          int   // descriptors for clients past theirs, whose commands are throttled
 	Backlog        int   // commands waiting for the owner of the module
 	Ahead          int   // commands taken from one client connection and not answered
+	Refusals       int   // commands in a row that are not served, before a client's connection ends
 	Message        int   // the longest message taken from a client
 	Answer         int   // the longest message taken from a host
 	Line           int   // the longest line taken from discovery
@@ -47,8 +48,11 @@
 	Idle    time.Duration // after which an idle host connection is no longer used
 	Early   time.Duration // how long before the client timeout a last answer is sent
 	Ready   time.Duration // for a first list to come, before an empty query is refused
-	Startup time.Duration // for a client to finish its startup message
-	Unused  time.Duration // for a client to send its first command, before its connection may make way
+	Whole   time.Duration // for a client to finish what it began, and for its first command
+	Unused  time.Duration // for a client to do so, before its connection may make way
+	Free    time.Duration // after which an idle client connection may make way before there is need
+	Part    time.Duration // for a client to read why its connection ends
+	Rest    time.Duration // for what is behind an answer to come, before the host connection is used again
 	Stuck   time.Duration // for a client to read some of its answers
 	Quiet   time.Duration // of discovery, before it is asked anew
 	Again   time.Duration // the first wait before asking anew; it doubles
@@ -180,11 +184,11 @@
 	idle := ms("conn_idle", 1)
 	l := Limits{
 		Cores: int(max(1, cores+0.5)), Memory: memory * 3 / 4,
-		Hosts: (sockets - reserve) * 2 / 5, Spare: min(reserve/2, reserve-own), Backlog: 1024, Ahead: 32,
+		Hosts: (sockets - reserve) * 2 / 5, Spare: min(reserve/2, reserve-own), Backlog: 1024, Ahead: 32, Refusals: 16,
 		Message: 160 << 10, Answer: 96 << 10, Line: 4 << 20, Datagram: 256, Buffer: 4 << 10, Buffers: memory / 4,
 		Connect: ms("connect_timeout", 1), Idle: idle - min(idle/4, 2*time.Second),
-		Early: 4 * time.Millisecond, Ready: 10 * time.Second, Startup: 10 * time.Second,
-		Unused: time.Second, Stuck: 15 * time.Second,
+		Early: 4 * time.Millisecond, Ready: 10 * time.Second, Whole: 2500 * time.Millisecond,
+		Unused: 250 * time.Millisecond, Free: 2 * time.Second, Part: time.Second, Rest: time.Millisecond, Stuck: 15 * time.Second,
 		Quiet: 4500 * time.Millisecond, Again: 50 * time.Millisecond,
 		Pulse: 50 * time.Millisecond, Settle: 5 * time.Millisecond,
 		Linger: 500 * time.Millisecond, End: 500 * time.Millisecond,
--- a/internal/transport/hosts.go
+++ b/internal/transport/hosts.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"ferrypitch/internal/protocol"
@@ -34,14 +37,15 @@
 
 	mu   sync.Mutex
 	open int
-	all  []*Host
+	all  map[*Host]struct{}
 
 	Opened, Reused, Refused, Broken atomic.Int64 // connections opened, used again; none left; not come up
+	Spoilt, Stray                   atomic.Int64 // answers that make no sense; bytes that belong to none
 }
 
 // NewHosts lets connections live until ctx ends.
 func NewHosts(ctx context.Context, l *setup.Limits, room *Room) *Hosts {
-	return &Hosts{limits: l, room: room, ctx: ctx}
+	return &Hosts{limits: l, room: room, ctx: ctx, all: map[*Host]struct{}{}}
 }
 
 // Wait waits for all connections to end, once the context has.
@@ -59,6 +63,7 @@
 	hosts   *Hosts
 	address string
 	idle    []*hostConn // the most recently used last
+	gone    bool        // none is kept idle
 }
 
 // Add adds a host.
@@ -66,7 +71,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := &Host{hosts: h, address: address}
-	h.all = append(h.all, n)
+	h.all[n] = struct{}{}
 	return n
 }
 
@@ -81,6 +86,15 @@
 	}
 }
 
+// Remove forgets a host; what is still out to it ends as it does.
+func (n *Host) Remove() {
+	n.hosts.mu.Lock()
+	n.gone = true
+	delete(n.hosts.all, n)
+	n.hosts.mu.Unlock()
+	n.CloseIdle()
+}
+
 // CloseIdle closes the idle connections.
 func (n *Host) CloseIdle() {
 	n.hosts.mu.Lock()
@@ -113,9 +127,12 @@
 	call := &Call{statement: statement, until: until, by: by, rewrite: rewrite, done: done}
 	now := time.Now()
 	h.mu.Lock()
-	for len(n.idle) > 0 {
-		c := n.idle[len(n.idle)-1]
-		n.idle = n.idle[:len(n.idle)-1]
+	for i := len(n.idle) - 1; i >= 0; i = min(i, len(n.idle)) - 1 {
+		c := n.idle[i]
+		if now.Sub(c.since) < h.limits.Rest {
+			continue // what does not belong to its last answer may be on its way still
+		}
+		n.idle = slices.Delete(n.idle, i, i+1)
 		h.mu.Unlock()
 		if now.Sub(c.since) < h.limits.Idle && c.give(call) {
 			h.Reused.Add(1)
@@ -151,7 +168,7 @@
 // hosts of the past holding the descriptors that others need.
 func (h *Hosts) oldestIdle() *hostConn {
 	var from *Host
-	for _, n := range h.all {
+	for n := range h.all {
 		if len(n.idle) > 0 && (from == nil || n.idle[0].since.Before(from.idle[0].since)) {
 			from = n
 		}
@@ -193,6 +210,7 @@
 	cancel context.CancelFunc
 	next   chan *Call
 	since  time.Time // when it became idle
+	used   bool      // an answer has come on it
 
 	mu     sync.Mutex
 	conn   net.Conn
@@ -200,11 +218,11 @@
 	call   *Call
 }
 
-// give hands an idle connection its next call.
+// give hands an idle connection its next call, unless something has come that nobody asked for.
 func (c *hostConn) give(call *Call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.closed || waiting(c.conn) {
 		return false
 	}
 	call.conn, c.call = c, call
@@ -281,6 +299,8 @@
 	case call == nil:
 	case call.sent:
 		c.end(call, Answer{Outcome: rules.Reset})
+	case c.used: // it had been up, which tells nothing of the host now
+		c.end(call, Answer{Outcome: rules.Moot})
 	default:
 		c.end(call, Answer{Outcome: rules.Unreached})
 	}
@@ -347,6 +367,12 @@
 			c.mu.Unlock()
 			return
 		}
+		// What has come by now belongs to no command, and would be taken for this one's answer. Guards
+		// against answers with more behind them, whichever goroutine runs first.
+		if waiting(c.conn) {
+			c.mu.Unlock()
+			return
+		}
 		call.sent = true
 		c.mu.Unlock()
 		if n, _ := c.conn.Write(out); n < len(out) {
@@ -361,48 +387,55 @@
 	}
 }
 
-// read takes the answers in, and sees at once when an idle connection closes.
+// read takes the answers in, and sees at once when an idle connection closes or brings what nobody
+// asked for. An answer is one row's description, the row and its completion, or an error; what is
+// anything else may have run, and nothing of it is believed.
 func (c *hostConn) read(in *buffer) {
 	var a Answer
-	rows := 0
+	var last byte // of an answer's parts
+	from := inTurn{conn: c}
+	from.raw, _ = c.conn.(syscall.Conn).SyscallConn()
 	for {
 		kind, body, n, err := protocol.Next(in.bytes(), in.most)
+		torn := err != nil
 		if err == nil && n == 0 {
-			err = in.fill(c.conn)
+			err = in.fill(&from)
 		}
-		if err != nil {
-			if call := c.asked(); call != nil && (a.Code != "" || a.Outcome == rules.Answered && rows == 1) {
-				c.end(call, finish(a, rows)) // all of it had come
-			}
+		call := from.call
+		switch {
+		case call == nil && len(in.bytes()) > 0:
+			c.host.hosts.Stray.Add(1)
+			return // it would be taken for the next command's
+		case err != nil && call != nil && last == protocol.CommandComplete:
+			a = Answer{Outcome: rules.Answered, Frames: a.Frames, Value: a.Value}
+			c.end(call, finish(a)) // all of it had come
 			return
-		}
-		if n == 0 {
-			continue
-		}
-		if c.asked() == nil && kind != protocol.Ready {
-			if kind == protocol.RowDescription || kind == protocol.DataRow || kind == protocol.ErrorResponse {
-				return // it would be taken for the next command's
-			}
-			in.use(n)
+		case err != nil && call != nil && a.Code != "" && !torn:
+			c.end(call, finish(a))
+			return
+		case torn && call != nil:
+			c.spoilt(call)
+			return
+		case err != nil:
+			return
+		case n == 0:
 			continue
 		}
+		good := true
 		switch kind {
-		case protocol.RowDescription, protocol.CommandComplete:
-			a.Frames = append(a.Frames, in.bytes()[:n]...)
-			if kind == protocol.CommandComplete && rows == 1 && a.Code == "" {
-				a.Outcome = rules.Answered
-			}
+		case protocol.RowDescription:
+			good = last == 0 && protocol.Row(body)
 		case protocol.DataRow:
-			rows++
-			a.Frames = append(a.Frames, in.bytes()[:n]...)
 			value, ok := protocol.Value(body)
-			if !ok {
-				rows = 2 // not what was asked for
-			} else if len(value) <= 1024 {
+			if good = last == protocol.RowDescription && ok; len(value) <= 1024 {
 				a.Value = string(value)
 			}
+		case protocol.CommandComplete:
+			good = last == protocol.DataRow && protocol.Tag(body)
+			a.Outcome = rules.Answered
 		case protocol.ErrorResponse:
 			a.Code = protocol.Code(body)
+			good = last != protocol.CommandComplete && last != protocol.ErrorResponse && a.Code != ""
 		case protocol.ParameterStatus:
 			switch name, value, _ := protocol.Parameter(body); name {
 			case "replay_position":
@@ -412,44 +445,89 @@
 			case "server_load":
 				a.Load = value
 			}
+		case protocol.Notice:
 		case protocol.Ready:
-			in.use(n)
-			if !c.ended(finish(a, rows)) || len(in.bytes()) > 0 {
-				return
+			if good = last == protocol.CommandComplete || last == protocol.ErrorResponse; good {
+				in.use(n)
+				if !c.ended(finish(a), len(in.bytes()) > 0) {
+					return
+				}
+				a, last = Answer{}, 0
+				continue
 			}
-			a, rows = Answer{}, 0
-			continue
+		default:
+			good = false
+		}
+		if !good {
+			c.spoilt(call)
+			return
+		}
+		switch kind {
+		case protocol.RowDescription, protocol.DataRow, protocol.CommandComplete:
+			a.Frames = append(a.Frames, in.bytes()[:n]...)
+			last = kind
+		case protocol.ErrorResponse:
+			last = kind
 		}
 		in.use(n)
 	}
 }
 
-// asked is the call that is out, if there is one that an answer may be for.
-func (c *hostConn) asked() *Call {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.call == nil || !c.call.sent {
-		return nil
-	}
-	return c.call
+// spoilt ends a call whose answer makes no sense.
+func (c *hostConn) spoilt(call *Call) {
+	c.host.hosts.Spoilt.Add(1)
+	c.end(call, Answer{Outcome: rules.Reset})
 }
 
-// finish says what an answer amounts to. One that is not understood may have run.
-func finish(a Answer, rows int) Answer {
+// inTurn reads a host connection and tells for which call, if for any, what it brought was sent: by the
+// lock, bytes that came before a call was on its way are known from those after.
+type inTurn struct {
+	conn *hostConn
+	raw  syscall.RawConn
+	call *Call
+}
+
+func (t *inTurn) Read(b []byte) (n int, err error) {
+	ended := t.raw.Read(func(fd uintptr) bool {
+		c := t.conn
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if t.call = c.call; t.call != nil && !t.call.sent {
+			t.call = nil
+		}
+		for n, err = syscall.Read(int(fd), b); err == syscall.EINTR; {
+			n, err = syscall.Read(int(fd), b)
+		}
+		return err != syscall.EAGAIN
+	})
 	switch {
-	case a.Code == protocol.ReadOnly || a.Code == protocol.Behind:
+	case ended != nil:
+		return 0, ended
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// finish says what an answer amounts to.
+func finish(a Answer) Answer {
+	switch a.Code {
+	case "":
+	case protocol.ReadOnly, protocol.Behind:
 		a.Outcome = rules.Missed
-	case a.Code == protocol.TooMany:
+	case protocol.TooMany:
 		a.Outcome = rules.Full
-	case a.Code != "" || rows != 1 || a.Outcome != rules.Answered:
+	default:
 		a.Outcome = rules.Errored
 	}
 	a.At = time.Now()
 	return a
 }
 
-// ended hands an answer over and makes the connection idle.
-func (c *hostConn) ended(a Answer) bool {
+// ended hands an answer over and makes the connection idle, unless more came than belongs to it.
+func (c *hostConn) ended(a Answer, more bool) bool {
 	h, n := c.host.hosts, c.host
 	c.mu.Lock()
 	call := c.call
@@ -458,14 +536,16 @@
 		return false // nobody asked
 	}
 	call.over, c.call = true, nil
-	c.since = a.At
+	c.since, c.used = a.At, true
 	c.conn.SetReadDeadline(a.At.Add(h.limits.Idle))
 	c.mu.Unlock()
 	h.mu.Lock()
-	n.idle = append(n.idle, c)
+	if more = more || n.gone; !more {
+		n.idle = append(n.idle, c)
+	}
 	h.mu.Unlock()
 	call.done(a)
-	return true
+	return !more
 }
 
 // end ends a call once.
