Hosts that left the list are forgotten once nothing is out to them

The module drops a gone host when nothing is out to it, and tells its caller (Forget), which forgets its ids and its connections; only r.nodes, members, ids, routing.hosts and transport's Hosts.all grew before. Of sessions, 4096 tokens are held instead of 65536.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -219,6 +219,8 @@
 	r.d.act(`{"t":"close_idle","who":%d,"host":%s}`, r.who, quote(n.Name))
 }
 
+func (r *router) Forget(n *rules.Node) { delete(r.hosts, n.Name) }
+
 func (r *router) Tell(body string) {
 	r.d.act(`{"t":"say","who":%d,"target":null,"body":%s}`, r.who, quote(body))
 }
--- a/internal/routing/counts.go
+++ b/internal/routing/counts.go
@@ -14,6 +14,7 @@
 	Taken, Answered, Throttled, Failed, Gone         atomic.Int64
 	Refused                                          atomic.Int64 // commands that could not be read
 	Dispatched, Probes, Lists, Stale, Panics, Stalls atomic.Int64
+	Held, Forgotten                                  atomic.Int64 // hosts
 	Outcomes                                         [rules.Missed + 1]atomic.Int64
 }
 
@@ -30,6 +31,7 @@
 		zap.Int64("left", c.Gone.Load()), zap.Int64("out", out), zap.Int64("refused", c.Refused.Load()),
 		zap.Int64("dispatched", c.Dispatched.Load()), zap.Int64("probes", c.Probes.Load()),
 		zap.Int64("lists", c.Lists.Load()), zap.Int64("stale_lists", c.Stale.Load()),
+		zap.Int64("hosts_held", c.Held.Load()), zap.Int64("hosts_forgotten", c.Forgotten.Load()),
 		zap.Int64("panics", c.Panics.Load()), zap.Int64("stalls", c.Stalls.Load()), zap.Int("queued", r.queue.length()),
 	}
 	for i := range c.Outcomes {
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -48,7 +48,11 @@
 	for i, e := range targets {
 		uid, endpoint := e.Text("uid"), e.Text("endpoint")
 		h := r.hosts[uid]
+		if h == nil && read[i].standing == rules.Gone {
+			continue
+		}
 		if h == nil {
+			r.Held.Add(1)
 			h = &host{set: read[i].set, conns: r.pool.Add(endpoint), node: r.rules.Host(uid, read[i].set)}
 			r.hosts[uid], r.nodes[h.node], r.sets[h.set] = h, h, true
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -412,6 +412,13 @@
 
 func (r *Router) Close(n *rules.Node) { r.nodes[n].conns.CloseIdle() }
 
+func (r *Router) Forget(n *rules.Node) {
+	r.Forgotten.Add(1)
+	r.nodes[n].conns.Remove()
+	delete(r.nodes, n)
+	delete(r.hosts, n.Name)
+}
+
 func (r *Router) Tell(body string) { r.tell(body) }
 
 func (r *Router) Wake(after rules.Tenth) {
--- a/rules/door.go
+++ b/rules/door.go
@@ -119,6 +119,7 @@
 	Fail(c *Cmd)                             // final
 	Probe(n *Node)
 	Close(n *Node)    // the idle connections to a host
+	Forget(n *Node)   // it left the list, and no call will name it again
 	Tell(body string) // to every other router, may be lost
 	Wake(after Tenth) // one call of Router.Woke
 }
--- a/rules/fake_test.go
+++ b/rules/fake_test.go
@@ -15,6 +15,8 @@
 	closed []*Node
 	told   []string
 	nodes  []*Node
+
+	forgotten []*Node
 }
 
 func (f *fake) Dispatch(c *Cmd, n *Node, _ Tenth) {
@@ -27,6 +29,7 @@
 func (f *fake) Fail(c *Cmd)                 { f.end(c, "failed") }
 func (f *fake) Probe(n *Node)               { f.probes = append(f.probes, n) }
 func (f *fake) Close(n *Node)               { f.closed = append(f.closed, n) }
+func (f *fake) Forget(n *Node)              { f.forgotten = append(f.forgotten, n) }
 func (f *fake) Tell(body string)            { f.told = append(f.told, body) }
 func (f *fake) Wake(Tenth)                  {}
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -112,7 +112,7 @@
 	tight      = 14   // and of one that turns connections away
 	mum        = 13   // and where nothing is known of lateness
 	spillShare = 0.125
-	sessions   = 1 << 16 // tokens held
+	sessions   = 1 << 12 // tokens held
 )
 
 // New starts a router.
@@ -206,6 +206,17 @@
 	r.probe()
 }
 
+// forget drops a host that left the list, once nothing is out to it; should it come back, it is a new one.
+func (n *Node) forget() bool {
+	if n.standing != Gone || n.probing || len(n.out) > 0 {
+		return false
+	}
+	delete(n.set.r.ids, n.id())
+	n.set.members = slices.DeleteFunc(n.set.members, func(m *Node) bool { return m == n })
+	n.set.r.caller.Forget(n)
+	return true
+}
+
 // Take is the ordinary path of a command, up to its first dispatch.
 func (r *Router) Take(name string, g *CmdGroup, set int64, session string, timeout, since Tenth,
 	share *Share, again bool) *Cmd {
@@ -364,8 +375,7 @@
 		n.trialAt = r.now + n.backoff
 	}
 	n.out, n.spare = append(n.out, c), n.spare-c.work()
-	c.Node, c.sentAt, c.sentFor, c.Sent = n, r.now, need, c.Sent+1
-	c.held, c.late, c.SendBy = false, false, 0
+	c.Node, c.sentAt, c.sentFor, c.Sent, c.held, c.late, c.SendBy = n, r.now, need, c.Sent+1, false, false, 0
 	if c.group.Need == Bounded && n != c.set.primary && !r.Guarded { // else a slow connection makes it stale
 		c.SendBy = n.pos + r.Zero + c.group.Bound
 	}
@@ -373,8 +383,7 @@
 	return true
 }
 
-// hold keeps a command until it has a place: the worthiest go first, then the newest. Guards against a jam in
-// which each is sent when it is nearly too old to be of use.
+// hold keeps a command until it has a place, worthiest then newest first. Guards against jams of old ones.
 func (c *Cmd) hold() {
 	s := c.set
 	if !c.useful() {
@@ -391,18 +400,12 @@
 
 // serve gives what is held its place, worthiest first, and gives up what can no longer be useful.
 func (s *Set) serve() {
-	kept := s.held[:0]
-	for _, c := range s.held {
-		switch {
-		case c.over || !c.held:
-		case !c.useful():
+	s.held = slices.DeleteFunc(s.held, func(c *Cmd) bool {
+		if !c.over && c.held && !c.useful() {
 			c.giveUp()
-		case !c.route():
-			kept = append(kept, c)
 		}
-	}
-	clear(s.held[len(kept):])
-	s.held = kept
+		return c.over || !c.held || c.route()
+	})
 }
 
 // useful says whether a held command may still earn something. One never sent frees its client by half time.
@@ -466,8 +469,7 @@
 	case o == Errored, o == TimedOut, o == Reset, o == Cancelled:
 		c.maybe = cmp.Or(c.maybe, c.sentAt)
 	}
-	c.tried = append(c.tried, n)
-	c.over = c.over || over || o == Answered
+	c.tried, c.over = append(c.tried, n), c.over || over || o == Answered
 	again := !c.over && c.again(o)
 	c.Node = nil
 	switch {
@@ -483,8 +485,7 @@
 // ended books an outcome on the host.
 func (n *Node) ended(c *Cmd, o Outcome, cost Tenth) {
 	r, g := n.set.r, c.group
-	i := slices.Index(n.out, c)
-	n.out = slices.Delete(n.out, i, i+1)
+	n.out = slices.DeleteFunc(n.out, func(o *Cmd) bool { return o == c })
 	switch {
 	case o == Unreached && n.quickAt+second < c.sentAt && n.since <= c.sentAt: // down or cut off: silent too
 		n.dark = r.Probes
@@ -688,7 +689,7 @@
 
 // look goes over all hosts.
 func (r *Router) look(span float64) {
-	r.lookAt = r.now
+	r.lookAt, r.nodes = r.now, slices.DeleteFunc(r.nodes, (*Node).forget)
 	limit := Tenth((1 + unusual) * r.latency) // the silence of a host that is unusual, given the gaps seen
 	if count, sum, sq := r.gaps.total(r.now, 8); count >= 16 {
 		mean := sum / count
