Commands given up while held are forgotten; stories for bad clients and hosts

A probe that logged the sizes of all maps showed routing.cmds at 5200 with 20 commands out: Throttle and Fail, called from the module's wake, did not settle the command (routing.go; the drill adapter likewise). Tokens (at most 4096), hosts (10) and goroutines (about 260) were flat. A story written for stray answers found a dead lock that had come with reading under the connection's lock: hostConn.close waited, lock held, for the reader to let go of the socket.

--- a/cmd/ferrypitch/program_test.go
+++ b/cmd/ferrypitch/program_test.go
@@ -82,6 +82,77 @@
 	}
 }
 
+func TestAPositionOfTheFutureIsNotBelieved(t *testing.T) {
+	s := begin(t, 2, nil)
+	s.hosts[1].behind(-10 * time.Minute) // in each report and each answer
+	c := s.client()
+	for range 30 {
+		after := strconv.FormatInt(time.Now().UnixMilli(), 10)
+		if code, value, _ := c.ask(look("own", "800", after)); code != "" || value != "from a" {
+			t.Errorf("%s %q", code, value)
+		}
+	}
+}
+
+func TestAnIdThatIsOpenIsNotTakenAgain(t *testing.T) {
+	s := begin(t, 1, nil)
+	asked, let := make(chan bool, 9), make(chan bool)
+	s.hosts[0].answer(func(b *box, q string) {
+		asked <- true
+		<-let
+		b.row("first", "leader")
+	})
+	c, other := s.client(), s.client()
+	c.send(write("order", "3000"))
+	<-asked
+	if code, _, _ := other.ask(write("order", "3000")); code != protocol.Unknown {
+		t.Errorf("the second ends with %q", code)
+	}
+	close(let)
+	if code, value, _ := c.answer(); code != "" || value != "first" || len(s.statements()) != 1 {
+		t.Errorf("the first: %s %q, %d statements", code, value, len(s.statements()))
+	}
+}
+
+func TestAStatementThatItsGroupDoesNotHaveIsRefused(t *testing.T) {
+	s := begin(t, 1, nil)
+	c := s.client()
+	for _, q := range []string{write("list", "800"), look("order", "800", ""),
+		strings.Replace(look("list", "800", ""), "v FROM", "* FROM", 1)} {
+		if code, _, err := c.ask(q); code != protocol.Unknown || err != nil {
+			t.Errorf("%s: %q %v", q, code, err)
+		}
+	}
+	if n := len(s.statements()); n != 0 {
+		t.Errorf("%d statements at the host", n)
+	}
+}
+
+func TestASpoiltAnswerGoesElsewhereAndTellsNothing(t *testing.T) {
+	s := begin(t, 2, nil)
+	spoil := func(b *box, q string) { // it says that it is the primary, and knows all
+		b.conn.Write(append(row("spoilt")[:27], ready("leader", time.Now().UnixMilli())...))
+	}
+	s.hosts[1].answer(spoil)
+	c := s.client()
+	for range 20 {
+		if code, value, _ := c.ask(look("list", "800", "")); code != "" || value != "from a" {
+			t.Errorf("a read: %s %q", code, value)
+		}
+	}
+	if s.hosts[1].count() == 0 {
+		t.Error("the host that spoils was never asked")
+	}
+	if code, value, _ := c.ask(write("order", "3000")); code != "" || value != "from a" {
+		t.Errorf("a write: %s %q", code, value)
+	}
+	s.hosts[0].answer(spoil)
+	before := len(s.statements())
+	if code, _, _ := c.ask(write("order", "3000")); code != protocol.Failed || len(s.statements()) != before+1 {
+		t.Errorf("a spoilt write: %s, sent %d times", code, len(s.statements())-before)
+	}
+}
+
 func TestAMissIsTakenToAnotherMember(t *testing.T) {
 	s := begin(t, 3, nil)
 	s.hosts[0].answer(func(b *box, q string) { b.refuse(protocol.ReadOnly, "follower") })
@@ -199,25 +270,33 @@
 	}
 }
 
-func TestCommandsThatAreOutAtSIGTERMAreAnswered(t *testing.T) {
-	s := begin(t, 1, nil)
+func TestAfterSIGTERMItServesOnAndAnswersWhatIsOut(t *testing.T) {
+	s := begin(t, 1, func(c map[string]any) {
+		c["settings"].(map[string]any)["classes"].([]any)[2].(map[string]any)["give_up"] = 800
+	})
 	asked, let := make(chan struct{}), make(chan struct{})
 	s.hosts[0].answer(func(b *box, q string) {
-		close(asked)
-		<-let
+		if strings.Contains(q, "id=1,") {
+			close(asked)
+			<-let
+		}
 		b.row("late but whole", "leader")
 	})
 	c, idle := s.client(), s.client()
 	c.send(write("order", "3000"))
 	<-asked
 	s.cmd.Process.Signal(syscall.SIGTERM)
-	if _, err := idle.conn.Read(make([]byte, 1)); err != io.EOF {
-		t.Errorf("an idle connection: %v", err)
+	s.logged("stopping")
+	if code, _, err := idle.ask(as(2, write("order", "3000"))); code != "" || err != nil {
+		t.Errorf("after SIGTERM: %s %v", code, err)
 	}
 	close(let)
 	if code, value, err := c.answer(); code != "" || value != "late but whole" || err != nil {
 		t.Errorf("%s %q %v", code, value, err)
 	}
+	if _, err := idle.conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("an idle connection: %v", err)
+	}
 	if err := s.cmd.Wait(); err != nil {
 		t.Errorf("exit: %v", err)
 	}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -151,8 +151,8 @@
 		r.rules.Woke()
 	}
 	if req := ev.MaybeText("req"); req != "" {
-		if c := r.cmds[req]; c != nil && c.Over() {
-			delete(r.cmds, req)
+		if c := r.cmds[req]; c != nil {
+			r.settle(c)
 		}
 	}
 }
@@ -205,10 +205,18 @@
 
 func (r *router) Throttle(c *rules.Cmd, comeback rules.Tenth) {
 	r.d.act(`{"t":"deny","who":%d,"req":%s,"retry_after":%s}`, r.who, quote(c.Name), ms(comeback))
+	r.settle(c)
 }
 
 func (r *router) Fail(c *rules.Cmd) {
 	r.d.act(`{"t":"abort","who":%d,"req":%s}`, r.who, quote(c.Name))
+	r.settle(c)
+}
+
+func (r *router) settle(c *rules.Cmd) {
+	if c.Over() {
+		delete(r.cmds, c.Name)
+	}
 }
 
 func (r *router) Probe(n *rules.Node) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -118,7 +118,7 @@
 			r.Gone.Add(1)
 			r.final(c)
 			c.handle.Left()
-			r.settle(c)
+			r.settle(c.handle)
 		}
 	})
 }
@@ -309,7 +309,7 @@
 	r.cmds[id], r.slots[s] = c, c
 	r.Taken.Add(1)
 	c.handle = r.rules.Take(id, g, set, key, now+rules.Tenth(time.Until(until)/tenth), since, nil, again)
-	r.settle(c)
+	r.settle(c.handle)
 }
 
 // ended brings the outcome of a command's dispatch to the module.
@@ -333,7 +333,7 @@
 		role = rules.Replica
 	}
 	c.handle.Ended(a.Outcome, pos, role, rules.Tenth(a.Took/tenth), c.slot == nil)
-	r.settle(c)
+	r.settle(c.handle)
 }
 
 // report hands on what a load report says.
@@ -355,10 +355,10 @@
 	c.slot = nil
 }
 
-// settle forgets a command for which nothing more will come.
-func (r *Router) settle(c *command) {
-	if c.handle.Over() {
-		delete(r.cmds, c.handle.Name)
+// settle forgets a command for which nothing more will come, in whichever call it got its answer.
+func (r *Router) settle(handle *rules.Cmd) {
+	if handle.Over() {
+		delete(r.cmds, handle.Name)
 	}
 }
 
@@ -384,6 +384,7 @@
 		r.Throttled.Add(1)
 		c.slot.Throttle(comeback / 10)
 		r.final(c)
+		r.settle(handle)
 	}
 }
 
@@ -392,6 +393,7 @@
 		r.Failed.Add(1)
 		c.slot.Fail(protocol.Failed, "no answer from a host")
 		r.final(c)
+		r.settle(handle)
 	}
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -65,9 +66,19 @@
 	}
 	conn.Write(protocol.AppendStartup(nil, "svc", "main"))
 	answer()
+	brief := "/* id=0,c=order,d=80,cluster=1 */ INSERT INTO records (k, v) VALUES ('k', '\\x') RETURNING v"
+	conn.Write(protocol.AppendQuery(nil, []byte(brief)))
+	if _, code := answer(); code != protocol.TooMany {
+		t.Errorf("given up while held: %q", code)
+	}
+	left := make(chan int)
+	r.queue.put(outcomes, func() { left <- len(r.cmds) + len(r.slots) })
+	if n := <-left; n != 0 {
+		t.Errorf("%d are kept of a command that was given up while held", n)
+	}
 	held := "/* id=1,c=order,d=900000,cluster=1 */ INSERT INTO records (k, v) VALUES ('k', '\\x') RETURNING v"
 	conn.Write(protocol.AppendQuery(nil, []byte(held))) // no host takes it, so it is held
-	for r.Taken.Load() == 0 {
+	for r.Taken.Load() < 2 {
 		time.Sleep(time.Millisecond)
 	}
 	r.queue.put(commands, func() { panic("a fault of the module") })
@@ -86,6 +97,35 @@
 	}
 }
 
+func TestThousandsOfGenerationsOfHostsLeaveNothing(t *testing.T) {
+	s := &setup.Start{Deployment: rules.Deployment{Tick: 10, Routers: 1, Dispatches: 4}, Terms: setup.Terms{Position: -1}}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	r, err := New(s, transport.NewHosts(ctx, &s.Limits, transport.NewRoom(&s.Limits)), func(string) {}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := time.Now()
+	r.clock = newClock(func() time.Time { return at })
+	for i := range 5000 {
+		o, err := setup.Decode("", fmt.Appendf(nil, `{"rev":%d,"all":false,"targets":[
+			{"uid":"h%d","endpoint":"127.0.0.1:1","pod_group":1,"state":"up"},
+			{"uid":"h%d","endpoint":"127.0.0.1:1","pod_group":1,"state":"removed"}]}`, i+1, i%100, (i+97)%100))
+		if err == nil {
+			err = r.list(o, false)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		at = at.Add(time.Second)
+		r.moment()
+		r.rules.Woke()
+	}
+	if len(r.hosts) != 3 || len(r.nodes) != 3 || r.Held.Load()-r.Forgotten.Load() != 3 {
+		t.Errorf("%d hosts, %d nodes; %d held, %d forgotten", len(r.hosts), len(r.nodes), r.Held.Load(), r.Forgotten.Load())
+	}
+}
+
 func TestAStandstillIsNoticedAndLetsSocketsBeReadFirst(t *testing.T) {
 	r := &Router{start: &setup.Start{Limits: setup.Limits{Pulse: time.Minute, Settle: time.Millisecond}}}
 	r.stepAt = time.Now().Add(-time.Hour)
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -21,7 +21,8 @@
 		if l.Clients < 16 || l.Hosts < 16 || l.Spare < 8 || l.Clients+l.Hosts+l.Spare > given-16 {
 			t.Errorf("%s: %d for clients, %d for hosts", sockets, l.Clients, l.Hosts)
 		}
-		if l.Cores != 1 || l.Memory >= 192<<20 || l.Idle >= 30*time.Second || l.End != 1400*time.Millisecond {
+		if l.Cores != 1 || l.Memory >= 192<<20 || l.Idle >= 30*time.Second || l.End != 1400*time.Millisecond ||
+			l.Linger != 1200*time.Millisecond {
 			t.Errorf("%+v", l)
 		}
 		if most := l.Buffers + int64(l.Hosts*l.Answer) + int64((l.Hosts+l.Clients)*l.Buffer); sockets == "1024" && most > l.Memory {
@@ -44,7 +45,13 @@
 	if pos != 17672256001234 || role != rules.Primary || !ok {
 		t.Error(pos, role, ok)
 	}
-	if _, _, ok := terms.Report(func(int) (float64, bool) { return 0, false }); ok {
-		t.Error("a report that says nothing is read")
+	for name, said := range map[string]func(int) (float64, bool){
+		"nothing":             func(int) (float64, bool) { return 0, false },
+		"less than nothing":   func(int) (float64, bool) { return -3, true },
+		"beyond the integers": func(int) (float64, bool) { return 1e300, true },
+	} {
+		if _, _, ok := terms.Report(said); ok {
+			t.Errorf("a report that says %s is read", name)
+		}
 	}
 }
--- a/internal/transport/hosts.go
+++ b/internal/transport/hosts.go
@@ -231,14 +231,16 @@
 	return true
 }
 
+// close lets go of the lock first: closing waits for the reader's turn, which takes it.
 func (c *hostConn) close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.closed {
-		c.closed = true
+	closed, conn := c.closed, c.conn
+	c.closed = true
+	c.mu.Unlock()
+	if !closed {
 		c.cancel()
-		if c.conn != nil {
-			c.conn.Close()
+		if conn != nil {
+			conn.Close()
 		}
 	}
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,7 +85,29 @@
 		"broken behind a whole error": {func(c net.Conn) { greeted(c); next(c); c.Write(protocol.AppendError(nil, "", "53300", "", "")) }, rules.Full},
 		"answered":                    {func(c net.Conn) { greeted(c); next(c); c.Write(reply('a')); next(c) }, rules.Answered},
 		"an answer of no form":        {func(c net.Conn) { greeted(c); next(c); c.Write([]byte("HTTP/1.1 400\r\n\r\n")) }, rules.Reset},
-		"nothing in the answer":       {func(c net.Conn) { greeted(c); next(c); c.Write(protocol.AppendReady(nil)); next(c) }, rules.Reset},
+		"a row twice": {func(c net.Conn) {
+			greeted(c)
+			next(c)
+			c.Write(append(reply('a')[:38], reply('a')[26:]...))
+			next(c)
+		}, rules.Reset},
+		"a row before its description": {func(c net.Conn) { greeted(c); next(c); c.Write(reply('a')[26:]); next(c) }, rules.Reset},
+		"a description of no column":   {func(c net.Conn) { greeted(c); next(c); c.Write([]byte("T\x00\x00\x00\x06\x00\x00")); next(c) }, rules.Reset},
+		"a row of 3 GB": {func(c net.Conn) {
+			greeted(c)
+			next(c)
+			c.Write(append(reply('a')[:26], "D\xb2\xd0\x5e\x00"...))
+			next(c)
+		}, rules.Reset},
+		"an error without a code": {func(c net.Conn) { greeted(c); next(c); c.Write([]byte("E\x00\x00\x00\x05\x00")); next(c) }, rules.Reset},
+		"noise behind an error": {func(c net.Conn) {
+			greeted(c)
+			next(c)
+			c.Write(append(protocol.AppendError(nil, "", "53300", "", ""), "noise"...))
+			next(c)
+		}, rules.Reset},
+		"noise behind a whole row": {func(c net.Conn) { greeted(c); next(c); c.Write(append(reply('a')[:45], "noise"...)); next(c) }, rules.Answered},
+		"nothing in the answer":    {func(c net.Conn) { greeted(c); next(c); c.Write(protocol.AppendReady(nil)); next(c) }, rules.Reset},
 	} {
 		_, n := pool(t, 9, story.serve)
 		if got := n.asked(); got != story.want {
@@ -171,6 +195,186 @@
 	}
 }
 
+func TestWhatCameBeforeACommandWasSentIsNotItsAnswer(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // the reader seldom runs first
+	let, done := make(chan bool), make(chan bool)
+	h, n := pool(t, 99, func(c net.Conn) {
+		greeted(c)
+		next(c)
+		c.Write(reply('a'))
+		<-let
+		c.Write(reply('b'))
+		done <- true
+		next(c)
+	})
+	for range 50 {
+		if got := n.asked(); got != rules.Answered {
+			t.Fatalf("outcome %d", got)
+		}
+		let <- true
+		<-done
+		_, got := n.ask(time.Now().Add(long))
+		if a := <-got; a.Outcome == rules.Answered && a.Value != "a" {
+			t.Fatalf("%q", a.Value)
+		}
+		let <- true
+		<-done
+	}
+	if h.Stray.Load()+h.Opened.Load() < 100 {
+		t.Errorf("%d strays on %d connections", h.Stray.Load(), h.Opened.Load())
+	}
+}
+
+func TestARemovedHostLeavesNothing(t *testing.T) {
+	wait := make(chan bool)
+	h, n := pool(t, 99, func(c net.Conn) {
+		greeted(c)
+		for next(c) {
+			<-wait
+			c.Write(reply('a'))
+		}
+	})
+	_, got := n.ask(time.Now().Add(long))
+	n.Remove()
+	wait <- true
+	if a := <-got; a.Outcome != rules.Answered {
+		t.Errorf("what was out ended as %d", a.Outcome)
+	}
+	for h.Open() > 0 { // its connection is not kept
+		time.Sleep(time.Millisecond)
+	}
+	if len(h.all) != 0 || len(n.idle) != 0 {
+		t.Errorf("%d hosts are held, %d connections", len(h.all), len(n.idle))
+	}
+}
+
+// mute takes nothing that clients bring.
+type mute struct{ Taker }
+
+func (mute) Empty(s *Slot) { s.Empty() }
+func (mute) Left(*Slot)    {}
+func (mute) Command(s *Slot, statement []byte, _ time.Time) {
+	s.Refuse(protocol.Unknown, "not served")
+}
+
+// front serves clients by the limits.
+func front(t *testing.T, l *setup.Limits) (*Clients, func() net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Buffer, l.Buffers, l.Message, l.Ahead = 1<<10, 1<<20, 1<<16, 9
+	l.Part, l.Stuck, l.Again = long, long, time.Millisecond
+	s := NewClients(l, NewRoom(l), mute{})
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- s.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		end()
+		<-done
+		if s.room.Used() != 0 || s.Open() != 0 {
+			t.Errorf("%d bytes and %d connections are held at the end", s.room.Used(), s.Open())
+		}
+	})
+	return s, func() net.Conn {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(long))
+		return c
+	}
+}
+
+// told is the code of the last error that comes before the end; "" where there is none.
+func told(c net.Conn) (code string) {
+	in, b := []byte(nil), make([]byte, 1<<12)
+	for {
+		n, err := c.Read(b)
+		in = append(in, b[:n]...)
+		for kind, body, n, _ := protocol.Next(in, 1<<16); n > 0; kind, body, n, _ = protocol.Next(in, 1<<16) {
+			if kind == protocol.ErrorResponse {
+				code = protocol.Code(body)
+			}
+			in = in[n:]
+		}
+		if err == io.EOF {
+			return code
+		}
+		if err != nil {
+			return err.Error()
+		}
+	}
+}
+
+func TestWhatCannotBeReadIsToldWhyAndCloses(t *testing.T) {
+	s, dial := front(t, &setup.Limits{Clients: 99, Spare: 9, Refusals: 3, Unused: long, Whole: long})
+	hello := string(protocol.AppendStartup(nil, "svc", "main"))
+	query := string(protocol.AppendQuery(nil, []byte("nothing of use")))
+	for name, story := range map[string][2]string{
+		"noise":                    {"frob and more of it", protocol.Bad},
+		"a startup too long":       {"\x00\x04\x93\xe8\x00\x03\x00\x00" + strings.Repeat("k", 300000), protocol.Bad},
+		"a version of its own":     {"\x00\x00\x00\x08\x00\x09\x00\x00", protocol.NoSuch},
+		"a negative length":        {hello + "Q\xff\xff\xff\xfc/* id", protocol.Bad},
+		"a length of nothing":      {hello + "Q\x00\x00\x00\x00/* id", protocol.Bad},
+		"a length beyond all":      {hello + "XXQ\x00\x00\x00r/* id", protocol.Bad},
+		"a message not known":      {hello + "?\x00\x00\x00\x09frob\x00", protocol.Bad},
+		"the same again and again": {hello + strings.Repeat(query, 600), protocol.Bad},
+		"60 MB":                    {hello + "Q\x03\x93\x87\x04" + strings.Repeat("v", 60<<20), protocol.Bad},
+	} {
+		c := dial()
+		go io.Copy(c, strings.NewReader(story[0])) // it goes on sending until it is told
+		if code := told(c); code != story[1] {
+			t.Errorf("%s: %q", name, code)
+		}
+		c.Close()
+	}
+	if s.Torn.Load() != 8 || s.Wild.Load() != 1 {
+		t.Errorf("%d torn, %d wild", s.Torn.Load(), s.Wild.Load())
+	}
+}
+
+func TestSilentAndHalfClientsHaveTheirTimeAndNoMore(t *testing.T) {
+	s, dial := front(t, &setup.Limits{Clients: 99, Spare: 9, Refusals: 9, Unused: long, Whole: 50 * time.Millisecond})
+	hello := string(protocol.AppendStartup(nil, "svc", "main"))
+	idle := dial() // between commands there is no limit
+	idle.Write([]byte(hello + string(protocol.AppendQuery(nil, nil))))
+	for name, said := range map[string]string{"nothing": "", "half a startup": hello[:5], "no command": hello,
+		"half a command": hello + "Q\x00\x00\x00r/* id=1", "half a second": hello + string(protocol.AppendQuery(nil, nil)) + "Q"} {
+		c := dial()
+		c.Write([]byte(said))
+		if code := told(c); code != protocol.NotNow {
+			t.Errorf("%s: %q", name, code)
+		}
+		c.Close()
+	}
+	for range 10 { // more than it may, and heard to the last
+		idle.Write(protocol.AppendQuery(nil, []byte("x")))
+	}
+	if code := told(idle); code != protocol.Bad || s.Wild.Load() != 1 || s.Slow.Load() != 5 {
+		t.Errorf("%q, %d wild, %d slow", code, s.Wild.Load(), s.Slow.Load())
+	}
+}
+
+func TestThoseWhoAskForNothingMakeWayFirst(t *testing.T) {
+	s, dial := front(t, &setup.Limits{Clients: 4, Spare: 4, Refusals: 9, Whole: long, Free: long})
+	var silent []net.Conn
+	for range 200 { // all are held open by their clients
+		silent = append(silent, dial())
+	}
+	for range 200 {
+		c := dial()
+		c.Write(append(protocol.AppendStartup(nil, "svc", "main"), protocol.AppendQuery(nil, nil)...))
+		if b := make([]byte, 1); next(c) == false || b == nil {
+			t.Fatal("it is not served")
+		}
+	}
+	if code := told(silent[0]); code != "" || s.Evicted.Load() < 200 || s.Open() > 8 {
+		t.Errorf("%q, %d made way, %d are open", code, s.Evicted.Load(), s.Open())
+	}
+}
+
 func TestTheConnectionUsedLastIsUsedNextAndAClosedOneNever(t *testing.T) {
 	ends := make(chan bool)
 	h, n := pool(t, 9, func(c net.Conn) {
