--- a/rules/rules.go
+++ b/rules/rules.go
@@ -78,7 +78,8 @@
 	Sent                          int   // its dispatches so far
 	SendBy                        Tenth // when the one that is out must be on its way; 0: whenever it can
 	benefit, luck                 float64
-	over, held, erred, late       bool // erred: answered by an error; late: out past its target
+	over, held, late              bool // late: out past its target
+	blame                         int  // for errors and broken connections
 }
 
 // ring measures over time, in fixed buckets of a second that are used again.
@@ -276,7 +277,7 @@
 			best = p
 		}
 	}
-	if best == nil && p != nil && p.open(c, 0.7) && c.lucky(p.share) && (fresh || p.crowd < late) {
+	if best == nil && p != nil && p.open(c, 0.7) && c.lucky(p.share) && (fresh || p.crowd < 1.5*late) {
 		best = p
 	}
 	return best != nil && c.dispatch(best, need)
@@ -337,7 +338,7 @@
 func (n *Node) open(c *Cmd, part float64) bool {
 	r := n.set.r
 	switch {
-	case n.standing != In || n.dark || r.now < n.trialAt || n.cold() && !n.budget(c):
+	case n.standing != In || n.dark || r.now < n.trialAt || n.cold() && !n.budget(c, part):
 		return false
 	case n.left: // one replayable command at a time finds out whether it is back
 		return c.group.Effect == Replayable && len(c.tried) == 0
@@ -353,13 +354,12 @@
 
 // budget keeps a cold host within its part of what warm ones do. Every router counts its own, so all keep in
 // the sum; what is under one command is saved for, from a part drawn by chance, lest all send at once.
-func (n *Node) budget(c *Cmd) bool {
+func (n *Node) budget(c *Cmd, part float64) bool {
 	r := n.set.r
 	grown := float64(r.now-r.FallSpan-n.boot) / float64(r.ColdFor)
 	rate := 0.5 * r.FallFactor * (r.ColdFrom + (1-r.ColdFrom)*max(0, grown)) * n.kind.warm * n.size
-	n.spare = min(n.spare+rate*float64(r.now-n.spareAt), max(1, rate*float64(r.FallSpan)/2))
-	n.spareAt = r.now
-	return n.spare >= max(1, c.work())
+	n.spare, n.spareAt = min(n.spare+rate*float64(r.now-n.spareAt), max(1, rate*float64(r.FallSpan)/2)), r.now
+	return n.spare*part >= max(1, c.work()) // what only a primary can do goes first
 }
 
 // work is how much a command asks for, in commands of the usual mix.
@@ -371,15 +371,18 @@
 		n.since = r.now
 	}
 	if n.left {
-		n.backoff = min(2*n.backoff, 2*second)
-		n.trialAt = r.now + n.backoff
+		n.backoff, n.trialAt = min(2*n.backoff, 2*second), r.now+min(2*n.backoff, 2*second)
 	}
 	n.out, n.spare = append(n.out, c), n.spare-c.work()
 	c.Node, c.sentAt, c.sentFor, c.Sent, c.held, c.late, c.SendBy = n, r.now, need, c.Sent+1, false, false, 0
 	if c.group.Need == Bounded && n != c.set.primary && !r.Guarded { // else a slow connection makes it stale
 		c.SendBy = n.pos + r.Zero + c.group.Bound
 	}
-	r.caller.Dispatch(c, n, 0)
+	wait := (c.target - r.now) / 2 // an answer usually much sooner is lost past it: ask elsewhere
+	if c.group.Effect != Replayable || wait < Tenth(5*c.group.latency) {
+		wait = 0
+	}
+	r.caller.Dispatch(c, n, wait)
 	return true
 }
 
@@ -429,13 +432,12 @@
 	}
 }
 
-// again says whether one more dispatch is allowed. After an error one other host is asked, no more: what that
-// repeats is the command's fault. Guards against floods of bad commands.
+// again says whether one more dispatch is allowed. What two hosts answer by an error, or three by breaking
+// off, is the command's fault. Guards against floods of bad commands.
 func (c *Cmd) again(o Outcome) bool {
 	r, g := c.set.r, c.group
-	twice := o == Errored && c.erred
-	c.erred = c.erred || o == Errored
-	return !twice && c.Sent < r.Dispatches && r.now+r.Tick < c.timeout && (c.maybe == 0 ||
+	c.blame += [...]int{Errored: 3, Reset: 2, Missed: 0}[o] // at 6 it is the command's fault
+	return c.blame < 6 && c.Sent < r.Dispatches && r.now+r.Tick < c.timeout && (c.maybe == 0 ||
 		g.Effect == Replayable || g.Effect == Keyed && r.now+r.Tick < c.maybe+g.Memory)
 }
 
@@ -451,7 +453,7 @@
 	if n == nil {
 		return
 	}
-	n.is(role, r.now)
+	n.is(role, c.sentAt) // what was sent later knows better
 	if g.Need == Write && o == Answered {
 		r.stamp(c.session, pos)
 		pos -= 10 // commits are rounded up
@@ -492,16 +494,14 @@
 		n.leave(second / 10)
 		return
 	case o == Unreached: // it is up, but takes no more connections
-		n.tightTo = r.now + 5*second
-		n.tight()
+		n.trialAt = max(n.trialAt, r.now+second/100) // lest a refused command spends all its dispatches at once
+		n.tight(5 * second)
 		n.tell(tight)
 		return
 	case o != Answered && o != Errored && o != Full && o != Missed:
 		return
 	}
-	if r.now < n.tightTo {
-		n.tight()
-	}
+	n.tight(0)
 	r.gaps.add(r.now, float64(r.now-n.since))
 	n.since = r.now
 	if n.left {
@@ -554,8 +554,9 @@
 }
 
 // tight makes way for other routers at a host that takes no more connections: for a while none is kept idle.
-func (n *Node) tight() {
-	if len(n.out) == 0 {
+func (n *Node) tight(more Tenth) {
+	now := n.set.r.now
+	if n.tightTo = max(n.tightTo, now+more); now < n.tightTo && len(n.out) == 0 {
 		n.set.r.caller.Close(n)
 	}
 }
@@ -595,8 +596,7 @@
 	case word == full:
 		n.full()
 	case word == tight:
-		n.tightTo = r.now + 5*second
-		n.tight()
+		n.tight(5 * second)
 	case word < mum:
 		n.judge(float64(word)/10, r.now-second/10)
 	}
@@ -697,7 +697,7 @@
 	}
 	for _, n := range r.nodes {
 		n.crowd, n.share = n.crowd+(late/2-n.crowd)/400, min(1, n.share*1.0035) // what is spared is tried again
-		if len(n.out) > 0 && r.now-max(n.since, r.stoodTo) > limit {
+		if k := Tenth(len(n.out)); k > 0 && r.now-max(n.since, r.stoodTo) > limit*max(1, 4-k) {
 			n.leave(limit)
 		}
 		for _, c := range n.out {
