--- a/rules/rules.go
+++ b/rules/rules.go
@@ -357,8 +357,8 @@
 func (n *Node) budget(c *Cmd, part float64) bool {
 	r := n.set.r
 	grown := float64(r.now-r.FallSpan-n.boot) / float64(r.ColdFor)
-	rate := 0.5 * r.FallFactor * (r.ColdFrom + (1-r.ColdFrom)*max(0, grown)) * n.kind.warm * n.size
-	n.spare, n.spareAt = min(n.spare+rate*float64(r.now-n.spareAt), max(1, rate*float64(r.FallSpan)/2)), r.now
+	rate := 0.75 * r.FallFactor * (r.ColdFrom + (1-r.ColdFrom)*max(0, grown)) * n.kind.warm * n.size
+	n.spare, n.spareAt = min(n.spare+rate*float64(r.now-n.spareAt), max(1, rate*float64(r.FallSpan)/4)), r.now
 	return n.spare*part >= max(1, c.work()) // what only a primary can do goes first
 }
 
