--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -50,7 +50,7 @@
 	Ready   time.Duration // for a first list to come, before an empty query is refused
 	Whole   time.Duration // for a client to finish what it began, and for its first command
 	Unused  time.Duration // for a client to do so, before its connection may make way
-	Free    time.Duration // after which an idle client connection may make way before there is need
+	Free    time.Duration // after which an idle client connection may make way once half of Clients are open
 	Part    time.Duration // for a client to read why its connection ends
 	Rest    time.Duration // for what is behind an answer to come, before the host connection is used again
 	Stuck   time.Duration // for a client to read some of its answers
@@ -188,7 +188,7 @@
 		Message: 160 << 10, Answer: 96 << 10, Line: 4 << 20, Datagram: 256, Buffer: 4 << 10, Buffers: memory / 4,
 		Connect: ms("connect_timeout", 1), Idle: idle - min(idle/4, 2*time.Second),
 		Early: 4 * time.Millisecond, Ready: 10 * time.Second, Whole: 2500 * time.Millisecond,
-		Unused: 250 * time.Millisecond, Free: 2 * time.Second, Part: time.Second, Rest: time.Millisecond, Stuck: 15 * time.Second,
+		Unused: 250 * time.Millisecond, Free: 250 * time.Millisecond, Part: time.Second, Rest: time.Millisecond, Stuck: 15 * time.Second,
 		Quiet: 4500 * time.Millisecond, Again: 50 * time.Millisecond,
 		Pulse: 50 * time.Millisecond, Settle: 5 * time.Millisecond,
 	}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -90,10 +90,13 @@
 		c.changed = sync.NewCond(&c.mu)
 		s.mu.Lock()
 		s.open[c] = struct{}{}
+		// Clients may be held to a number of connections of their own, so those they leave idle make way
+		// before all places are taken.
+		if 2*len(s.open) > s.limits.Clients {
+			s.evict(c, true, s.limits.Free)
+		}
 		if len(s.open) > s.limits.Clients {
-			s.evict(c, 0)
-		} else if 4*len(s.open) > 3*s.limits.Clients {
-			s.evict(c, s.limits.Free)
+			s.evict(c, false, 0)
 		}
 		c.over = len(s.open) > s.limits.Clients
 		s.tasks.Go(c.read)
@@ -102,7 +105,7 @@
 			if s.cut() {
 				continue
 			}
-			s.evict(c, 0)
+			s.evict(c, false, 0)
 			again := time.AfterFunc(s.limits.Again, s.changed.Broadcast) // some may stay unused
 			s.changed.Wait()
 			again.Stop()
@@ -112,16 +115,16 @@
 }
 
 // evict has a client connection leave that owes and is owed nothing: first one that has brought no
-// command worth taking, or only part of one, for a while, then the one that was idle for longest.
-// Guards against connections that ask for nothing keeping out those that do.
-func (s *Clients) evict(but *client, least time.Duration) {
+// command worth taking, or only part of one, for a while, then the one that was idle for longest; with
+// proved, only such. Guards against connections that ask for nothing keeping out those that do.
+func (s *Clients) evict(but *client, proved bool, least time.Duration) {
 	var oldest *client
 	var since time.Time
-	var proved bool
+	best := proved
 	for c := range s.open {
-		if at, used, idle := c.idleSince(); idle && c != but && time.Since(at) >= least && (oldest == nil ||
-			proved && !used || proved == used && at.Before(since)) {
-			oldest, since, proved = c, at, used
+		if at, is, idle := c.idleSince(); idle && c != but && (is || !proved) && time.Since(at) >= least &&
+			(oldest == nil || best && !is || best == is && at.Before(since)) {
+			oldest, since, best = c, at, is
 		}
 	}
 	if oldest != nil && oldest.settle(true) {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -375,6 +375,40 @@
 	}
 }
 
+func TestIdleConnectionsOfUseMakeWayBesideThoseOfNone(t *testing.T) {
+	s, dial := front(t, &setup.Limits{Clients: 8, Spare: 8, Refusals: 9, Unused: long, Whole: long})
+	s.taker = kind{}
+	hello := append(protocol.AppendStartup(nil, "svc", "main"), protocol.AppendQuery(nil, []byte("x"))...)
+	var first net.Conn
+	for range 4 { // they leave their connections idle, and may have no more of them
+		c := dial()
+		c.Write(hello)
+		for in, b := []byte(nil), make([]byte, 1<<10); strings.Count(string(in), "Z\x00\x00\x00\x05I") < 2; {
+			n, err := c.Read(b)
+			if in = append(in, b[:n]...); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if first == nil {
+			first = c
+		}
+	}
+	for range 9 {
+		dial() // says nothing, and is too new to make way
+	}
+	if code := told(first); code != "" || s.Evicted.Load() == 0 {
+		t.Errorf("%q, %d made way", code, s.Evicted.Load())
+	}
+}
+
+// kind takes all commands, and answers that now is no time for them.
+type kind struct{ mute }
+
+func (kind) Command(s *Slot, _ []byte, _ time.Time) {
+	s.Taken()
+	s.Fail(protocol.NotNow, "not now")
+}
+
 func TestTheConnectionUsedLastIsUsedNextAndAClosedOneNever(t *testing.T) {
 	ends := make(chan bool)
 	h, n := pool(t, 9, func(c net.Conn) {
