--- a/cmd/ferrypitch/main.go
+++ b/cmd/ferrypitch/main.go
@@ -105,7 +105,7 @@
 // as new ones may come, then closed as they are between commands. What is still owed when the
 // time is up fails.
 func (p *program) attend(ctx context.Context, signals, reload <-chan os.Signal) {
-	var drain, stop <-chan time.Time
+	var arrived, drain, stop <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -115,10 +115,12 @@
 				p.log.Info("counts", p.counts()...)
 			} else if stop == nil {
 				p.log.Info("stopping", zap.String("signal", s.String()))
-				drain, stop = time.After(p.limits.Linger), time.After(p.limits.End)
+				arrived, drain, stop = time.After(p.limits.Arrive), time.After(p.limits.Linger), time.After(p.limits.End)
 			}
 		case <-reload:
 			p.reload()
+		case <-arrived:
+			p.clients.Close()
 		case <-drain:
 			if drain = time.After(p.limits.Again); p.clients.Drain() == 0 {
 				return
--- a/cmd/ferrypitch/program_test.go
+++ b/cmd/ferrypitch/program_test.go
@@ -294,6 +294,16 @@
 	if code, value, err := c.answer(); code != "" || value != "late but whole" || err != nil {
 		t.Errorf("%s %q %v", code, value, err)
 	}
+	for { // nobody new is taken, while those who are there are still served
+		conn, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			break
+		}
+		conn.Close()
+	}
+	if code, _, err := idle.ask(as(3, write("order", "3000"))); code != "" || err != nil {
+		t.Errorf("after the last has come: %s %v", code, err)
+	}
 	if _, err := idle.conn.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("an idle connection: %v", err)
 	}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -58,7 +58,8 @@
 	Again   time.Duration // the first wait before asking anew; it doubles
 	Pulse   time.Duration // the longest time that the owner of the module rests
 	Settle  time.Duration // for sockets to be read after this router stood still
-	Linger  time.Duration // after SIGTERM, in which connections are still taken and kept: as long as can be served
+	Arrive  time.Duration // after SIGTERM, in which connections are still taken
+	Linger  time.Duration // after SIGTERM, in which they are kept: for as long as can be served
 	End     time.Duration // after SIGTERM, at which the program exits at the latest
 }
 
@@ -190,16 +191,15 @@
 		Early: 4 * time.Millisecond, Ready: 10 * time.Second, Whole: 2500 * time.Millisecond,
 		Unused: 250 * time.Millisecond, Free: 250 * time.Millisecond, Part: time.Second, Rest: time.Millisecond, Stuck: 15 * time.Second,
 		Quiet: 4500 * time.Millisecond, Again: 50 * time.Millisecond,
-		Pulse: 50 * time.Millisecond, Settle: 5 * time.Millisecond,
+		Pulse: 50 * time.Millisecond, Settle: 5 * time.Millisecond, Arrive: 500 * time.Millisecond,
 	}
-	const linger = 500 * time.Millisecond // in which new clients come still
 	var target time.Duration
 	for _, c := range top.Within("settings").Objects("classes") { // SIGKILL comes 0.2 s after End at the soonest
 		longest := time.Duration(c.Number("give_up")) * time.Millisecond
 		target = max(target, time.Duration(c.Number("promise"))*time.Millisecond)
-		l.End = max(l.End, min(longest, 3*time.Second)+linger)
+		l.End = max(l.End, min(longest, 3*time.Second)+l.Arrive)
 	}
-	l.Linger = max(linger, l.End-target) // clients may have nowhere else to go for now
+	l.Linger = max(l.Arrive, l.End-target) // clients may have nowhere else to go for now
 	l.Clients = sockets - reserve - l.Hosts
 	return l
 }
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -36,6 +36,8 @@
 	changed  *sync.Cond // a connection has ended
 	open     map[*client]struct{}
 	parting  map[*client]bool // told to end; true: only its last words are still being sent
+	listener net.Listener
+	shut     bool // no more are accepted
 	draining bool
 
 	Accepted, Evicted atomic.Int64 // connections; those that made way for others
@@ -54,6 +56,9 @@
 // Serve accepts until the context ends and returns when all connections have.
 func (s *Clients) Serve(ctx context.Context, l net.Listener) error {
 	defer s.tasks.Wait()
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() {
 		l.Close()
 		s.mu.Lock()
@@ -75,7 +80,14 @@
 			return nil
 		}
 		if errors.Is(err, net.ErrClosed) {
-			return err
+			s.mu.Lock()
+			shut := s.shut
+			s.mu.Unlock()
+			if !shut {
+				return err
+			}
+			<-ctx.Done()
+			return nil
 		}
 		if err != nil { // out of descriptors, say: it must not spin
 			select {
@@ -153,6 +165,15 @@
 	return len(s.open) + len(s.parting)
 }
 
+// Close accepts no more; what is open stays so.
+func (s *Clients) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shut = true; s.listener != nil {
+		s.listener.Close()
+	}
+}
+
 // Drain closes each connection that is between commands, from now on as soon as it is, and
 // says how many are left.
 func (s *Clients) Drain() int {
