--- a/cmd/ferrypitch/main.go
+++ b/cmd/ferrypitch/main.go
@@ -153,11 +153,14 @@
 func (p *program) counts() []zap.Field {
 	fields := append(p.router.Fields(),
 		zap.Int64("clients_accepted", p.clients.Accepted.Load()), zap.Int("clients_open", p.clients.Open()),
-		zap.Int64("clients_made_way", p.clients.Evicted.Load()),
+		zap.Int64("clients_made_way", p.clients.Evicted.Load()), zap.Int64("clients_torn", p.clients.Torn.Load()),
+		zap.Int64("clients_slow", p.clients.Slow.Load()), zap.Int64("clients_wild", p.clients.Wild.Load()),
+		zap.Int64("clients_no_room", p.clients.Cramped.Load()), zap.Int64("clients_left", p.clients.Gone.Load()),
 		zap.Int64("commands_shed", p.clients.Shed.Load()), zap.Int64("messages_foreign", p.clients.Foreign.Load()),
 		zap.Int64("hosts_opened", p.hosts.Opened.Load()), zap.Int64("hosts_reused", p.hosts.Reused.Load()),
 		zap.Int64("hosts_not_up", p.hosts.Broken.Load()), zap.Int64("hosts_no_descriptor", p.hosts.Refused.Load()),
-		zap.Int("hosts_open", p.hosts.Open()), zap.Int64("buffers", p.room.Used()),
+		zap.Int("host_connections", p.hosts.Open()), zap.Int64("answers_spoilt", p.hosts.Spoilt.Load()),
+		zap.Int64("answers_stray", p.hosts.Stray.Load()), zap.Int64("buffers", p.room.Used()),
 		zap.Int("reloads", p.reloads), zap.Int("reloads_refused", p.refused),
 		zap.Int64("watches", p.watch.Started.Load()), zap.Int64("list_lines", p.watch.Lines.Load()))
 	if p.peers != nil {
--- a/cmd/ferrypitch/program_test.go
+++ b/cmd/ferrypitch/program_test.go
@@ -630,7 +630,9 @@
 		_, line, _ = strings.Cut(line, "{")
 		json.Unmarshal([]byte("{"+line), &got)
 		if got["taken"] != 5 || got["answered"] != 3 || got["failed"] != 1 || got["refused"] != 1 ||
-			got["out"]+got["left"] != 1 {
+			got["out"]+got["left"] != 1 || got["hosts_held"] != 2 || got["clients_accepted"] != got["clients_open"]+
+			got["clients_left"]+got["clients_made_way"]+got["clients_torn"]+got["clients_slow"]+got["clients_wild"]+
+			got["clients_no_room"] {
 			t.Fatal(line)
 		}
 	}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"iter"
@@ -40,9 +41,12 @@
 	shut     bool // no more are accepted
 	draining bool
 
-	Accepted, Evicted atomic.Int64 // connections; those that made way for others
-	Slow, Torn, Wild  atomic.Int64 // connections ended: not whole in time, unreadable, too many refused commands
-	Shed, Foreign     atomic.Int64 // commands for which there was no connection; in other messages
+	// Accepted is the sum of what is open and of the connections that ended: made way for others, not whole in
+	// time, unreadable, nothing but refused commands, no room for what they send, or left by their clients, by
+	// a fault of writing, or at the end of the program.
+	Accepted, Evicted, Slow, Torn, Wild, Cramped, Gone atomic.Int64
+
+	Shed, Foreign atomic.Int64 // commands for which there was no connection; in other messages
 }
 
 // NewClients serves whoever Serve accepts.
@@ -142,7 +146,6 @@
 	if oldest != nil && oldest.settle(true) {
 		delete(s.open, oldest)
 		s.parting[oldest] = false
-		s.Evicted.Add(1)
 	}
 }
 
@@ -232,13 +235,14 @@
 	writing  bool
 	partial  bool // some of a message has come, but not all
 	closed   bool
-	used     bool // a whole message has come
-	proved   bool // one of its commands was taken
-	skipping bool // what comes before the next Sync
-	leaving  bool // it closes as soon as it is between commands
-	over     bool // it came when all others were busy: its commands are throttled
-	last     bool // no more commands are taken; what is owed is written
-	refused  int  // commands in a row
+	used     bool          // a whole message has come
+	proved   bool          // one of its commands was taken
+	skipping bool          // what comes before the next Sync
+	leaving  bool          // it closes as soon as it is between commands
+	cause    *atomic.Int64 // counts why it ends; nil: its client left
+	over     bool          // it came when all others were busy: its commands are throttled
+	last     bool          // no more commands are taken; what is owed is written
+	refused  int           // commands in a row
 	idle     time.Time
 	began    time.Time // when the first byte of a part came, or the connection
 	until    time.Time // its read deadline, unless it is leaving
@@ -281,6 +285,9 @@
 		return false
 	}
 	c.leaving = true
+	if half {
+		c.cause = &c.server.Evicted
+	}
 	c.conn.SetReadDeadline(time.Now())
 	return true
 }
@@ -477,6 +484,7 @@
 	}
 	c.mu.Lock()
 	c.shut()
+	cause := cmp.Or(c.cause, &s.Gone)
 	left := c.slots
 	for _, body := range c.out {
 		c.discharge(body)
@@ -495,6 +503,7 @@
 	s.mu.Lock()
 	delete(s.open, c)
 	delete(s.parting, c)
+	cause.Add(1)
 	s.changed.Broadcast()
 	s.mu.Unlock()
 }
@@ -533,8 +542,7 @@
 		code, n, err := protocol.First(in.bytes(), min(in.most, protocol.LongestStartup))
 		switch {
 		case err != nil:
-			c.server.Torn.Add(1)
-			c.fatal(protocol.Bad, err.Error())
+			c.end(&c.server.Torn, protocol.Bad, err.Error())
 			return false
 		case n == 0:
 			if !c.more(in, len(in.bytes()) > 0) {
@@ -552,8 +560,7 @@
 		case code == protocol.Cancel:
 			return false
 		default:
-			c.server.Torn.Add(1)
-			c.fatal(protocol.NoSuch, "a version of the protocol that is not spoken")
+			c.end(&c.server.Torn, protocol.NoSuch, "a version of the protocol that is not spoken")
 			return false
 		}
 	}
@@ -572,11 +579,10 @@
 				continue
 			}
 			if slow {
-				c.server.Slow.Add(1)
-				c.fatal(protocol.NotNow, "no whole command came in time")
+				c.end(&c.server.Slow, protocol.NotNow, "no whole command came in time")
 			}
 		case err == errRoom:
-			c.fatal(protocol.TooMany, err.Error())
+			c.end(&c.server.Cramped, protocol.TooMany, err.Error())
 		}
 		return false
 	}
@@ -596,8 +602,7 @@
 	for {
 		kind, body, n, err := protocol.Next(in.bytes(), in.most)
 		if err != nil {
-			c.server.Torn.Add(1)
-			c.fatal(protocol.Bad, err.Error())
+			c.end(&c.server.Torn, protocol.Bad, err.Error())
 			return false
 		}
 		if n > 0 {
@@ -620,8 +625,7 @@
 	c.used, c.partial = true, false
 	c.mu.Unlock()
 	if wild {
-		c.server.Wild.Add(1)
-		c.fatal(protocol.Bad, "nothing but commands that are not served")
+		c.end(&c.server.Wild, protocol.Bad, "nothing but commands that are not served")
 	}
 	return wild
 }
@@ -660,8 +664,7 @@
 		c.server.Foreign.Add(1)
 		c.add().Refuse(protocol.NoSuch, "only simple queries are served")
 	default:
-		c.server.Torn.Add(1)
-		c.fatal(protocol.Bad, "a message that is not known")
+		c.end(&c.server.Torn, protocol.Bad, "a message that is not known")
 		return false
 	}
 	return true
@@ -678,11 +681,11 @@
 	return true
 }
 
-// fatal tells why a connection ends, after the answers before it.
-func (c *client) fatal(code, say string) {
+// end tells why a connection ends, after the answers before it, and counts the cause.
+func (c *client) end(cause *atomic.Int64, code, say string) {
 	slot := c.add()
 	c.mu.Lock()
-	c.last = true
+	c.last, c.cause = true, cause
 	c.mu.Unlock()
 	slot.end(protocol.AppendError(nil, "FATAL", code, say, ""))
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -287,6 +287,13 @@
 	}
 }
 
+// empty waits for all connections to be gone, and counted.
+func (s *Clients) empty() {
+	for s.Open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // told is the code of the last error that comes before the end; "" where there is none.
 func told(c net.Conn) (code string) {
 	in, b := []byte(nil), make([]byte, 1<<12)
@@ -330,6 +337,7 @@
 		}
 		c.Close()
 	}
+	s.empty()
 	if s.Torn.Load() != 8 || s.Wild.Load() != 1 {
 		t.Errorf("%d torn, %d wild", s.Torn.Load(), s.Wild.Load())
 	}
@@ -352,7 +360,10 @@
 	for range 10 { // more than it may, and heard to the last
 		idle.Write(protocol.AppendQuery(nil, []byte("x")))
 	}
-	if code := told(idle); code != protocol.Bad || s.Wild.Load() != 1 || s.Slow.Load() != 5 {
+	code := told(idle)
+	idle.Close()
+	s.empty()
+	if code != protocol.Bad || s.Wild.Load() != 1 || s.Slow.Load() != 5 {
 		t.Errorf("%q, %d wild, %d slow", code, s.Wild.Load(), s.Slow.Load())
 	}
 }
