--- a/cmd/ferrypitch/program_test.go
+++ b/cmd/ferrypitch/program_test.go
@@ -257,6 +257,7 @@
 	if since := s.watched(); since != "5" {
 		t.Errorf("asked for what came after %s", since)
 	}
+	<-s.ended // the watch that brought the fault takes no more lines
 	s.list(6, s.entry(2, "draining"))
 	before := s.hosts[1].count() + s.hosts[2].count()
 	c := s.client()
