Views that join in any order, their link, and the cores of planner and forwarder

Need: forwarders are to decide on views that few planners make, and no order, loss or age of those may break a rule (issue: forwarders and planners).

--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -3,77 +3,149 @@
 import (
 	"go.uber.org/zap"
 
+	"ferrypitch/internal/catalog"
 	"ferrypitch/internal/setup"
+	"ferrypitch/internal/tier/link"
+	"ferrypitch/internal/tier/view"
 	"ferrypitch/internal/transport"
 	"ferrypitch/rules"
 )
 
-// host is a database host as the list has it.
+// host is a database host as the list has it, and what it said of itself since the last report.
 type host struct {
-	node       *rules.Node
-	conns      *transport.Host
-	set        int64
-	standing   rules.Standing
-	primary    bool
-	zone, kind string
-	size       float64
-	boot       rules.Tenth
+	node  *rules.Node
+	conns *transport.Host
+	view.Host
+	said  view.Evidence
+	heard link.Heard
+	at    rules.Tenth // when its last answer came
 }
 
 // list takes in a list, whole or the changes since the last. One that has a fault changes nothing.
 // anew: versions are counted otherwise than before.
-func (r *Router) list(o setup.Object, anew bool) (err error) {
-	defer setup.Catch(&err)
-	rev, whole, targets := o.Integer("rev"), o.Flag("all"), o.Objects("targets")
+func (r *Router) list(o setup.Object, anew bool) error {
+	rev, whole, entries, err := catalog.Read(o)
+	if err != nil {
+		return err
+	}
 	if rev < r.rev.Load() && !anew {
 		r.Stale.Add(1)
 		r.log.Warn("a list that is older than the one held", zap.Int64("rev", rev), zap.Int64("held", r.rev.Load()))
 		return nil
 	}
-	read := make([]host, len(targets))
-	for i, e := range targets {
-		e.Text("uid")
-		e.Text("endpoint")
-		read[i] = host{set: e.Integer("pod_group"), standing: rules.Draining, // nothing new in a state not known
-			primary: e.MaybeText("role") == "leader", zone: e.MaybeText("az"), kind: e.MaybeText("model"),
-			size: e.MaybeNumber("capacity_hint"), boot: setup.Up(e.MaybeNumber("boot_ms"))}
-		switch e.Text("state") {
-		case "up":
-			read[i].standing = rules.In
-		case "removed":
-			read[i].standing = rules.Gone
-		}
-	}
+	r.take(entries, whole)
+	r.rev.Store(rev)
+	r.Lists.Add(1)
+	r.log.Info("list", zap.Int64("rev", rev), zap.Bool("whole", whole), zap.Int("entries", len(entries)))
+	return nil
+}
+
+// take tells the module of hosts, and answers those who waited for a first list.
+func (r *Router) take(entries []view.Host, whole bool) {
 	r.moment()
-	for i, e := range targets {
-		uid, endpoint := e.Text("uid"), e.Text("endpoint")
-		h := r.hosts[uid]
-		if h == nil && read[i].standing == rules.Gone {
+	for _, e := range entries {
+		h := r.hosts[e.Name]
+		if h == nil && e.Standing == rules.Gone {
 			continue
 		}
 		if h == nil {
 			r.Held.Add(1)
-			h = &host{set: read[i].set, conns: r.pool.Add(endpoint), node: r.rules.Host(uid, read[i].set)}
-			r.hosts[uid], r.nodes[h.node], r.sets[h.set] = h, h, true
+			h = &host{conns: r.pool.Add(e.Address), node: r.rules.Host(e.Name, e.Set), Host: e}
+			r.hosts[e.Name], r.nodes[h.node], r.sets[h.Set] = h, h, true
 		}
-		read[i].node, read[i].conns, read[i].set = h.node, h.conns, h.set
-		*h = read[i]
-		h.conns.Move(endpoint)
+		e.Set = h.Set // a host does not move between sets
+		h.Host = e
+		h.conns.Move(e.Address)
 		h.tell()
 	}
 	r.rules.ListDone(whole)
-	r.rev.Store(rev)
-	r.Lists.Add(1)
-	r.log.Info("list", zap.Int64("rev", rev), zap.Bool("whole", whole), zap.Int("entries", len(targets)))
 	r.listed = true
 	for _, s := range r.asking {
 		s.Empty()
 	}
 	r.asking = nil
-	return nil
 }
 
 // tell tells the module of a host, as the list has it.
 func (h *host) tell() {
-	h.node.Listed(h.standing, h.primary, h.zone, h.kind, h.size, h.boot)
+	h.node.Listed(h.Standing, h.Leader, h.Zone, h.Kind, h.Size, h.Boot)
+}
+
+// mum is the word of lateness for nothing known.
+const mum = 13
+
+// Told takes in what is new in a view, from any goroutine: hosts as they are now, names of those that it dropped,
+// how many routers there are, and whether any planner is there. Lists that are held are the view's alone.
+func (r *Router) Told(hosts []view.Host, dropped []string, routers int, blind bool) {
+	r.queue.put(lists, func() {
+		for _, name := range dropped {
+			if h := r.hosts[name]; h != nil {
+				gone := h.Host
+				gone.Standing = rules.Gone
+				hosts = append(hosts, gone)
+			}
+		}
+		if len(hosts) > 0 {
+			r.take(hosts, false)
+			r.Lists.Add(1)
+		}
+		r.moment()
+		r.rules.Count(routers, blind)
+		for _, e := range hosts {
+			if h := r.hosts[e.Name]; h != nil {
+				word := rules.Tenth(mum)
+				if e.Late > 0 {
+					word = rules.Tenth(e.Late - 1)
+				}
+				h.node.Told(e.Pos, e.Role, e.RoleAt, word)
+			}
+		}
+	})
+}
+
+// Report hands over what answers said of hosts since the last report, from any goroutine; nil once stopped.
+func (r *Router) Report() []link.Heard {
+	got := make(chan []link.Heard, 1)
+	if !r.queue.put(lists, func() {
+		var all []link.Heard
+		for _, h := range r.hosts {
+			h.heard.Evidence = h.said
+			if h.heard.Evidence.Name = h.Name; h.heard.Count > 0 || h.heard.Cold > 0 {
+				all = append(all, h.heard)
+			}
+			h.heard.Count, h.heard.Sum = 0, 0
+		}
+		got <- all
+	}) {
+		return nil
+	}
+	select {
+	case all := <-got:
+		return all
+	case <-r.queue.ended:
+		return nil
+	}
+}
+
+// answered notes what an answer said, for a report.
+func (h *host) answered(c *rules.Cmd, o rules.Outcome, pos rules.Tenth, role rules.Role, asked, now, took rules.Tenth) {
+	if pos >= 0 && o != rules.Reset {
+		h.said.Said(pos, role, asked >= h.at)
+		h.at = now
+	}
+	if o == rules.Answered {
+		h.heard.Count++
+		h.heard.Sum += uint32(min(10, c.Spent(took)) * 1000)
+	}
+}
+
+// sent notes work sent to a cold host.
+func (h *host) sent(c *rules.Cmd) {
+	boot := h.node.Cold()
+	if boot != h.heard.Boot {
+		h.heard.Boot, h.heard.Cold = boot, 0
+	}
+	if boot != 0 {
+		h.heard.Cold += int64(c.Work() * 1000)
+	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -91,7 +91,7 @@
 	}
 	longest := span(g.Timeout) // nobody waits for longer, whatever is said
 	until := at.Add(min(time.Duration(min(wait, 1e9)*float64(time.Millisecond)), longest) - r.start.Limits.Early)
-	if !r.queue.put(commands, func() { r.take(s, statement, g, id, key, set, until, after, again) }) {
+	if !r.queue.put(commands, func() { r.command(s, statement, g, id, key, set, until, after, again) }) {
 		s.Fail(protocol.Failed, errStopped.Error())
 	}
 }
@@ -252,7 +252,7 @@
 			r.wakeAt = time.Time{}
 			r.rules = rules.New(r, r.start.Deployment, r.clock.now())
 			for uid, h := range r.hosts {
-				h.node = r.rules.Host(uid, h.set)
+				h.node = r.rules.Host(uid, h.Set)
 				r.nodes[h.node] = h
 				h.tell()
 			}
@@ -288,8 +288,8 @@
 	return now
 }
 
-// take brings a command to the module.
-func (r *Router) take(s *transport.Slot, statement []byte, g *rules.CmdGroup, id, key string, set int64,
+// command brings a command to the module.
+func (r *Router) command(s *transport.Slot, statement []byte, g *rules.CmdGroup, id, key string, set int64,
 	until time.Time, written float64, again bool) {
 	switch {
 	case r.listed && !r.sets[set]: // the module would keep every number that clients make up
@@ -332,7 +332,12 @@
 	case "follower":
 		role = rules.Replica
 	}
-	c.handle.Ended(a.Outcome, pos, role, rules.Tenth(a.Took/tenth), c.slot == nil)
+	took := rules.Tenth(a.Took / tenth)
+	if h := r.nodes[c.handle.Node]; h != nil && r.start.Deployment.Told {
+		now := r.clock.now()
+		h.answered(c.handle, a.Outcome, pos, role, now-took, now, took)
+	}
+	c.handle.Ended(a.Outcome, pos, role, took, c.slot == nil)
 	r.settle(c.handle)
 }
 
@@ -376,6 +381,9 @@
 		}
 	}
 	r.Dispatched.Add(1)
+	if r.start.Deployment.Told {
+		r.nodes[n].sent(handle)
+	}
 	c.out = r.send(r.nodes[n], c.statement, until, by, true, func(a transport.Answer) { r.ended(c, a) })
 }
 
--- a/rules/door.go
+++ b/rules/door.go
@@ -94,6 +94,7 @@
 	Kept       bool // sessions bring no write time, only this router's memory counts
 	Reports    bool // probes, at least, bring positions
 	Probes     bool
+	Told       bool    // lives by the views of planners: what is new comes by Told, and Count says how many share it
 	Peers      bool    // routers may tell each other
 	PeerPrice  float64 // what a full message (256 bytes) a command takes off the service
 	ProbePrice float64 // what a probe a command takes off the service
@@ -127,4 +128,19 @@
 // The calls into the module, besides New: Router.Clock before those of a new
 // moment; Router.Host once for each host, Node.Listed for each entry of a list
 // and Router.ListDone after it; Router.Take for a command, then Cmd.Ended and
-// Cmd.Left on its handle; Node.Reported and Node.Probed; Router.Heard; Router.Woke.
+// Cmd.Left on its handle; Node.Reported and Node.Probed; Node.Told and
+// Router.Count; Router.Heard; Router.Woke.
+
+// Work is how much a command asks for, in commands of the usual mix.
+func (c *Cmd) Work() float64 { return c.work() }
+
+// Cold says since when a host is cold, or 0.
+func (n *Node) Cold() Tenth {
+	if n.cold() {
+		return n.boot
+	}
+	return 0
+}
+
+// Spent is the part of the response target that an answer took.
+func (c *Cmd) Spent(took Tenth) float64 { return float64(took) / float64(max(1, c.group.Target)) }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,6 +25,7 @@
 type Router struct {
 	Deployment
 	caller                        Caller
+	blind                         bool  // no planner tells what is new
 	now, wakeAt, lookAt, stoodTo  Tenth // the next wake; when hosts were gone over; when a stall ended
 	quiet, floor, draws           Tenth // how long a position stays good; no forgotten token is greater
 	sets                          map[int64]*Set
@@ -59,6 +60,7 @@
 	role                               Role
 	out                                []*Cmd
 	listed, known, probing, left, dark bool    // left: silent or unreachable; dark: unreachable
+	down                               bool    // it took no connection, and no probe tells when it is back
 	size, cap, share, crowd, spare     float64 // crowd: mean part of the target taken; spare: work while cold
 	boot, spareAt, backoff, tightTo    Tenth   // boot: when it last started; 0: long ago
 	roleAt, pos, posAt, lag            Tenth   // it had applied all up to pos at posAt, and was lag behind
@@ -179,11 +181,11 @@
 	if n.kind = cmp.Or(n.kind, r.kinds[like]); n.kind == nil {
 		n.kind = &kind{}
 		r.kinds[like] = n.kind
+		if r.Told { // a mean that starts from nothing: the sum of all routers' is the same however traffic moves
+			n.kind.seen = float64(10 * second)
+		}
 	}
-	if boot > n.boot {
-		n.boot, n.cap, n.share, n.left, n.trialAt = boot, 2, 1, false, 0
-		n.spare, n.spareAt = r.chance(), r.now
-	}
+	n.booted(boot)
 	if standing == Gone && r.DrainAlone && n.standing == In {
 		return // such a list doesn't prove that the host is down
 	}
@@ -196,6 +198,14 @@
 	}
 }
 
+// booted tells of a start; what is cold has little room, and begins with a part drawn by chance.
+func (n *Node) booted(at Tenth) {
+	if at > n.boot {
+		n.boot, n.cap, n.share, n.left, n.down, n.trialAt = at, 2, 1, false, false, 0
+		n.spare, n.spareAt = n.set.r.chance(), n.set.r.now
+	}
+}
+
 // ListDone ends a list; what a complete one lacks is gone.
 func (r *Router) ListDone(complete bool) {
 	for _, n := range r.nodes {
@@ -490,7 +500,7 @@
 	n.out = slices.DeleteFunc(n.out, func(o *Cmd) bool { return o == c })
 	switch {
 	case o == Unreached && n.quickAt+second < c.sentAt && n.since <= c.sentAt: // down or cut off: silent too
-		n.dark = r.Probes
+		n.dark, n.down = r.Probes, r.Told
 		n.leave(second / 10)
 		return
 	case o == Unreached: // it is up, but takes no more connections
@@ -504,6 +514,10 @@
 	n.tight(0)
 	r.gaps.add(r.now, float64(r.now-n.since))
 	n.since = r.now
+	if n.down && r.blind { // it may have started anew, and no planner is there to say so
+		n.booted(r.now)
+	}
+	n.down = false
 	if n.left {
 		n.left, n.backoff, n.trialAt, n.cap = false, 0, 0, min(n.cap, 2)
 	}
@@ -635,6 +649,28 @@
 	n.is(role, pos+n.set.r.Zero)
 }
 
+// Told is what a view says: a position, a role with the position that the host named with it, and lateness
+// in Heard's words. Own answers go before it, but for those that the position shows to be older. A primary
+// whose word can't be shown to be newer is asked next, once the one that is followed does not answer.
+func (n *Node) Told(pos Tenth, role Role, at, word Tenth) {
+	s, r := n.set, n.set.r
+	if pos > n.pos && pos <= r.now-r.Zero {
+		n.learn(pos)
+	}
+	if at += r.Zero; at <= r.now && at > n.roleAt {
+		n.is(role, at)
+	}
+	if role == Primary && s.primary != n {
+		s.next = slices.Index(s.members, n)
+	}
+	if word < mum {
+		n.judge(float64(word)/10, r.now-second/10)
+	}
+}
+
+// Count tells how many routers there are, and whether any planner is there to tell what is new.
+func (r *Router) Count(routers int, blind bool) { r.Routers, r.blind = max(1, routers), blind }
+
 // Probed ends a probe. A host in reach again may have started anew, whatever the list says: so does its cap.
 func (n *Node) Probed(ok bool) {
 	if n.probing = false; ok && n.dark {
