--- a/internal/routing/clock.go
+++ b/internal/clock/clock.go
@@ -1,4 +1,5 @@
-package routing
+// Package clock gives the module's moments.
+package clock
 
 import (
 	"time"
@@ -6,27 +7,29 @@
 	"ferrypitch/rules"
 )
 
-// tenth is the module's unit.
-const tenth = 100 * time.Microsecond
+// Tenth is the module's unit.
+const Tenth = 100 * time.Microsecond
 
-// clock gives the module's moments: Unix time in tenths of a millisecond, so
+// Clock gives the module's moments: Unix time in tenths of a millisecond, so
 // that positions need no conversion but of their unit. It runs by the monotonic
 // clock. Where the system's clock is ahead it is followed at once, since a
 // moment too early would call old data new; where that is behind, at a tenth of
 // the time that passes, so that moments never go back.
-type clock struct {
+type Clock struct {
 	read func() time.Time
 	last time.Time
 	at   int64 // nanoseconds
 }
 
-func newClock(read func() time.Time) *clock {
-	c := &clock{read: read, last: read()}
+// New reads time by read, as time.Now.
+func New(read func() time.Time) *Clock {
+	c := &Clock{read: read, last: read()}
 	c.at = c.last.UnixNano()
 	return c
 }
 
-func (c *clock) now() rules.Tenth {
+// Now is never before what it was.
+func (c *Clock) Now() rules.Tenth {
 	t := c.read()
 	passed := int64(t.Sub(c.last))
 	c.last = t
@@ -37,7 +40,8 @@
 	case ahead < 0:
 		c.at -= min(-ahead, passed/10)
 	}
-	return c.at / int64(tenth)
+	return c.at / int64(Tenth)
 }
 
-func span(t rules.Tenth) time.Duration { return time.Duration(t) * tenth }
+// Span is a span of the module's as a duration.
+func Span(t rules.Tenth) time.Duration { return time.Duration(t) * Tenth }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"ferrypitch/internal/clock"
 	"ferrypitch/internal/protocol"
 	"ferrypitch/internal/setup"
 	"ferrypitch/internal/transport"
@@ -25,7 +26,7 @@
 	start *setup.Start
 	log   *zap.Logger
 	queue *queue
-	clock *clock
+	clock *clock.Clock
 	pool  *transport.Hosts
 	tell  func(body string)
 
@@ -59,11 +60,11 @@
 
 // New makes a router that knows the list of the last run, if there was one.
 func New(s *setup.Start, pool *transport.Hosts, tell func(string), log *zap.Logger) (*Router, error) {
-	r := &Router{start: s, log: log, queue: newQueue(s.Limits.Backlog), clock: newClock(time.Now), pool: pool,
+	r := &Router{start: s, log: log, queue: newQueue(s.Limits.Backlog), clock: clock.New(time.Now), pool: pool,
 		tell: tell, hosts: map[string]*host{}, nodes: map[*rules.Node]*host{}, sets: map[int64]bool{}, cmds: map[string]*command{},
 		slots: map[*transport.Slot]*command{}, began: time.Now()}
 	r.rev.Store(-1)
-	r.rules = rules.New(r, s.Deployment, r.clock.now())
+	r.rules = rules.New(r, s.Deployment, r.clock.Now())
 	if !s.Known.Has("targets") {
 		return r, nil
 	}
@@ -89,7 +90,7 @@
 		r.refuse(s, "a statement that its command group does not have")
 		return
 	}
-	longest := span(g.Timeout) // nobody waits for longer, whatever is said
+	longest := clock.Span(g.Timeout) // nobody waits for longer, whatever is said
 	until := at.Add(min(time.Duration(min(wait, 1e9)*float64(time.Millisecond)), longest) - r.start.Limits.Early)
 	if !r.queue.put(commands, func() { r.command(s, statement, g, id, key, set, until, after, again) }) {
 		s.Fail(protocol.Failed, errStopped.Error())
@@ -250,7 +251,7 @@
 				zap.String("panic", fmt.Sprint(p)), zap.ByteString("stack", debug.Stack()))
 			r.failAll()
 			r.wakeAt = time.Time{}
-			r.rules = rules.New(r, r.start.Deployment, r.clock.now())
+			r.rules = rules.New(r, r.start.Deployment, r.clock.Now())
 			for uid, h := range r.hosts {
 				h.node = r.rules.Host(uid, h.Set)
 				r.nodes[h.node] = h
@@ -283,7 +284,7 @@
 
 // moment tells the module the time of the calls that follow.
 func (r *Router) moment() rules.Tenth {
-	now := r.clock.now()
+	now := r.clock.Now()
 	r.rules.Clock(now)
 	return now
 }
@@ -308,7 +309,7 @@
 	c := &command{slot: s, statement: statement, until: until}
 	r.cmds[id], r.slots[s] = c, c
 	r.Taken.Add(1)
-	c.handle = r.rules.Take(id, g, set, key, now+rules.Tenth(time.Until(until)/tenth), since, nil, again)
+	c.handle = r.rules.Take(id, g, set, key, now+rules.Tenth(time.Until(until)/clock.Tenth), since, nil, again)
 	r.settle(c.handle)
 }
 
@@ -322,19 +323,10 @@
 		r.final(c)
 	}
 	r.report(c.handle.Node, a.Load)
-	pos, role := rules.Tenth(-1), rules.Unknown
-	if v, err := strconv.ParseFloat(a.Position, 64); err == nil && v > 0 && v <= r.ahead() {
-		pos = setup.Down(v)
-	}
-	switch a.Role {
-	case "leader":
-		role = rules.Primary
-	case "follower":
-		role = rules.Replica
-	}
-	took := rules.Tenth(a.Took / tenth)
+	pos, role := setup.Words(a.Position, a.Role, r.ahead())
+	took := rules.Tenth(a.Took / clock.Tenth)
 	if h := r.nodes[c.handle.Node]; h != nil && r.start.Deployment.Told {
-		now := r.clock.now()
+		now := r.clock.Now()
 		h.answered(c.handle, a.Outcome, pos, role, now-took, now, took)
 	}
 	c.handle.Ended(a.Outcome, pos, role, took, c.slot == nil)
@@ -352,7 +344,7 @@
 
 // ahead is the greatest position that can be true, in milliseconds: that of a commit now, rounded up.
 // Guards against stale reads by positions of the future.
-func (r *Router) ahead() float64 { return float64(r.clock.now())/10 + 2 }
+func (r *Router) ahead() float64 { return float64(r.clock.Now())/10 + 2 }
 
 // final notes that a command is owed no answer any more.
 func (r *Router) final(c *command) {
@@ -372,11 +364,11 @@
 func (r *Router) Dispatch(handle *rules.Cmd, n *rules.Node, timeout rules.Tenth) {
 	c, now := r.cmds[handle.Name], time.Now()
 	until, by := c.until, now.Add(r.start.Limits.Connect)
-	if at := now.Add(span(timeout)); timeout > 0 && at.Before(until) {
+	if at := now.Add(clock.Span(timeout)); timeout > 0 && at.Before(until) {
 		until = at
 	}
 	if handle.SendBy > 0 {
-		if at := now.Add(span(handle.SendBy - r.clock.now())); at.Before(by) {
+		if at := now.Add(clock.Span(handle.SendBy - r.clock.Now())); at.Before(by) {
 			by = at
 		}
 	}
@@ -432,7 +424,7 @@
 func (r *Router) Tell(body string) { r.tell(body) }
 
 func (r *Router) Wake(after rules.Tenth) {
-	if at := time.Now().Add(span(after)); r.wakeAt.IsZero() || at.Before(r.wakeAt) {
+	if at := time.Now().Add(clock.Span(after)); r.wakeAt.IsZero() || at.Before(r.wakeAt) {
 		r.wakeAt = at
 	}
 }
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,190 @@
+// Package service is a running router, alone or as a forwarder: its parts, their
+// lifetimes, and its signals.
+package service
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"math"
+	"math/big"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"ferrypitch/internal/catalog"
+	"ferrypitch/internal/routing"
+	"ferrypitch/internal/setup"
+	"ferrypitch/internal/tier/forward"
+	"ferrypitch/internal/transport"
+)
+
+// program is what a running router is made of.
+type program struct {
+	start   *setup.Start
+	limits  *setup.Limits
+	log     *zap.Logger
+	room    *transport.Room
+	hosts   *transport.Hosts
+	router  *routing.Router
+	clients *transport.Clients
+	watch   *transport.Watch // nil for a forwarder
+	forward *forward.Forward // nil for any other
+	peers   *transport.Peers // nil where routers don't talk
+
+	reloads, refused int // of the configuration, only attend's
+}
+
+// Run lives from the first socket to the last. With a forwarder's section it lives by the views of planners.
+func Run(start *setup.Start, section *setup.Forward, signals, reload <-chan os.Signal, log *zap.Logger) (err error) {
+	p := program{start: start, limits: &start.Limits, log: log, room: transport.NewRoom(&start.Limits)}
+	listener, err := net.Listen("tcp", start.Listen)
+	if err != nil {
+		return fmt.Errorf("GW_LISTEN: %w", err)
+	}
+	defer listener.Close()
+	tell := func(string) {}
+	if start.Deployment.Peers {
+		if p.peers, err = transport.NewPeers(start); err != nil {
+			return fmt.Errorf("peer_listen: %w", err)
+		}
+		tell = p.peers.Tell
+	}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	tasks, ctx := errgroup.WithContext(ctx)
+	p.hosts = transport.NewHosts(ctx, p.limits, p.room)
+	if p.router, err = routing.New(start, p.hosts, tell, log); err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	p.clients = transport.NewClients(p.limits, p.room, p.router)
+	tasks.Go(func() error { return p.router.Run(ctx) })
+	if section != nil {
+		if p.forward, err = forwarder(start, section, p.router, log); err != nil {
+			end()
+			return errors.Join(err, tasks.Wait())
+		}
+		tasks.Go(func() error { return p.forward.Run(ctx) })
+	} else {
+		p.watch = transport.NewWatch(p.limits, p.room, start.Discovery, p.router.Rev, p.router.List, func(err error) {
+			log.Warn("the watch of the list ended", zap.Error(err))
+		})
+		tasks.Go(func() error { return p.watch.Run(ctx) })
+	}
+	tasks.Go(func() error { return p.clients.Serve(ctx, listener) })
+	if p.peers != nil {
+		tasks.Go(func() error { return p.peers.Receive(ctx, p.router.Heard) })
+		tasks.Go(func() error { return p.peers.Send(ctx) })
+	}
+	log.Info("started", zap.Stringer("listen", listener.Addr()), zap.Int("clients", p.limits.Clients),
+		zap.Int("hosts", p.limits.Hosts))
+	p.attend(ctx, signals, reload)
+	end()
+	err = tasks.Wait()
+	p.hosts.Wait()
+	log.Info("counts", p.counts()...)
+	return err
+}
+
+// attend waits for the signal to stop, and stops: connections are taken and kept for as long
+// as new ones may come, then closed as they are between commands. What is still owed when the
+// time is up fails.
+func (p *program) attend(ctx context.Context, signals, reload <-chan os.Signal) {
+	var arrived, drain, stop <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				p.log.Info("counts", p.counts()...)
+			} else if stop == nil {
+				p.log.Info("stopping", zap.String("signal", s.String()))
+				arrived, drain, stop = time.After(p.limits.Arrive), time.After(p.limits.Linger), time.After(p.limits.End)
+			}
+		case <-reload:
+			if p.watch != nil { // a forwarder has no discovery to follow elsewhere
+				p.reload()
+			}
+		case <-arrived:
+			p.clients.Close()
+		case <-drain:
+			if drain = time.After(p.limits.Again); p.clients.Drain() == 0 {
+				return
+			}
+		case <-stop:
+			p.router.Stop()
+			for till := time.Now().Add(p.limits.Again); p.clients.Drain() > 0 && time.Now().Before(till); {
+				time.Sleep(time.Millisecond) // for the last answers to be written
+			}
+			return
+		}
+	}
+}
+
+// reload takes in what the file says now. What is wrong with it changes nothing.
+func (p *program) reload() {
+	next, kept, err := p.start.Again(os.Getenv)
+	if err != nil {
+		p.refused++
+		p.log.Warn("the configuration stays as it was", zap.Error(err))
+		return
+	}
+	p.reloads++
+	p.log.Info("configuration read again", zap.String("discovery", next.Discovery),
+		zap.Strings("from the next start only", kept))
+	p.watch.Move(next.Discovery)
+	p.start = next
+}
+
+func (p *program) counts() []zap.Field {
+	fields := append(p.router.Fields(),
+		zap.Int64("clients_accepted", p.clients.Accepted.Load()), zap.Int("clients_open", p.clients.Open()),
+		zap.Int64("clients_made_way", p.clients.Evicted.Load()), zap.Int64("clients_torn", p.clients.Torn.Load()),
+		zap.Int64("clients_slow", p.clients.Slow.Load()), zap.Int64("clients_wild", p.clients.Wild.Load()),
+		zap.Int64("clients_no_room", p.clients.Cramped.Load()), zap.Int64("clients_left", p.clients.Gone.Load()),
+		zap.Int64("commands_shed", p.clients.Shed.Load()), zap.Int64("messages_foreign", p.clients.Foreign.Load()),
+		zap.Int64("hosts_opened", p.hosts.Opened.Load()), zap.Int64("hosts_reused", p.hosts.Reused.Load()),
+		zap.Int64("hosts_not_up", p.hosts.Broken.Load()), zap.Int64("hosts_no_descriptor", p.hosts.Refused.Load()),
+		zap.Int("host_connections", p.hosts.Open()), zap.Int64("answers_spoilt", p.hosts.Spoilt.Load()),
+		zap.Int64("answers_stray", p.hosts.Stray.Load()), zap.Int64("buffers", p.room.Used()),
+		zap.Int("reloads", p.reloads), zap.Int("reloads_refused", p.refused))
+	if p.watch != nil {
+		fields = append(fields, zap.Int64("watches", p.watch.Started.Load()), zap.Int64("list_lines", p.watch.Lines.Load()))
+	}
+	if p.forward != nil {
+		fields = append(fields, p.forward.Fields()...)
+	}
+	if p.peers != nil {
+		fields = append(fields, zap.Int64("datagrams_sent", p.peers.Sent.Load()),
+			zap.Int64("datagrams_heard", p.peers.Heard.Load()), zap.Int64("datagrams_dropped", p.peers.Dropped.Load()))
+	}
+	return fields
+}
+
+// forwarder is a router's link to its planners; the list that it was given is the first view.
+func forwarder(start *setup.Start, section *setup.Forward, router *routing.Router, log *zap.Logger) (*forward.Forward, error) {
+	f := forward.New(section, start.Name, Life(), start.Deployment.Routers, router, log)
+	if start.Given.Has("targets") {
+		rev, whole, hosts, err := catalog.Read(start.Given)
+		if err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+		f.Known(rev, whole, hosts)
+	}
+	return f, nil
+}
+
+// Life is a number that no other process has.
+func Life() uint64 {
+	n, err := rand.Int(rand.Reader, new(big.Int).SetUint64(math.MaxUint64))
+	if err != nil {
+		panic(err) // the system's source never fails
+	}
+	return n.Uint64() | 1
+}
--- a/internal/setup/deployment.go
+++ b/internal/setup/deployment.go
@@ -103,3 +103,19 @@
 	}
 	return Down(1000 * seconds), role, true
 }
+
+// Words are what a host says beside an answer: its position in milliseconds, of which one past ahead can't be
+// true, and its role. The position is -1 where there is none.
+func Words(position, is string, ahead float64) (pos rules.Tenth, role rules.Role) {
+	pos = -1
+	if v, err := strconv.ParseFloat(position, 64); err == nil && v > 0 && v <= ahead {
+		pos = Down(v)
+	}
+	switch is {
+	case "leader":
+		role = rules.Primary
+	case "follower":
+		role = rules.Replica
+	}
+	return pos, role
+}
--- /dev/null
+++ b/internal/setup/operator.go
@@ -0,0 +1,272 @@
+package setup
+
+import (
+	_ "embed"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+
+	"ferrypitch/internal/tier/link"
+)
+
+// Schema is the JSON schema of the operator's file.
+//
+//go:embed operator.schema.json
+var Schema []byte
+
+var schema = sync.OnceValues(func() (*jsonschema.Schema, error) {
+	doc, err := jsonschema.UnmarshalJSON(strings.NewReader(string(Schema)))
+	if err != nil {
+		return nil, err
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("operator.schema.json", doc); err != nil {
+		return nil, err
+	}
+	return c.Compile("operator.schema.json")
+})
+
+// Operator is an operator's file: what a router starts with, and the sections of the sub-commands.
+type Operator struct {
+	Start   *Start
+	Forward *Forward // nil where the file has none
+	Plan    *Plan
+}
+
+// Forward is the section of a forwarder.
+type Forward struct {
+	Planners []string
+	Key      [32]byte
+
+	Again, Most, Report, Silent time.Duration // see follower.Terms
+	Dial                        time.Duration // for a link to come up, its greeting included
+	Queue                       int           // frames that may wait to be sent
+	Write                       time.Duration // for a frame to be sent
+	Frame                       int           // the longest that is taken, in bytes
+}
+
+// Plan is the section of a planner.
+type Plan struct {
+	Listen     string
+	Key        [32]byte
+	Generation uint64
+
+	Forwarders, Probes, PerSecond, Reports, Frames, Bytes int // see planner.Terms
+	Beat, Probe, Search                                   time.Duration
+	Greet                                                 time.Duration // for a forwarder to say who it is
+	Greeting                                              int           // connections that have not yet
+	Queue                                                 int           // frames that may wait for a slow reader
+	Write                                                 time.Duration // for some of a frame to be taken
+	Frame                                                 int           // the longest that is taken, in bytes
+}
+
+// LoadOperator reads and checks an operator's file. Its errors name the file and the key.
+func LoadOperator(path string, getenv func(string) string) (*Operator, error) {
+	o, err := loadOperator(path, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return o, nil
+}
+
+func loadOperator(path string, getenv func(string) string) (o *Operator, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Unwrap(err)
+	}
+	if err := conform(text); err != nil {
+		return nil, err
+	}
+	top, err := Decode("", text)
+	if err != nil {
+		return nil, err
+	}
+	defer Catch(&err)
+	if o = (&Operator{}); top.Has("forward") {
+		if o.Forward, err = forward(top.Within("forward"), filepath.Dir(path)); err != nil {
+			return nil, err
+		}
+	}
+	if top.Has("plan") {
+		if o.Plan, err = plan(top.Within("plan"), filepath.Dir(path)); err != nil {
+			return nil, err
+		}
+	}
+	o.Start, err = start(top, getenv, o.Forward == nil && o.Plan == nil)
+	return o, err
+}
+
+// conform holds a file against the schema; the first fault is named by its key.
+func conform(text []byte) error {
+	s, err := schema()
+	if err != nil {
+		return fmt.Errorf("the schema: %w", err)
+	}
+	doc, err := jsonschema.UnmarshalJSON(strings.NewReader(string(text)))
+	if err != nil {
+		var at *json.SyntaxError
+		if errors.As(err, &at) {
+			return fmt.Errorf("line %d: %w", 1+strings.Count(string(text[:min(int64(len(text)), at.Offset)]), "\n"), err)
+		}
+		return err
+	}
+	var bad *jsonschema.ValidationError
+	if err := s.Validate(doc); errors.As(err, &bad) {
+		for len(bad.Causes) > 0 {
+			bad = bad.Causes[0]
+		}
+		return fault(bad)
+	} else if err != nil {
+		return err
+	}
+	return nil
+}
+
+func fault(bad *jsonschema.ValidationError) error {
+	key := ""
+	for _, part := range bad.InstanceLocation {
+		switch _, err := strconv.Atoi(part); {
+		case err == nil:
+			key += "[" + part + "]"
+		case key != "":
+			key += "." + part
+		default:
+			key = part
+		}
+	}
+	within := func(name string) string {
+		if key == "" {
+			return name
+		}
+		return key + "." + name
+	}
+	switch k := bad.ErrorKind.(type) {
+	case *kind.Required:
+		return fmt.Errorf("%s: missing", within(k.Missing[0]))
+	case *kind.AdditionalProperties:
+		return fmt.Errorf("%s: not a key that is known", within(k.Properties[0]))
+	}
+	text := bad.Error()
+	if _, after, ok := strings.Cut(text, "': "); ok {
+		text = after
+	}
+	text, _, _ = strings.Cut(text, "\n")
+	if key == "" {
+		key = "the file"
+	}
+	return fmt.Errorf("%s: %s", key, text)
+}
+
+// key reads a shared key, which others must not be able to read.
+func key(o Object, dir string) (k [32]byte, err error) {
+	path := o.Text("key_file")
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(dir, path)
+	}
+	at := o.path + ".key_file"
+	info, err := os.Stat(path)
+	if err != nil {
+		return k, fmt.Errorf("%s: %w", at, err)
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return k, fmt.Errorf("%s: %s: others than its owner may read it", at, path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return k, fmt.Errorf("%s: %w", at, err)
+	}
+	digits := strings.TrimSpace(string(text))
+	if len(digits) != 2*len(k) {
+		return k, fmt.Errorf("%s: %s: %w", at, path, link.ErrKeySize)
+	}
+	if _, err := hex.Decode(k[:], []byte(digits)); err != nil {
+		return k, fmt.Errorf("%s: %s: %w", at, path, link.ErrKeySize)
+	}
+	return k, nil
+}
+
+// milliseconds is a field in them, or what stands for it.
+func (o Object) milliseconds(field string, otherwise time.Duration) time.Duration {
+	if !o.Has(field) {
+		return otherwise
+	}
+	return time.Duration(o.Integer(field)) * time.Millisecond
+}
+
+func (o Object) count(field string, otherwise int) int {
+	if !o.Has(field) {
+		return otherwise
+	}
+	return int(o.Integer(field))
+}
+
+func forward(o Object, dir string) (*Forward, error) {
+	f := &Forward{Again: 50 * time.Millisecond, Most: 5 * time.Second, Report: o.milliseconds("report_ms", 200*time.Millisecond),
+		Silent: o.milliseconds("silent_ms", 2*time.Second), Dial: 2 * time.Second, Queue: 16, Write: 2 * time.Second, Frame: link.FrameMost}
+	for i, p := range o.List("planners") {
+		a, _ := p.(string)
+		address(a, o.path+".planners["+strconv.Itoa(i)+"]")
+		f.Planners = append(f.Planners, a)
+	}
+	var err error
+	f.Key, err = key(o, dir)
+	return f, err
+}
+
+func plan(o Object, dir string) (*Plan, error) {
+	p := &Plan{Listen: o.Text("listen"), Forwarders: o.count("forwarders", 5000), Probes: o.count("probes", 64),
+		PerSecond: o.count("probes_per_second", 400), Reports: o.count("reports_per_second", 1000),
+		Frames: o.count("frames_per_second", 20000), Bytes: o.count("position_bytes_per_second", 20_000_000),
+		Beat: o.milliseconds("beat_ms", 100*time.Millisecond), Probe: o.milliseconds("probe_ms", 500*time.Millisecond),
+		Search: o.milliseconds("search_ms", 50*time.Millisecond), Greet: 2 * time.Second, Greeting: 256, Queue: 32,
+		Write: 2 * time.Second, Frame: link.ReportMost}
+	address(p.Listen, o.path+".listen")
+	if o.Has("generation") {
+		p.Generation = uint64(o.Integer("generation"))
+	}
+	var err error
+	p.Key, err = key(o, dir)
+	return p, err
+}
+
+// Serves names the sub-commands that the file is good for.
+func (o *Operator) Serves() (names []string) {
+	if o.Alone("") == nil {
+		names = append(names, "serve")
+	}
+	if o.Forward != nil && o.Start.Listen != "" {
+		names = append(names, "forward")
+	}
+	if o.Plan != nil && o.Start.Discovery != "" {
+		names = append(names, "plan")
+	}
+	return names
+}
+
+// Alone says what a router without planners lacks.
+func (o *Operator) Alone(path string) error {
+	switch {
+	case o.Start.Listen == "":
+		return fmt.Errorf("%s: listen: missing", path)
+	case o.Start.Discovery == "":
+		return fmt.Errorf("%s: discovery: missing", path)
+	}
+	return nil
+}
+
+// AsForwarder has a router live by views alone: it probes nothing, talks to no peers, and what it was given as
+// known is for the view.
+func (s *Start) AsForwarder() {
+	s.Deployment.Told, s.Deployment.Probes, s.Deployment.Peers = true, false, false
+	s.Given, s.Known = s.Known, Object{}
+}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -18,7 +18,7 @@
 type Start struct {
 	Name, Listen, Discovery, PeerListen, PeersAll string
 	Peers                                         []string
-	Known                                         Object // the last list; Has("targets") is false without one
+	Known, Given                                  Object // the last list, for the module and for views; Has("targets") is false without one
 	Deployment                                    rules.Deployment
 	Terms                                         Terms
 	Limits                                        Limits
@@ -77,6 +77,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
 	}
+	return start(top, getenv, true)
+}
+
+// start checks what a router, or with alone false one of another tier, starts with.
+func start(top Object, getenv func(string) string, alone bool) (s *Start, err error) {
 	defer Catch(&err)
 	given := func(variable, key string) string {
 		if v := getenv(variable); v != "" {
@@ -110,8 +115,12 @@
 	if s.Name == "" {
 		panic(Fault("GW_NAME: missing, and no name in the file"))
 	}
-	address(s.Listen, "GW_LISTEN (listen)")
-	address(s.Discovery, "GW_DISCOVERY (discovery)")
+	if alone || s.Listen != "" {
+		address(s.Listen, "GW_LISTEN (listen)")
+	}
+	if alone || s.Discovery != "" {
+		address(s.Discovery, "GW_DISCOVERY (discovery)")
+	}
 	if top.Has("known") {
 		s.Known = top.Within("known")
 		if s.Known.Has("targets") {
--- /dev/null
+++ b/internal/tier/plan/plan.go
@@ -0,0 +1,346 @@
+// Package plan is a planner's sockets: one goroutine owns the planner's core;
+// discovery's watch, probes and the forwarders' links hand it what comes in.
+package plan
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"ferrypitch/internal/catalog"
+	"ferrypitch/internal/clock"
+	"ferrypitch/internal/protocol"
+	"ferrypitch/internal/setup"
+	"ferrypitch/internal/tier/line"
+	"ferrypitch/internal/tier/link"
+	"ferrypitch/internal/tier/planner"
+	"ferrypitch/internal/transport"
+	"ferrypitch/rules"
+)
+
+// Plan is one planner.
+type Plan struct {
+	start   *setup.Start
+	section *setup.Plan
+	life    uint64
+	log     *zap.Logger
+	clock   *clock.Clock
+	core    *planner.Planner
+	room    *transport.Room
+	pool    *transport.Hosts
+	hosts   map[string]*transport.Host
+	lines   map[*planner.Forwarder]*line.Line
+	in      chan func()
+	rev     atomic.Int64
+
+	Accepted, Refused, Broken, Probes, Wholes, Changes, Bytes, Reports, Lists, Stale atomic.Int64
+	open, routers, doubles, overdue, silent, cold, hostCount                         atomic.Int64
+}
+
+// New makes a planner of a life that no other has.
+func New(start *setup.Start, section *setup.Plan, life uint64, log *zap.Logger) *Plan {
+	p := &Plan{start: start, section: section, life: life, log: log, clock: clock.New(time.Now),
+		room: transport.NewRoom(&start.Limits), hosts: map[string]*transport.Host{},
+		lines: map[*planner.Forwarder]*line.Line{}, in: make(chan func(), 1024)}
+	t := func(d time.Duration) int64 { return int64(d / clock.Tenth) }
+	terms := planner.Terms{Gen: section.Generation, Beat: t(section.Beat), Probe: t(section.Probe), Search: t(section.Search),
+		Probes: section.Probes, PerSecond: section.PerSecond, Forwarders: section.Forwarders, Reports: section.Reports,
+		Frames: section.Frames, Bytes: section.Bytes}
+	if !start.Deployment.Probes {
+		terms.Probes = 0
+	}
+	p.core = planner.New(life, terms, p.clock.Now())
+	return p
+}
+
+func (p *Plan) put(ctx context.Context, do func()) {
+	select {
+	case p.in <- do:
+	case <-ctx.Done():
+	}
+}
+
+// Run serves forwarders on the listener until the context ends.
+func (p *Plan) Run(ctx context.Context, listener net.Listener) error {
+	tasks, ctx := errgroup.WithContext(ctx)
+	p.pool = transport.NewHosts(ctx, &p.start.Limits, p.room)
+	watch := transport.NewWatch(&p.start.Limits, p.room, p.start.Discovery, p.rev.Load, func(text []byte, _ bool) error {
+		return p.list(ctx, text)
+	}, func(err error) { p.log.Warn("the watch of the list ended", zap.Error(err)) })
+	tasks.Go(func() error { return watch.Run(ctx) })
+	tasks.Go(func() error { return p.accept(ctx, listener) })
+	tasks.Go(func() error { return p.own(ctx) })
+	err := tasks.Wait()
+	p.pool.Wait()
+	return err
+}
+
+// list hands over one line of discovery's, and returns when it is known.
+func (p *Plan) list(ctx context.Context, text []byte) error {
+	o, err := setup.Decode("", text)
+	if err != nil {
+		return err
+	}
+	rev, whole, entries, err := catalog.Read(o)
+	if err != nil {
+		return err
+	}
+	known := make(chan struct{})
+	p.put(ctx, func() {
+		defer close(known)
+		if !p.core.Listed(p.clock.Now(), rev, whole, entries) {
+			p.Stale.Add(1)
+			p.log.Warn("a list that is older than the one held", zap.Int64("rev", rev))
+			return
+		}
+		p.rev.Store(rev)
+		p.Lists.Add(1)
+		p.log.Info("list", zap.Int64("rev", rev), zap.Bool("whole", whole), zap.Int("entries", len(entries)))
+		p.connect()
+	})
+	select {
+	case <-known:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// connect has a place for each host's connections, and none for those that are held no more.
+func (p *Plan) connect() {
+	held := map[string]bool{}
+	for _, h := range p.core.View().Hosts() {
+		if h.Standing != rules.In {
+			continue
+		}
+		held[h.Name] = true
+		if p.hosts[h.Name] == nil {
+			p.hosts[h.Name] = p.pool.Add(h.Address)
+		}
+		p.hosts[h.Name].Move(h.Address)
+	}
+	for name, h := range p.hosts {
+		if !held[name] {
+			h.Remove()
+			delete(p.hosts, name)
+		}
+	}
+	p.hostCount.Store(int64(len(held)))
+}
+
+// own is the goroutine of the core.
+func (p *Plan) own(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case do := <-p.in:
+			do()
+			for range len(p.in) { // what is there already costs one tick
+				(<-p.in)()
+			}
+		case <-timer.C:
+		}
+		do := p.core.Tick(p.clock.Now())
+		for _, name := range do.Probe {
+			p.probe(ctx, name)
+		}
+		for _, f := range do.Cut {
+			if l := p.lines[f]; l != nil {
+				delete(p.lines, f)
+				l.End(errors.New("the forwarder says nothing"))
+			}
+		}
+		if do.Change != nil {
+			p.tell(&do)
+		}
+		p.open.Store(int64(len(p.lines)))
+		p.routers.Store(int64(p.core.Routers()))
+		p.doubles.Store(p.core.Doubles)
+		p.overdue.Store(p.core.Overdue)
+		p.silent.Store(p.core.Silent)
+		p.cold.Store(p.core.Cold)
+		timer.Reset(max(time.Millisecond, clock.Span(do.Next-p.clock.Now())))
+	}
+}
+
+// tell encodes a change once for all.
+func (p *Plan) tell(do *planner.Todo) {
+	skip := map[*planner.Forwarder]bool{}
+	if len(do.Whole) > 0 {
+		body := link.Body(p.core.Whole())
+		for _, f := range do.Whole {
+			skip[f] = true
+			if l := p.lines[f]; l != nil {
+				l.Send(link.KindChange, body)
+				p.Wholes.Add(1)
+				p.Bytes.Add(int64(len(body)))
+			}
+		}
+	}
+	body := link.Body(do.Change)
+	for f, l := range p.lines {
+		if !skip[f] {
+			l.Send(link.KindChange, body)
+			p.Changes.Add(1)
+			p.Bytes.Add(int64(len(body)))
+		}
+	}
+}
+
+func (p *Plan) probe(ctx context.Context, name string) {
+	h := p.hosts[name]
+	if h == nil {
+		p.core.Probed(p.clock.Now(), name, false, -1, rules.Unknown, 0)
+		return
+	}
+	statement := "SELECT 1"
+	if p.start.Deployment.Reports {
+		statement = "SHOW server_load"
+	}
+	p.Probes.Add(1)
+	asked, at := p.clock.Now(), time.Now()
+	until := at.Add(p.start.Limits.Connect)
+	var once sync.Once
+	done := func(a transport.Answer) {
+		once.Do(func() {
+			p.put(ctx, func() {
+				now := p.clock.Now()
+				ahead := float64(now)/10 + 2
+				pos, role := setup.Words(a.Position, a.Role, ahead)
+				if pos < 0 && p.start.Deployment.Reports {
+					t := p.start.Terms
+					at, is, ok := t.Report(func(i int) (float64, bool) { return protocol.Field(a.Value, t.Fields[i]) })
+					if ok {
+						pos, role = at, is
+					}
+				}
+				p.core.Probed(now, name, a.Outcome == rules.Answered, pos, role, asked)
+			})
+		})
+	}
+	call := h.Send([]byte(statement), until, until, false, done)
+	time.AfterFunc(time.Until(until), func() {
+		if o, ok := call.Abandon(); ok {
+			done(transport.Answer{Outcome: o})
+		}
+	})
+}
+
+// accept takes forwarders. Those that have not shown the key are few, and have little time.
+func (p *Plan) accept(ctx context.Context, listener net.Listener) error {
+	defer context.AfterFunc(ctx, func() { listener.Close() })()
+	var links errgroup.Group
+	defer links.Wait()
+	greeting := make(chan struct{}, p.section.Greeting)
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			if err == nil {
+				conn.Close()
+			}
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil { // out of descriptors, say: it must not spin
+			select {
+			case <-ctx.Done():
+			case <-time.After(p.start.Limits.Again):
+			}
+			continue
+		}
+		p.Accepted.Add(1)
+		select {
+		case greeting <- struct{}{}:
+		default:
+			p.Refused.Add(1)
+			conn.Close()
+			continue
+		}
+		links.Go(func() error {
+			defer conn.Close()
+			defer context.AfterFunc(ctx, func() { conn.Close() })()
+			var f *planner.Forwarder
+			conn.SetDeadline(time.Now().Add(p.section.Greet))
+			l, err := line.Answer(conn, &p.section.Key, p.start.Name, p.life, p.section.Queue, p.section.Frame, p.section.Write,
+				func(g link.Greeting) bool { f = p.greeted(ctx, g); return f != nil })
+			<-greeting
+			if err != nil {
+				p.Refused.Add(1)
+				p.log.Warn("a forwarder is refused", zap.String("from", conn.RemoteAddr().String()), zap.Error(err))
+				if f != nil {
+					p.put(ctx, f.Left)
+				}
+				return nil
+			}
+			l.Start()
+			p.put(ctx, func() {
+				p.lines[f] = l
+				f.Begun()
+			})
+			err = p.read(ctx, f, l)
+			l.End(err)
+			l.Wait()
+			p.put(ctx, func() { delete(p.lines, f); f.Left() })
+			if ctx.Err() == nil {
+				p.log.Info("a forwarder left", zap.String("name", l.Peer.Name), zap.Error(err))
+			}
+			return nil
+		})
+	}
+}
+
+func (p *Plan) greeted(ctx context.Context, g link.Greeting) *planner.Forwarder {
+	got := make(chan *planner.Forwarder, 1)
+	p.put(ctx, func() { got <- p.core.Greeted(p.clock.Now(), g.Name, g.Life) })
+	select {
+	case f := <-got:
+		return f
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (p *Plan) read(ctx context.Context, f *planner.Forwarder, l *line.Line) error {
+	for {
+		kind, body, err := l.Read()
+		if err != nil {
+			p.Broken.Add(1)
+			return err
+		}
+		switch kind {
+		case link.KindReport:
+			r, err := link.ReadReport(body)
+			if err != nil {
+				p.Broken.Add(1)
+				return err
+			}
+			p.Reports.Add(1)
+			p.put(ctx, func() { f.Reported(p.clock.Now(), r) })
+		case link.KindWant:
+			p.put(ctx, func() { f.Wanted(p.clock.Now()) })
+		}
+	}
+}
+
+// Fields are the counts for a line of the log.
+func (p *Plan) Fields() []zap.Field {
+	return []zap.Field{zap.Int64("forwarders_open", p.open.Load()), zap.Int64("forwarders_counted", p.routers.Load()),
+		zap.Int64("names_twice", p.doubles.Load()), zap.Int64("links_overdue", p.overdue.Load()),
+		zap.Int64("links_accepted", p.Accepted.Load()), zap.Int64("links_refused", p.Refused.Load()),
+		zap.Int64("links_broken", p.Broken.Load()), zap.Int64("hosts", p.hostCount.Load()), zap.Int64("lists", p.Lists.Load()),
+		zap.Int64("stale_lists", p.Stale.Load()), zap.Int64("probes", p.Probes.Load()),
+		zap.Int64("probes_unanswered", p.silent.Load()), zap.Int64("changes", p.Changes.Load()),
+		zap.Int64("whole_views", p.Wholes.Load()), zap.Int64("bytes", p.Bytes.Load()), zap.Int64("reports", p.Reports.Load()),
+		zap.Float64("cold_work", float64(p.cold.Load())/1000)}
+}
--- a/internal/tier/planner/planner.go
+++ b/internal/tier/planner/planner.go
@@ -172,11 +172,14 @@
 	if len(p.forwarders) >= p.Forwarders {
 		return nil
 	}
-	f := &Forwarder{p: p, id: lease{name, life}, heardAt: p.now, want: true}
+	f := &Forwarder{p: p, id: lease{name, life}, heardAt: p.now}
 	p.forwarders[f] = true
 	return f
 }
 
+// Begun says that the connection can carry a view; it is sent one.
+func (f *Forwarder) Begun() { f.want = true }
+
 // Left ends a connection. Its lease runs on: it may be cut off from here alone.
 func (f *Forwarder) Left() { delete(f.p.forwarders, f) }
 
