--- /dev/null
+++ b/internal/lab/virtual/forward.go
@@ -0,0 +1,179 @@
+package virtual
+
+import (
+	"ferrypitch/internal/tier/link"
+	"ferrypitch/internal/tier/view"
+	"ferrypitch/rules"
+)
+
+// settle forgets a command for which nothing more will come.
+func (f *forward) settle(handle *rules.Cmd) {
+	if c := f.open[handle.Name]; c != nil && c.final && handle.Over() {
+		delete(f.open, handle.Name)
+	}
+}
+
+// end is a command's final answer.
+func (f *forward) end(handle *rules.Cmd, count *int) {
+	w, c := f.w, f.open[handle.Name]
+	if c == nil || c.final {
+		w.broke("%s: %s has a second final answer", f.name, handle.Name)
+		return
+	}
+	if w.now > c.until+4*ms {
+		w.broke("%s: %s is answered after its client timeout", f.name, handle.Name)
+	}
+	c.final = true
+	*count++
+}
+
+// Throttle, Fail, Dispatch and the rest are what the module asks for.
+func (f *forward) Throttle(c *rules.Cmd, _ rules.Tenth) {
+	f.end(c, &f.w.Throttled)
+	f.settle(c)
+}
+
+func (f *forward) Fail(c *rules.Cmd) {
+	f.end(c, &f.w.Failed)
+	f.settle(c)
+}
+
+func (f *forward) Probe(n *rules.Node) { f.w.broke("%s probes %s", f.name, f.names[n]) }
+func (f *forward) Close(*rules.Node)   {}
+func (f *forward) Tell(string)         { f.w.broke("%s tells others", f.name) }
+func (f *forward) Forget(n *rules.Node) {
+	delete(f.nodes, f.names[n])
+	delete(f.names, n)
+}
+
+func (f *forward) Wake(after rules.Tenth) {
+	life := f.life
+	f.w.in(max(ms, after), func() {
+		if f.up && f.life == life {
+			f.rules.Clock(f.w.now)
+			f.rules.Woke()
+		}
+	})
+}
+
+func (f *forward) Dispatch(handle *rules.Cmd, n *rules.Node, timeout rules.Tenth) {
+	w, c, h := f.w, f.open[handle.Name], f.w.host(f.names[n])
+	if c == nil || c.final {
+		w.broke("%s: %s is sent after its final answer", f.name, handle.Name)
+		return
+	}
+	if c.out != 0 {
+		w.broke("%s: %s is out twice", f.name, handle.Name)
+	}
+	if at := f.drains[h.name]; at != 0 && w.now > at+second {
+		w.broke("%s: %s goes to %s, drained or gone %d ms ago", f.name, handle.Name, h.name, (w.now-at)/10)
+	}
+	w.serial++
+	c.out = w.serial
+	serial, life, sent := c.out, f.life, w.now
+	if n.Cold() != 0 {
+		f.hear(h.name).Cold += int64(handle.Work() * 1000)
+		f.hear(h.name).Boot = n.Cold()
+	}
+	ended := func(o rules.Outcome, pos rules.Tenth, role rules.Role) {
+		if f.up && f.life == life && c.out == serial {
+			f.ended(c, h, o, pos, role, sent)
+		}
+	}
+	until := c.until
+	if timeout > 0 {
+		until = min(until, w.now+timeout)
+	}
+	w.in(until-w.now, func() { ended(rules.TimedOut, -1, rules.Unknown) })
+	bound := rules.Tenth(0)
+	if c.group.Need == rules.Bounded {
+		bound = w.now - c.group.Bound - 50*ms
+	}
+	excused := h.was && !f.demoted[h.name] // by the rule, until an answer tells this router that it is no primary
+	w.in(w.between(ms/2, 3*ms), func() { h.arrive(f, handle, c, bound, excused, ended) })
+}
+
+// arrive runs a dispatch at a host.
+func (h *host) arrive(f *forward, handle *rules.Cmd, c *command, bound rules.Tenth, excused bool,
+	ended func(rules.Outcome, rules.Tenth, rules.Role)) {
+	w := h.w
+	if !h.up {
+		w.in(w.between(ms/2, 3*ms), func() { ended(rules.Unreached, -1, rules.Unknown) })
+		return
+	}
+	h.cold(f)
+	if h.hung {
+		h.stuck = append(h.stuck, func() { h.run(f, handle, c, bound, excused, ended) })
+		return
+	}
+	boot := h.boot
+	w.in(w.between(2*ms, 10*ms), func() {
+		if !h.up || h.boot != boot {
+			ended(rules.Reset, -1, rules.Unknown)
+			return
+		}
+		h.run(f, handle, c, bound, excused, ended)
+	})
+}
+
+func (h *host) run(f *forward, handle *rules.Cmd, c *command, bound rules.Tenth, excused bool,
+	ended func(rules.Outcome, rules.Tenth, rules.Role)) {
+	w := h.w
+	pos, role, back := h.pos(), h.role(), w.between(ms/2, 3*ms)
+	if c.group.Need == rules.Write {
+		if role != rules.Primary {
+			w.in(back, func() { ended(rules.Missed, pos, role) })
+			return
+		}
+		if w.ran[handle.Name]++; w.ran[handle.Name] > 1 {
+			w.broke("%s ran %d times", handle.Name, w.ran[handle.Name])
+		}
+		set, elected := h.set, h.set.elected
+		w.in(back, func() {
+			if f.up && !c.final {
+				w.sessions[c.session] = max(w.sessions[c.session], pos)
+				if elected != 0 && set.elected == elected && set.follows != nil && !set.follows[f] {
+					set.follows[f] = true
+					w.Followed = append(w.Followed, w.now-elected)
+				}
+			}
+			ended(rules.Answered, pos+9, role) // rounded up
+		})
+		return
+	}
+	need := max(c.need, bound)
+	if pos < need && !excused && role != rules.Primary {
+		w.broke("%s: %s reads at %s %d ms too old", f.name, handle.Name, h.name, (need-pos)/10)
+	}
+	w.in(back, func() { ended(rules.Answered, pos/10*10, role) })
+}
+
+// ended brings an outcome to the module, as the routing owner does.
+func (f *forward) ended(c *command, h *host, o rules.Outcome, pos rules.Tenth, role rules.Role, sent rules.Tenth) {
+	w := f.w
+	c.out = 0
+	f.rules.Clock(w.now)
+	took := w.now - sent
+	if o == rules.Answered && !c.final {
+		f.end(c.handle, &w.Answered)
+	}
+	heard := f.hear(h.name)
+	if pos >= 0 {
+		heard.Said(pos, role, sent >= f.lates[h.name])
+		f.lates[h.name] = w.now
+		f.demoted[h.name] = role == rules.Replica
+	}
+	if o == rules.Answered {
+		heard.Count++
+		heard.Sum += uint32(min(10, c.handle.Spent(took)) * 1000)
+	}
+	c.handle.Ended(o, pos, role, took, c.final)
+	f.settle(c.handle)
+}
+
+func (f *forward) hear(name string) *link.Heard {
+	if f.heard[name] == nil {
+		f.heard[name] = &link.Heard{Evidence: view.Evidence{Name: name}}
+	}
+	return f.heard[name]
+}
--- /dev/null
+++ b/internal/lab/virtual/world.go
@@ -0,0 +1,667 @@
+// Package virtual plays planners and forwarders in one goroutine on a seeded
+// virtual network: the pure cores and the real decision module, stand-in hosts
+// and discovery, with time handed in. After every step the five rules are
+// asserted; a failing seed is the report of a fault. Nothing here is measured in
+// real time.
+package virtual
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+
+	"ferrypitch/internal/tier/follower"
+	"ferrypitch/internal/tier/link"
+	"ferrypitch/internal/tier/planner"
+	"ferrypitch/internal/tier/view"
+	"ferrypitch/rules"
+)
+
+const (
+	ms     = rules.Tenth(10)
+	second = rules.Tenth(10000)
+	zero   = 1000 * second // when a world begins
+)
+
+// Size is what a world has.
+type Size struct {
+	Forwarders, Planners, Sets, Members int
+	Rate                                float64 // commands a second, over all forwarders
+	For                                 rules.Tenth
+	Faults                              int
+}
+
+// World is one run.
+type World struct {
+	Size
+	chance     *rand.Rand
+	now        rules.Tenth
+	events     events
+	serial     int
+	hosts      []*host
+	sets       []*set
+	planners   []*plan
+	forwarders []*forward
+	list       []view.Host
+	rev        int64
+	history    [][]view.Host // whole lists by version
+	commands   int
+	ran        map[string]int
+	sessions   map[string]rules.Tenth // their last commit that a client knows of
+	Broken     []string
+	Trace      []string // the faults
+
+	Taken, Answered, Throttled, Failed, Probes int
+	Followed                                   []rules.Tenth // from an election to a forwarder's first write answered by the new primary
+}
+
+type event struct {
+	at     rules.Tenth
+	serial int
+	do     func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].serial < e[j].serial
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(v any)   { *e = append(*e, v.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	(*e)[len(*e)-1] = event{}
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (w *World) in(after rules.Tenth, do func()) {
+	w.serial++
+	heap.Push(&w.events, event{w.now + max(0, after), w.serial, do})
+}
+
+func (w *World) broke(format string, args ...any) {
+	if len(w.Broken) < 10 {
+		w.Broken = append(w.Broken, fmt.Sprintf("%.1f ms: ", float64(w.now-zero)/10)+fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *World) note(format string, args ...any) {
+	w.Trace = append(w.Trace, fmt.Sprintf("%.1f ms: ", float64(w.now-zero)/10)+fmt.Sprintf(format, args...))
+}
+
+func (w *World) between(a, b rules.Tenth) rules.Tenth { return a + w.chance.Int64N(b-a+1) }
+
+// New makes a world of a seed, in which nothing has happened.
+func New(seed uint64, size Size) *World {
+	w := &World{Size: size, chance: rand.New(rand.NewPCG(seed, 7)), now: zero, ran: map[string]int{},
+		sessions: map[string]rules.Tenth{}}
+	for s := range size.Sets {
+		set := &set{w: w, id: int64(s + 1)}
+		w.sets = append(w.sets, set)
+		for m := range size.Members {
+			h := &host{w: w, name: fmt.Sprintf("%d%c", s+1, 'a'+m), set: set, up: true, lag: w.between(2*ms, 40*ms)}
+			if set.hosts = append(set.hosts, h); m == 0 {
+				set.primary, h.was = h, true
+			}
+			w.hosts = append(w.hosts, h)
+			w.list = append(w.list, view.Host{Name: h.name, Address: h.name, Set: set.id, Size: 1})
+		}
+	}
+	w.relist()
+	for i := range size.Planners {
+		w.planners = append(w.planners, &plan{w: w, i: i})
+		w.planners[i].start()
+	}
+	for i := range size.Forwarders {
+		f := &forward{w: w, name: "f" + strconv.Itoa(i), cut: map[int]bool{}}
+		w.forwarders = append(w.forwarders, f)
+		f.start()
+	}
+	return w
+}
+
+// Run plays to the end, with load and faults, and then lets what is out end.
+func (w *World) Run() {
+	w.in(500*ms, w.arrive)
+	for range w.Faults {
+		w.in(w.between(second, w.For*3/4), w.fault)
+	}
+	w.play(w.For + 4*second)
+	for _, f := range w.forwarders {
+		for id := range f.open {
+			w.broke("%s: %s has no final answer", f.name, id)
+		}
+	}
+}
+
+func (w *World) play(span rules.Tenth) {
+	for end := w.now + span; len(w.events) > 0 && w.events[0].at <= end; {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+}
+
+// arrive brings a command to a forwarder.
+func (w *World) arrive() {
+	if w.now > zero+w.For {
+		return
+	}
+	w.in(rules.Tenth(w.chance.ExpFloat64()/w.Rate*float64(second)), w.arrive)
+	f := w.forwarders[w.chance.IntN(len(w.forwarders))]
+	if f.up {
+		f.take()
+	}
+}
+
+type set struct {
+	w       *World
+	id      int64
+	hosts   []*host
+	primary *host
+	end     rules.Tenth // of the log, while no primary is there
+	elected rules.Tenth
+	follows map[*forward]bool // since the last election
+}
+
+// elect makes another host the primary, the furthest that is up.
+func (s *set) elect() {
+	var best *host
+	for _, h := range s.hosts {
+		if h.up && !h.hung && (best == nil || h.pos() > best.pos()) {
+			best = h
+		}
+	}
+	if best == nil || s.primary != nil {
+		return
+	}
+	s.w.note("set %d elects %s", s.id, best.name)
+	s.primary, best.was, s.elected, s.follows = best, true, s.w.now, map[*forward]bool{}
+}
+
+type host struct {
+	w         *World
+	name      string
+	set       *set
+	up, hung  bool
+	was       bool // primary, once
+	lag       rules.Tenth
+	boot, had rules.Tenth // when it last started; up to where it ever had the log
+	stuck     []func()    // arrived while it hung
+	recent    []arrival
+}
+
+type arrival struct {
+	at   rules.Tenth
+	told bool // by a forwarder that had been told of the start
+}
+
+// pos is up to where it has the log, which never goes back. A primary elected from a replica catches up at once.
+func (h *host) pos() rules.Tenth {
+	now := h.w.now
+	if h.set.primary == nil {
+		now = h.set.end
+	}
+	if h.set.primary != h {
+		now -= h.lag
+	}
+	h.had = max(h.had, now)
+	return h.had
+}
+
+func (h *host) role() rules.Role {
+	if h.set.primary == h {
+		return rules.Primary
+	}
+	return rules.Replica
+}
+
+// The rule on cold hosts, in the world's figures.
+const (
+	coldFrom = 0.25
+	coldFor  = 8 * second
+	fall     = 4.0
+	fallSpan = 1500 * ms
+)
+
+// cold notes work that reached a host, and asserts the fourth rule. What a warm host can do is a little more
+// than what warm ones are asked here, so that the bound binds.
+func (h *host) cold(f *forward) {
+	w := h.w
+	if h.boot == 0 || w.now > h.boot+coldFor {
+		return
+	}
+	h.recent = append(h.recent, arrival{w.now, f.boots[h.name] >= h.boot})
+	for len(h.recent) > 0 && h.recent[0].at < w.now-fallSpan {
+		h.recent = h.recent[1:]
+	}
+	told := 0
+	for _, a := range h.recent {
+		if a.told {
+			told++
+		}
+	}
+	part := coldFrom + (1-coldFrom)*float64(w.now-fallSpan-h.boot)/float64(coldFor)
+	can := w.Rate / float64(len(w.hosts)) * 1.33 * max(coldFrom, part) * float64(fallSpan) / float64(second)
+	if n := float64(len(h.recent)); n > fall*can+6 && 3*told >= 2*len(h.recent) {
+		w.broke("%s is pushed over: %d in %d ms, it can do %.1f", h.name, len(h.recent), fallSpan/10, can)
+		h.recent = nil
+	}
+}
+
+// kill ends a host; a successor is elected after some time.
+func (h *host) kill() {
+	w, s := h.w, h.set
+	if !h.up {
+		return
+	}
+	w.note("%s dies", h.name)
+	h.up, h.hung, h.stuck = false, false, nil
+	if s.primary == h {
+		h.had = w.now
+		s.primary, s.end = nil, w.now
+		w.in(w.between(200*ms, 1500*ms), s.elect)
+	}
+}
+
+func (h *host) back() {
+	if h.up {
+		return
+	}
+	h.w.note("%s is back, cold", h.name)
+	h.up, h.boot, h.recent = true, h.w.now, nil
+	if h.set.primary == nil && h.set.end < h.w.now-2*second {
+		h.w.in(0, h.set.elect)
+	}
+	h.w.state(h, rules.In)
+}
+
+// state has discovery list a host otherwise; planners hear of it each in their time.
+func (w *World) state(h *host, standing rules.Standing) {
+	for i := range w.list {
+		if w.list[i].Name == h.name {
+			w.list[i].Standing, w.list[i].Boot = standing, h.boot
+		}
+	}
+	w.relist()
+	for _, p := range w.planners {
+		p.hear()
+	}
+}
+
+func (w *World) relist() {
+	w.rev++
+	w.history = append(w.history, append([]view.Host{}, w.list...))
+}
+
+// plan is a planner's process.
+type plan struct {
+	w     *World
+	i     int
+	core  *planner.Planner
+	life  uint64
+	up    bool
+	old   bool        // its discovery stands still
+	skew  rules.Tenth // of its clock
+	links map[*forward]*planner.Forwarder
+	ticks int
+}
+
+func (p *plan) clock() rules.Tenth { return p.w.now + p.skew }
+
+func (p *plan) start() {
+	w := p.w
+	p.life++
+	p.up, p.links = true, map[*forward]*planner.Forwarder{}
+	p.core = planner.New(uint64(p.i+1)<<32|p.life, planner.Terms{Beat: 100 * ms, Probe: 500 * ms, Search: 50 * ms, Probes: 16, PerSecond: 200,
+		Forwarders: 100, Reports: 1000, Frames: 20000, Bytes: 20_000_000}, p.clock())
+	life := p.life
+	rev := w.rev
+	if p.old {
+		rev = 1
+	}
+	p.core.Listed(p.clock(), rev, true, append([]view.Host{}, w.history[rev-1]...))
+	p.tick(life)
+}
+
+func (p *plan) hear() {
+	w, life := p.w, p.life
+	if p.old {
+		return
+	}
+	rev := w.rev
+	w.in(w.between(5*ms, 300*ms), func() {
+		if p.up && p.life == life {
+			p.core.Listed(p.clock(), rev, true, append([]view.Host{}, w.history[rev-1]...))
+		}
+	})
+}
+
+func (p *plan) tick(life uint64) {
+	w := p.w
+	if !p.up || p.life != life {
+		return
+	}
+	do := p.core.Tick(p.clock())
+	for _, name := range do.Probe {
+		p.probe(name, life)
+	}
+	for _, c := range do.Cut {
+		for f, mine := range p.links {
+			if mine == c {
+				delete(p.links, f)
+				f.lost(p, false)
+			}
+		}
+	}
+	if do.Change != nil {
+		whole := map[*planner.Forwarder]bool{}
+		for _, f := range do.Whole {
+			whole[f] = true
+		}
+		all := p.core.Whole()
+		for _, f := range w.forwarders {
+			mine := p.links[f]
+			if mine == nil {
+				continue
+			}
+			c := *do.Change
+			if whole[mine] {
+				c = all
+			}
+			times := 1
+			switch w.chance.IntN(200) { // what a link never does, and a follower must bear all the same
+			case 0:
+				times = 0
+			case 1:
+				times = 2
+			}
+			for range times {
+				f.told(p, c)
+			}
+		}
+	}
+	w.in(max(ms, do.Next-p.clock()), func() { p.tick(life) })
+}
+
+func (p *plan) probe(name string, life uint64) {
+	w := p.w
+	w.Probes++
+	h := w.host(name)
+	asked := p.clock()
+	ended := func(ok bool, pos rules.Tenth, role rules.Role) func() {
+		return func() {
+			if p.up && p.life == life {
+				p.core.Probed(p.clock(), name, ok, pos, role, asked)
+			}
+		}
+	}
+	w.in(w.between(ms/2, 3*ms), func() {
+		switch {
+		case !h.up:
+			w.in(ms, ended(false, -1, rules.Unknown))
+		case h.hung:
+			w.in(250*ms, ended(false, -1, rules.Unknown))
+		default:
+			w.in(w.between(ms/2, 3*ms), ended(true, h.pos(), h.role()))
+		}
+	})
+}
+
+func (p *plan) kill() {
+	if !p.up {
+		return
+	}
+	p.w.note("planner %d dies", p.i)
+	p.up = false
+	for f := range p.links {
+		f.lost(p, true)
+	}
+	p.links = nil
+}
+
+func (w *World) host(name string) *host {
+	for _, h := range w.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	panic(name)
+}
+
+// forward is a forwarder's process.
+type forward struct {
+	w       *World
+	name    string
+	life    int
+	up      bool
+	core    *follower.Follower
+	rules   *rules.Router
+	nodes   map[string]*rules.Node
+	names   map[*rules.Node]string
+	open    map[string]*command
+	groups  []*rules.CmdGroup
+	cut     map[int]bool // from planners
+	drains  map[string]rules.Tenth
+	boots   map[string]rules.Tenth
+	demoted map[string]bool // by an answer
+	heard   map[string]*link.Heard
+	lates   map[string]rules.Tenth
+}
+
+type command struct {
+	handle  *rules.Cmd
+	until   rules.Tenth
+	session string
+	need    rules.Tenth // a position that its read must see; bounded ones by when they are sent
+	group   *rules.CmdGroup
+	final   bool
+	out     int // serial of the dispatch that is out; 0: none
+}
+
+func (f *forward) start() {
+	w := f.w
+	f.life++
+	f.up = true
+	f.nodes, f.names, f.open = map[string]*rules.Node{}, map[*rules.Node]string{}, map[string]*command{}
+	f.drains, f.boots, f.demoted = map[string]rules.Tenth{}, map[string]rules.Tenth{}, map[string]bool{}
+	f.heard, f.lates = map[string]*link.Heard{}, map[string]rules.Tenth{}
+	f.groups = []*rules.CmdGroup{
+		{Need: rules.Bounded, Bound: second, Target: 250 * ms, Timeout: second, Benefit: 1, LateShare: 0.3},
+		{Need: rules.Session, Target: 250 * ms, Timeout: second, Benefit: 1, LateShare: 0.3},
+		{Effect: rules.Mutating, Need: rules.Write, Target: 400 * ms, Timeout: 3 * second, Benefit: 3, LateShare: 0.3}}
+	seed := w.chance.Uint64()
+	f.rules = rules.New(f, rules.Deployment{Seed: uint32(seed), Tick: 5 * ms, Routers: w.Forwarders, Dispatches: 6, Told: true,
+		Comeback: 500 * ms, FallFactor: fall, FallSpan: fallSpan, ColdFrom: coldFrom, ColdFor: coldFor, Groups: f.groups}, w.now)
+	var addresses []string
+	for i := range w.planners {
+		addresses = append(addresses, strconv.Itoa(i))
+	}
+	f.core = follower.New(seed, follower.Terms{Again: 50 * ms, Most: 5 * second, Report: 200 * ms, Silent: 2 * second}, addresses,
+		w.Forwarders, w.now)
+	f.tick(f.life)
+}
+
+func (f *forward) kill() {
+	f.w.note("%s dies", f.name)
+	f.up = false
+	for _, p := range f.w.planners {
+		if mine := p.links[f]; mine != nil {
+			mine.Left()
+			delete(p.links, f)
+		}
+	}
+	clear(f.open) // lost with it, which is no router's final answer
+}
+
+func (f *forward) planner(i int) *follower.Planner { return f.core.Planners()[i] }
+
+// lost tells of the end of a link; a cut one tells nothing.
+func (f *forward) lost(p *plan, reset bool) {
+	life := f.life
+	if f.cut[p.i] && !reset {
+		return
+	}
+	f.w.in(f.w.between(ms/2, 3*ms), func() {
+		if f.up && f.life == life {
+			f.planner(p.i).Lost(f.w.now)
+		}
+	})
+}
+
+func (f *forward) told(p *plan, c view.Change) {
+	w, life, theirs := f.w, f.life, p.life
+	if f.cut[p.i] {
+		return
+	}
+	w.in(w.between(ms/2, 4*ms), func() {
+		if !f.up || f.life != life || f.cut[p.i] {
+			return
+		}
+		if f.planner(p.i).Changed(w.now, c) {
+			w.in(w.between(ms/2, 3*ms), func() {
+				if mine := p.links[f]; mine != nil && p.life == theirs {
+					mine.Wanted(p.clock())
+				}
+			})
+		}
+	})
+}
+
+func (f *forward) tick(life int) {
+	w := f.w
+	if !f.up || f.life != life {
+		return
+	}
+	do := f.core.Tick(w.now)
+	for _, p := range do.Cut {
+		i, _ := strconv.Atoi(p.Address)
+		if mine := w.planners[i].links[f]; mine != nil {
+			mine.Left()
+			delete(w.planners[i].links, f)
+		}
+		p.Lost(w.now)
+	}
+	for _, p := range do.Dial {
+		i, _ := strconv.Atoi(p.Address)
+		there := w.planners[i]
+		w.in(w.between(ms, 6*ms), func() {
+			if !f.up || f.life != life {
+				return
+			}
+			if !there.up || f.cut[i] {
+				p.Lost(w.now)
+				return
+			}
+			mine := there.core.Greeted(there.clock(), f.name, uint64(f.life))
+			if mine == nil {
+				p.Lost(w.now)
+				return
+			}
+			there.links[f] = mine
+			mine.Begun()
+			p.Connected(w.now)
+		})
+	}
+	if do.Told {
+		f.apply(do)
+	}
+	if do.Report {
+		f.report()
+	}
+	w.in(max(ms, do.Next-w.now), func() { f.tick(life) })
+}
+
+// apply is what the routing owner does with what is told.
+func (f *forward) apply(do follower.Todo) {
+	w := f.w
+	f.rules.Clock(w.now)
+	hosts := do.Hosts
+	for _, name := range do.Dropped {
+		if f.nodes[name] != nil {
+			hosts = append(hosts, view.Host{Name: name, Standing: rules.Gone, Size: 1})
+		}
+	}
+	for _, h := range hosts {
+		n := f.nodes[h.Name]
+		if n == nil && h.Standing == rules.Gone {
+			continue
+		}
+		if n == nil {
+			n = f.rules.Host(h.Name, h.Set)
+			f.nodes[h.Name], f.names[n] = n, h.Name
+		}
+		n.Listed(h.Standing, h.Leader, h.Zone, h.Kind, h.Size, h.Boot)
+		f.boots[h.Name] = max(f.boots[h.Name], h.Boot)
+		if h.Standing == rules.In {
+			delete(f.drains, h.Name)
+		} else if f.drains[h.Name] == 0 {
+			f.drains[h.Name] = w.now
+		}
+	}
+	f.rules.ListDone(false)
+	f.rules.Count(do.Routers, do.Blind)
+	for _, h := range hosts {
+		if n := f.nodes[h.Name]; n != nil {
+			late := rules.Tenth(13)
+			if h.Late > 0 {
+				late = rules.Tenth(h.Late - 1)
+			}
+			n.Told(h.Pos, h.Role, h.RoleAt, late)
+		}
+	}
+}
+
+func (f *forward) report() {
+	var r link.Report
+	for _, h := range f.heard {
+		r.Heard = append(r.Heard, *h)
+		h.Count, h.Sum = 0, 0
+	}
+	for _, p := range f.w.planners {
+		if f.cut[p.i] || p.links[f] == nil {
+			continue
+		}
+		theirs := p.life
+		f.w.in(f.w.between(ms/2, 3*ms), func() {
+			if mine := p.links[f]; mine != nil && p.life == theirs {
+				mine.Reported(p.clock(), r)
+			}
+		})
+	}
+}
+
+// take brings one command, as the routing owner would.
+func (f *forward) take() {
+	w := f.w
+	w.commands++
+	w.Taken++
+	id := "c" + strconv.Itoa(w.commands)
+	g := f.groups[w.chance.IntN(len(f.groups))]
+	session := "s" + strconv.Itoa(w.chance.IntN(40))
+	set := w.sets[len(session)%len(w.sets)]
+	if n, err := strconv.Atoi(session[1:]); err == nil {
+		set = w.sets[n%len(w.sets)]
+	}
+	f.rules.Clock(w.now)
+	since := rules.Tenth(0)
+	need := rules.Tenth(0)
+	if g.Need == rules.Session {
+		if need = w.sessions[session]; need > 0 {
+			since = max(1, w.now-need)
+		}
+	}
+	c := &command{until: w.now + g.Timeout - 4*ms, session: session, need: need, group: g}
+	life := f.life
+	w.in(g.Timeout, func() {
+		if f.life == life && f.up && !c.final {
+			w.broke("%s: %s is not answered within its client timeout", f.name, id)
+		}
+	})
+	f.open[id] = c
+	c.handle = f.rules.Take(id, g, set.id, session, c.until, since, nil, false)
+	f.settle(c.handle)
+}
