--- a/internal/lab/fleet/run.go
+++ b/internal/lab/fleet/run.go
@@ -63,7 +63,7 @@
 // Ready waits until a router answers an empty query as one that serves.
 func Ready(ctx context.Context, address string) error {
 	for ctx.Err() == nil {
-		if ready(address) {
+		if ready(ctx, address) {
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -71,13 +71,13 @@
 	return errors.Join(errors.New(address+" is not ready"), ctx.Err())
 }
 
-func ready(address string) bool {
+func ready(ctx context.Context, address string) bool {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(12 * time.Second))
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	if _, err := conn.Write(protocol.AppendQuery(protocol.AppendStartup(nil, "svc", "main"), nil)); err != nil {
 		return false
 	}
--- /dev/null
+++ b/internal/tier/follower/follower_test.go
@@ -0,0 +1,149 @@
+package follower
+
+import (
+	"testing"
+
+	"ferrypitch/internal/tier/view"
+	"ferrypitch/rules"
+)
+
+const (
+	ms    = rules.Tenth(10)
+	start = 1000 * second
+)
+
+var terms = Terms{Again: 50 * ms, Most: 5 * second, Report: 200 * ms, Silent: 2 * second}
+
+// source is a planner's view with its changes.
+type source struct {
+	view.View
+	life, seq uint64
+}
+
+func (s *source) whole() view.Change { return s.Whole(s.life, s.seq) }
+
+func (s *source) next() view.Change {
+	s.seq++
+	return s.Changes(s.life, s.seq)
+}
+
+func (s *source) list(rev int64, whole bool, hosts ...view.Host) {
+	s.List(view.Version{Rev: rev}, whole, hosts)
+}
+
+func TestWaitsDoubleAndDifferBetweenForwarders(t *testing.T) {
+	first := map[rules.Tenth]bool{}
+	for seed := range uint64(20) {
+		f, now, waits := New(seed, terms, []string{"p"}, 1, start), start, []rules.Tenth(nil)
+		for at := now; len(waits) < 9; now += 5 * ms {
+			if do := f.Tick(now); len(do.Dial) > 0 {
+				waits = append(waits, now-at)
+				at = now
+				do.Dial[0].Lost(now)
+			}
+		}
+		first[waits[3]] = true
+		if waits[1] > 60*ms || waits[8] < 2*second || waits[8] > 6*second {
+			t.Errorf("waits of %v", waits)
+		}
+	}
+	if len(first) < 10 {
+		t.Errorf("20 forwarders come back at %d moments", len(first))
+	}
+}
+
+func TestAPlannerThatRestartedFromNothingTakesNothingAway(t *testing.T) {
+	f := New(1, terms, []string{"p"}, 1, start)
+	p, s := f.Planners()[0], &source{life: 1}
+	s.list(5, true, view.Host{Name: "a", Address: "x"}, view.Host{Name: "b", Address: "y", Standing: rules.Draining})
+	s.Believe(view.Evidence{Name: "a", Pos: start - ms, Role: rules.Primary, RoleAt: start - ms}, start)
+	s.Routers = 4
+	p.Connected(start)
+	p.Changed(start, s.whole())
+	if do := f.Tick(start); len(do.Hosts) != 2 || do.Routers != 4 || do.Blind {
+		t.Fatalf("%+v", do)
+	}
+	p.Lost(start + ms)
+	p.Connected(start + 2*ms)
+	empty := &source{life: 2}
+	p.Changed(start+3*ms, empty.whole())
+	f.Tick(start + 3*ms)
+	a, _ := f.View().Host("a")
+	if b, _ := f.View().Host("b"); a.Role != rules.Primary || b.Standing != rules.Draining {
+		t.Errorf("%+v %+v", a, b)
+	}
+	empty.list(4, true, view.Host{Name: "a", Address: "x"}, view.Host{Name: "b", Address: "y"})
+	p.Changed(start+4*ms, empty.next())
+	if b, _ := f.View().Host("b"); b.Standing != rules.Draining {
+		t.Error("an older list lifts the drain")
+	}
+}
+
+func TestWithoutPlannersTheViewIsHeldAndItsAgeCounted(t *testing.T) {
+	f := New(1, terms, []string{"p", "q"}, 9, start)
+	if do := f.Tick(start); !do.Told || !do.Blind || do.Routers != 9 || f.Age() != -1 || f.Ready() {
+		t.Errorf("at start: %+v", do)
+	}
+	p, s := f.Planners()[0], &source{life: 1}
+	s.list(5, true, view.Host{Name: "a", Address: "x"})
+	s.Routers = 4
+	p.Connected(start)
+	p.Changed(start, s.whole())
+	f.Tick(start)
+	p.Lost(start + second)
+	do := f.Tick(start + 60*second)
+	if !do.Blind || do.Routers != 4 || f.Age() != 60*second || !f.Ready() || len(do.Dropped) > 0 {
+		t.Errorf("%+v, age %d", do, f.Age())
+	}
+}
+
+func TestASilentPlannerIsLeftThoughItsLinkIsOpen(t *testing.T) {
+	f := New(1, terms, []string{"p"}, 1, start)
+	p, s := f.Planners()[0], &source{life: 1}
+	s.list(5, true, view.Host{Name: "a"})
+	p.Connected(start)
+	p.Changed(start, s.whole())
+	for now := start; now < start+2*second; now += 100 * ms {
+		if do := f.Tick(now); len(do.Cut) > 0 {
+			t.Fatalf("left after %d ms", (now-start)/10)
+		}
+	}
+	if do := f.Tick(start + 2*second); len(do.Cut) != 1 || !do.Blind {
+		t.Errorf("%+v", do)
+	}
+}
+
+func TestLatenessIsTheWorstThatIsToldAndGoesWithItsPlanner(t *testing.T) {
+	f := New(1, terms, []string{"p", "q"}, 1, start)
+	for i, late := range []uint8{3, 9} {
+		s := &source{life: uint64(i + 1)}
+		s.list(5, true, view.Host{Name: "a"})
+		s.Lateness("a", late)
+		f.Planners()[i].Connected(start)
+		f.Planners()[i].Changed(start, s.whole())
+	}
+	if do := f.Tick(start); len(do.Hosts) != 1 || do.Hosts[0].Late != 9 {
+		t.Errorf("%+v", do.Hosts)
+	}
+	f.Planners()[1].Lost(start + ms)
+	if do := f.Tick(start + ms); len(do.Hosts) != 1 || do.Hosts[0].Late != 3 {
+		t.Errorf("%+v", do.Hosts)
+	}
+}
+
+func TestAViewThatIsMissingAPartIsAskedForWhole(t *testing.T) {
+	f := New(1, terms, []string{"p"}, 1, start)
+	p, s := f.Planners()[0], &source{life: 1}
+	s.list(5, true, view.Host{Name: "a"})
+	p.Connected(start)
+	p.Changed(start, s.whole())
+	s.list(6, false, view.Host{Name: "b"})
+	s.next() // is lost
+	s.list(7, false, view.Host{Name: "c"})
+	if want := p.Changed(start+ms, s.next()); !want || f.Gaps != 1 {
+		t.Error("a gap goes unnoticed")
+	}
+	if want := p.Changed(start+2*ms, s.whole()); want || f.View().Len() != 3 {
+		t.Errorf("%d hosts after the whole view", f.View().Len())
+	}
+}
--- a/internal/tier/planner/planner.go
+++ b/internal/tier/planner/planner.go
@@ -47,7 +47,7 @@
 	forwarders      map[*Forwarder]bool
 	leases          map[lease]rules.Tenth // until when a forwarder counts
 
-	Doubles, Overdue, Silent, Cold int64 // leases of one name; links cut; probes without answer; work sent to cold hosts
+	Doubles, Overdue, Silent, Cold int64 // leases of a name that held one, a restart's too; links cut; probes without answer; work sent to cold hosts
 }
 
 type lease struct {
@@ -66,7 +66,9 @@
 	wait               rules.Tenth // between askings while it is silent; 0: it answers
 	probing, waiting   bool        // waiting: said is ahead of the view
 	count, sum         uint32      // this bucket
-	lastCount, lastSum uint32      // and the one before
+	late               uint8
+	role               rules.Role // that was published
+	lastCount, lastSum uint32     // and the one before
 	boot               rules.Tenth
 	cold               map[uint64]int64 // by forwarders' lives
 }
@@ -196,8 +198,8 @@
 	p := f.p
 	f.heardAt = p.now
 	if _, held := p.leases[f.id]; !held {
-		for other := range p.forwarders {
-			if other != f && other.id.name == f.id.name && other.id.life != f.id.life {
+		for other := range p.leases {
+			if other.name == f.id.name {
 				p.Doubles++
 				break
 			}
@@ -302,7 +304,8 @@
 	return c
 }
 
-// publish moves into the view what is known: roles at once, positions as often as there is room for.
+// publish moves into the view what is known: a primary's coming and going at once, all else as often as there is
+// room for.
 func (p *Planner) publish() {
 	turn := p.now >= p.turnAt
 	if turn {
@@ -315,17 +318,17 @@
 			if n := h.count + h.lastCount; n > 0 {
 				late = 1 + uint8(min(12, (h.sum+h.lastSum)/n/100))
 			}
-			p.view.Lateness(h.name, late)
-			h.lastCount, h.lastSum, h.count, h.sum = h.count, h.sum, 0, 0
+			h.waiting = h.waiting || late != h.late
+			h.late, h.lastCount, h.lastSum, h.count, h.sum = late, h.count, h.sum, 0, 0
 		}
 		if !h.waiting {
 			continue
 		}
-		held, _ := p.view.Host(h.name)
-		turned := held.Role != h.said.Role
+		turned := h.role != h.said.Role && (h.role == rules.Primary || h.said.Role == rules.Primary)
 		if turned || p.now >= h.published+spread {
 			p.view.Believe(h.said, p.ahead())
-			h.published, h.waiting = p.now, false
+			p.view.Lateness(h.name, h.late)
+			h.published, h.waiting, h.role = p.now, false, h.said.Role
 		}
 	}
 	p.view.Routers = len(p.leases)
@@ -336,8 +339,15 @@
 func (p *Planner) probe() (ask []string) {
 	p.credit = min(float64(p.PerSecond)/4, p.credit+float64(p.PerSecond)*float64(p.now-p.fillAt)/float64(second))
 	p.fillAt = p.now
+	room := min(p.Probes-p.out, int(p.credit))
+	if room <= 0 {
+		return nil
+	}
 	headless := p.headless()
-	var due []*host
+	before := func(a, b *host) int {
+		return cmp.Or(p.first(headless, b)-p.first(headless, a), cmp.Compare(a.askedAt, b.askedAt), strings.Compare(a.name, b.name))
+	}
+	var due []*host // the first few, in order
 	for _, h := range p.hosts {
 		rest := p.Probe
 		switch {
@@ -346,20 +356,16 @@
 		case h.wait > 0:
 			rest = h.wait
 		}
-		if !h.probing && p.now >= max(h.heardAt, h.askedAt)+rest || !h.probing && h.askedAt == 0 {
-			due = append(due, h)
+		if h.probing || h.askedAt != 0 && p.now < max(h.heardAt, h.askedAt)+rest ||
+			len(due) == room && before(h, due[room-1]) > 0 {
+			continue
 		}
-	}
-	slices.SortFunc(due, func(a, b *host) int {
-		if first := p.first(headless, b) - p.first(headless, a); first != 0 {
-			return first
+		at, _ := slices.BinarySearchFunc(due, h, before)
+		if due = slices.Insert(due, at, h); len(due) > room {
+			due = due[:room]
 		}
-		return cmp.Or(cmp.Compare(a.askedAt, b.askedAt), strings.Compare(a.name, b.name))
-	})
+	}
 	for _, h := range due {
-		if p.out >= p.Probes || p.credit < 1 {
-			break
-		}
 		p.out++
 		p.credit--
 		h.probing = true
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -60,21 +60,21 @@
 		w.mu.Unlock()
 		told, err := w.follow(watch, address, fresh)
 		moved := watch.Err() != nil
-		if leave(); ctx.Err() != nil {
+		if ctx.Err() != nil {
+			leave()
 			break
 		}
 		if told || moved {
 			wait = w.limits.Again
 		}
-		if moved {
-			continue
-		}
-		w.fault(err)
-		select {
-		case <-ctx.Done():
-		case <-watch.Done():
-		case <-time.After(wait):
+		if !moved {
+			w.fault(err)
+			select { // a move ends the wait, as it ends a watch
+			case <-watch.Done():
+			case <-time.After(wait):
+			}
 		}
+		leave()
 	}
 	return nil
 }
