--- a/internal/setup/operator.go
+++ b/internal/setup/operator.go
@@ -76,6 +76,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	o.Start.load = func(getenv func(string) string) (*Start, error) {
+		again, err := LoadOperator(path, getenv)
+		if err != nil {
+			return nil, err
+		}
+		return again.Start, nil
+	}
 	return o, nil
 }
 
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -23,8 +23,9 @@
 	Terms                                         Terms
 	Limits                                        Limits
 
-	discovery string         // what the file said of it
-	fields    map[string]any // of the file
+	load      func(getenv func(string) string) (*Start, error) // reads and checks the same file once more
+	discovery string                                           // what the file said of it
+	fields    map[string]any                                   // of the file
 }
 
 // Limits holds all sizes, counts and times that the sockets keep to.
@@ -77,7 +78,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
 	}
-	return start(top, getenv, true)
+	if s, err = start(top, getenv, true); err == nil {
+		s.load = Load
+	}
+	return s, err
 }
 
 // start checks what a router, or with alone false one of another tier, starts with.
@@ -137,7 +141,7 @@
 // followed: one that the file has changed goes before the environment, which cannot have changed. kept
 // names the keys whose new values count from the next start only.
 func (s *Start) Again(getenv func(string) string) (next *Start, kept []string, err error) {
-	if next, err = Load(getenv); err != nil {
+	if next, err = s.load(getenv); err != nil {
 		return nil, nil, err
 	}
 	if next.discovery != "" && next.discovery != s.discovery {
