--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -130,9 +130,9 @@
 		"plan": map[string]any{"listen": f.planners[i], "key_file": "link.key"}})
 }
 
-// ForwarderFile writes a forwarder's file.
+// ForwarderFile writes a forwarder's file, with the list as it is now.
 func (f *Fleet) ForwarderFile(i int, listen string) (string, error) {
-	return f.file("f"+strconv.Itoa(i), map[string]any{"listen": listen,
+	return f.file("f"+strconv.Itoa(i), map[string]any{"listen": listen, "known": f.Discovery.List(),
 		"forward": map[string]any{"planners": f.planners, "key_file": "link.key"}})
 }
 
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -42,8 +42,13 @@
 	return p, p.Again()
 }
 
-// Again starts it once more after Kill.
+// Again starts it once more after Kill; one that runs is left alone.
 func (p *Process) Again() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && !p.down {
+		return nil
+	}
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -54,8 +59,6 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.cmd, p.down = cmd, false
 	return nil
 }
@@ -75,6 +78,10 @@
 
 func (p *Process) end(s syscall.Signal) {
 	p.mu.Lock()
+	if p.down {
+		p.mu.Unlock()
+		return
+	}
 	p.killed, p.down = time.Now(), true
 	cmd := p.cmd
 	p.mu.Unlock()
--- /dev/null
+++ b/internal/tier/plan/plan_test.go
@@ -0,0 +1,197 @@
+package plan
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"ferrypitch/internal/setup"
+	"ferrypitch/internal/standin/discovery"
+	"ferrypitch/internal/tier/line"
+	"ferrypitch/internal/tier/link"
+	"ferrypitch/internal/tier/view"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 20 * time.Second
+
+var key, other = [32]byte{1}, [32]byte{2}
+
+// begin runs a planner on a discovery of so many hosts, none of which is there.
+func begin(t *testing.T, hosts int, change func(*setup.Plan)) (address string, p *Plan, log *observer.ObservedLogs) {
+	t.Helper()
+	d, err := discovery.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range hosts {
+		d.Set(discovery.Entry{UID: "h" + strings.Repeat("x", 60) + string(rune('a'+i%26)) + string(rune('a'+i/26)), Endpoint: "127.0.0.1:1", Set: 1, State: "up"})
+	}
+	section := &setup.Plan{Key: key, Forwarders: 4, Probes: 4, PerSecond: 10, Reports: 100, Frames: 1000, Bytes: 1 << 20,
+		Beat: 10 * time.Millisecond, Probe: time.Second, Search: 50 * time.Millisecond, Greet: 300 * time.Millisecond, Greeting: 2,
+		Queue: 4, Write: 300 * time.Millisecond, Frame: link.ReportMost}
+	if change != nil {
+		change(section)
+	}
+	start := &setup.Start{Name: "p", Discovery: d.Address(), Limits: setup.Limits{Hosts: 8, Buffer: 1 << 10, Buffers: 1 << 22, Answer: 1 << 16,
+		Line: 1 << 20, Connect: time.Second, Idle: patience, Quiet: patience, Again: 10 * time.Millisecond}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, log := observer.New(zap.InfoLevel)
+	p = New(start, section, 7, zap.New(core))
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- p.Run(ctx, l) }()
+	t.Cleanup(func() {
+		end()
+		<-ended
+		d.Stop()
+	})
+	return l.Addr().String(), p, log
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(patience))
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func call(conn net.Conn, k *[32]byte) (*line.Line, error) {
+	return line.Call(conn, k, "f", 3, 4, link.FrameMost, time.Second)
+}
+
+// logged waits for a line of the log.
+func logged(t *testing.T, log *observer.ObservedLogs, message, text string) {
+	t.Helper()
+	for till := time.Now().Add(patience); time.Now().Before(till); time.Sleep(5 * time.Millisecond) {
+		for _, e := range log.FilterMessage(message).All() {
+			if err, _ := e.ContextMap()["error"].(string); strings.Contains(err, text) {
+				return
+			}
+		}
+	}
+	t.Errorf("%q with %q is not logged", message, text)
+}
+
+func TestAForwarderIsSentAWholeViewThenChanges(t *testing.T) {
+	address, _, _ := begin(t, 3, nil)
+	l, err := call(dial(t, address), &key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var c view.Copy
+	for c.Seq() < 5 || c.Len() < 3 || !c.Whole() {
+		_, body, err := l.Read()
+		if err != nil {
+			t.Fatal(err)
+		}
+		ch, err := link.ReadChange(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Follow(ch); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestAnotherKeyAndAnotherVersionAreRefusedWithAWord(t *testing.T) {
+	address, p, log := begin(t, 1, nil)
+	if _, err := call(dial(t, address), &other); err == nil {
+		t.Error("another key is taken")
+	}
+	logged(t, log, "a forwarder is refused", "another key")
+	conn := dial(t, address)
+	conn.Write(link.AppendGreeting(nil, link.Greeting{Version: 9, Name: "f"}, &key))
+	answer, _ := io.ReadAll(conn)
+	if g, _, err := link.ReadGreeting(answer, &key); err != nil || g.Refusal != link.BadVersion {
+		t.Errorf("%+v %v", g, err)
+	}
+	logged(t, log, "a forwarder is refused", "version 9")
+	if p.Refused.Load() != 2 {
+		t.Errorf("%d refused", p.Refused.Load())
+	}
+}
+
+func TestMoreForwardersThanAreTakenAreToldSo(t *testing.T) {
+	address, _, _ := begin(t, 1, func(s *setup.Plan) { s.Forwarders = 1 })
+	if _, err := call(dial(t, address), &key); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := call(dial(t, address), &key); err == nil || !strings.Contains(err.Error(), "as many forwarders") {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestASlowReaderIsCutAndCostsTheOthersNothing(t *testing.T) {
+	address, _, log := begin(t, 600, nil)
+	slow, err := call(dial(t, address), &key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	slow.Start()
+	quick, err := call(dial(t, address), &key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	quick.Start()
+	defer slow.End(nil)
+	defer quick.End(nil)
+	go func() {
+		for { // asks for the whole view over and over, and reads nothing
+			slow.Send(link.KindWant, nil)
+			select {
+			case <-time.After(5 * time.Millisecond):
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	cut := make(chan bool)
+	go func() {
+		logged(t, log, "a forwarder left", "reads too slowly")
+		close(cut)
+	}()
+	for read := 0; ; read++ {
+		if _, _, err := quick.Read(); err != nil {
+			t.Fatalf("after %d frames: %v", read, err)
+		}
+		select {
+		case <-cut:
+			return
+		default:
+		}
+	}
+}
+
+func TestHalfAGreetingIsNotWaitedForForLong(t *testing.T) {
+	address, _, _ := begin(t, 1, nil)
+	held := []net.Conn{dial(t, address), dial(t, address)}
+	for _, c := range held {
+		c.Write([]byte("fpl"))
+	}
+	for _, c := range held {
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && err == nil {
+			t.Errorf("%v", err)
+		}
+	}
+	if _, err := call(dial(t, address), &key); err != nil {
+		t.Errorf("afterwards: %v", err)
+	}
+}
