--- a/cmd/ferrypitch/command.go
+++ b/cmd/ferrypitch/command.go
@@ -54,12 +54,13 @@
 func serveCommand() *cobra.Command {
 	return &cobra.Command{Use: "serve FILE", Short: "Serve clients alone: watch discovery, probe, decide", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			return ended(serve(func() (*setup.Start, *setup.Forward, error) {
+			return ended(serve(func() (*setup.Operator, error) {
 				o, err := setup.LoadOperator(args[0], os.Getenv)
 				if err != nil {
-					return nil, nil, err
+					return nil, err
 				}
-				return o.Start, nil, o.Alone(args[0])
+				o.Forward = nil
+				return o, o.Alone(args[0])
 			}))
 		}}
 }
--- a/cmd/ferrypitch/forward.go
+++ b/cmd/ferrypitch/forward.go
@@ -12,19 +12,19 @@
 func forwardCommand() *cobra.Command {
 	return &cobra.Command{Use: "forward FILE", Short: "Serve clients on the views of planners", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			return ended(serve(func() (*setup.Start, *setup.Forward, error) {
+			return ended(serve(func() (*setup.Operator, error) {
 				o, err := setup.LoadOperator(args[0], os.Getenv)
 				if err != nil {
-					return nil, nil, err
+					return nil, err
 				}
 				if o.Forward == nil {
-					return nil, nil, fmt.Errorf("%s: forward: missing", args[0])
+					return nil, fmt.Errorf("%s: forward: missing", args[0])
 				}
 				if o.Start.Listen == "" {
-					return nil, nil, fmt.Errorf("%s: listen: missing", args[0])
+					return nil, fmt.Errorf("%s: listen: missing", args[0])
 				}
 				o.Start.AsForwarder()
-				return o.Start, o.Forward, nil
+				return o, nil
 			}))
 		}}
 }
--- a/cmd/ferrypitch/main.go
+++ b/cmd/ferrypitch/main.go
@@ -26,18 +26,18 @@
 	if len(os.Args) > 1 {
 		os.Exit(command(os.Args[1:]))
 	}
-	os.Exit(serve(func() (*setup.Start, *setup.Forward, error) {
+	os.Exit(serve(func() (*setup.Operator, error) {
 		start, err := setup.Load(os.Getenv)
-		return start, nil, err
+		return &setup.Operator{Start: start}, err
 	}))
 }
 
-// serve is a router from its configuration to its end. With a forwarder's section it lives by views.
-func serve(load func() (*setup.Start, *setup.Forward, error)) int {
+// serve is a router from its configuration to its end.
+func serve(load func() (*setup.Operator, error)) int {
 	signals, reload := make(chan os.Signal, 4), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	signal.Notify(reload, syscall.SIGHUP) // never the end of the program, and no other signal's place
-	start, section, err := load()
+	o, err := load()
 	if err != nil {
 		return complain(err)
 	}
@@ -45,10 +45,10 @@
 	if err != nil {
 		return complain(err)
 	}
-	log = log.Named(start.Name)
-	runtime.GOMAXPROCS(start.Limits.Cores)
-	debug.SetMemoryLimit(start.Limits.Memory)
-	if err := service.Run(start, section, signals, reload, log); err != nil {
+	log = log.Named(o.Start.Name)
+	runtime.GOMAXPROCS(o.Start.Limits.Cores)
+	debug.SetMemoryLimit(o.Start.Limits.Memory)
+	if err := service.Run(o, signals, reload, log); err != nil {
 		log.Error("ended", zap.Error(err))
 		return failed
 	}
--- a/internal/lab/fleet/run.go
+++ b/internal/lab/fleet/run.go
@@ -55,7 +55,7 @@
 	stop := context.AfterFunc(ctx, func() { signals <- os.Interrupt })
 	tasks.Go(func() error {
 		defer stop()
-		return service.Run(o.Start, o.Forward, signals, nil, log.Named(o.Start.Name))
+		return service.Run(o, signals, nil, log.Named(o.Start.Name))
 	})
 	return address, nil
 }
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -54,6 +54,7 @@
 
 	Taken, Answered, Throttled, Failed, Probes int
 	Followed                                   []rules.Tenth // from an election to a forwarder's first write answered by the new primary
+	Named                                      []rules.Tenth // from an election to the moment at which a forwarder's view names it
 }
 
 type event struct {
@@ -164,7 +165,8 @@
 	primary *host
 	end     rules.Tenth // of the log, while no primary is there
 	elected rules.Tenth
-	follows map[*forward]bool // since the last election
+	follows map[*forward]bool // since the last election: those whose writes go there
+	named   map[*forward]bool // and those whose view says so
 }
 
 // elect makes another host the primary, the furthest that is up.
@@ -179,7 +181,8 @@
 		return
 	}
 	s.w.note("set %d elects %s", s.id, best.name)
-	s.primary, best.was, s.elected, s.follows = best, true, s.w.now, map[*forward]bool{}
+	s.primary, best.was, s.elected = best, true, s.w.now
+	s.follows, s.named = map[*forward]bool{}, map[*forward]bool{}
 }
 
 type host struct {
@@ -528,14 +531,19 @@
 				}
 			})
 		}
+		f.step()
 	})
 }
 
 func (f *forward) tick(life int) {
-	w := f.w
-	if !f.up || f.life != life {
-		return
+	if f.up && f.life == life {
+		f.w.in(max(ms, f.step()-f.w.now), func() { f.tick(life) })
 	}
+}
+
+// step does what is due, as after all that comes in.
+func (f *forward) step() (next rules.Tenth) {
+	w, life := f.w, f.life
 	do := f.core.Tick(w.now)
 	for _, p := range do.Cut {
 		i, _ := strconv.Atoi(p.Address)
@@ -572,7 +580,7 @@
 	if do.Report {
 		f.report()
 	}
-	w.in(max(ms, do.Next-w.now), func() { f.tick(life) })
+	return do.Next
 }
 
 // apply is what the routing owner does with what is told.
@@ -611,6 +619,10 @@
 				late = rules.Tenth(h.Late - 1)
 			}
 			n.Told(h.Pos, h.Role, h.RoleAt, late)
+			if s := w.host(h.Name).set; s.named != nil && !s.named[f] && h.Role == rules.Primary && s.primary == w.host(h.Name) {
+				s.named[f] = true
+				w.Named = append(w.Named, w.now-s.elected)
+			}
 		}
 	}
 }
--- a/internal/lab/virtual/world_test.go
+++ b/internal/lab/virtual/world_test.go
@@ -211,3 +211,37 @@
 	}
 	w.over(t)
 }
+
+// TestANewPrimaryIsNamedSoon states how soon forwarders know of a new primary, with planners and without.
+func TestANewPrimaryIsNamedSoon(t *testing.T) {
+	half := func(all []rules.Tenth) (half, most rules.Tenth) {
+		slices.Sort(all)
+		return all[len(all)/2] / 10, all[len(all)*99/100] / 10
+	}
+	var named, followed, alone []rules.Tenth
+	for seed := range uint64(10) {
+		for _, blind := range []bool{false, true} {
+			w := New(200+seed, Size{Forwarders: 40, Planners: 3, Sets: 2, Members: 3, Rate: 400, For: 12 * second})
+			w.in(500*ms, w.arrive)
+			w.play(4 * second)
+			if blind {
+				w.noPlanners(30 * second)
+			}
+			w.dies(w.sets[0].primary, 20*second)
+			w.over(t)
+			if blind {
+				alone = append(alone, w.Followed...)
+			} else {
+				named, followed = append(named, w.Named...), append(followed, w.Followed...)
+			}
+		}
+	}
+	nameHalf, nameMost := half(named)
+	followHalf, followMost := half(followed)
+	aloneHalf, aloneMost := half(alone)
+	t.Logf("named to half and 99 %% of forwarders after %d and %d ms; first write there after %d and %d ms, with no planner %d and %d",
+		nameHalf, nameMost, followHalf, followMost, aloneHalf, aloneMost)
+	if len(named) != 400 || nameMost > 500 {
+		t.Errorf("named to %d of 400, the last after %d ms", len(named), nameMost)
+	}
+}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -34,6 +34,7 @@
 		return nil
 	}
 	r.take(entries, whole)
+	r.trace.List(rev, whole, len(entries))
 	r.rev.Store(rev)
 	r.Lists.Add(1)
 	r.log.Info("list", zap.Int64("rev", rev), zap.Bool("whole", whole), zap.Int("entries", len(entries)))
@@ -50,15 +51,16 @@
 		}
 		if h == nil {
 			r.Held.Add(1)
-			h = &host{conns: r.pool.Add(e.Address), node: r.rules.Host(e.Name, e.Set), Host: e}
-			r.hosts[e.Name], r.nodes[h.node], r.sets[h.Set] = h, h, true
+			h = &host{conns: r.pool.Add(e.Address), Host: e}
+			r.introduce(h)
+			r.sets[h.Set] = true
 		}
 		e.Set = h.Set // a host does not move between sets
 		h.Host = e
 		h.conns.Move(e.Address)
-		h.tell()
+		r.listHost(h)
 	}
-	r.rules.ListDone(whole)
+	r.listDone(whole)
 	r.listed = true
 	for _, s := range r.asking {
 		s.Empty()
@@ -66,11 +68,24 @@
 	r.asking = nil
 }
 
-// tell tells the module of a host, as the list has it.
-func (h *host) tell() {
+// introduce tells the module that there is a host.
+func (r *Router) introduce(h *host) {
+	h.node = r.rules.Host(h.Name, h.Set)
+	r.hosts[h.Name], r.nodes[h.node] = h, h
+	r.trace.Host(h.node, h.Set)
+}
+
+// listHost tells the module of a host, as the list has it.
+func (r *Router) listHost(h *host) {
+	r.trace.Listed(h.node, h.Standing, h.Leader, h.Zone, h.Kind, h.Size, h.Boot)
 	h.node.Listed(h.Standing, h.Leader, h.Zone, h.Kind, h.Size, h.Boot)
 }
 
+func (r *Router) listDone(whole bool) {
+	r.trace.ListDone(whole)
+	r.rules.ListDone(whole)
+}
+
 // mum is the word of lateness for nothing known.
 const mum = 13
 
@@ -90,6 +105,8 @@
 			r.Lists.Add(1)
 		}
 		r.moment()
+		r.trace.View(len(hosts), len(dropped), routers, blind)
+		r.trace.Count(routers, blind)
 		r.rules.Count(routers, blind)
 		for _, e := range hosts {
 			if h := r.hosts[e.Name]; h != nil {
@@ -97,6 +114,7 @@
 				if e.Late > 0 {
 					word = rules.Tenth(e.Late - 1)
 				}
+				r.trace.Told(h.node, e.Pos, e.Role, e.RoleAt, word)
 				h.node.Told(e.Pos, e.Role, e.RoleAt, word)
 			}
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -17,6 +17,7 @@
 	"ferrypitch/internal/clock"
 	"ferrypitch/internal/protocol"
 	"ferrypitch/internal/setup"
+	"ferrypitch/internal/trace/record"
 	"ferrypitch/internal/transport"
 	"ferrypitch/rules"
 )
@@ -29,11 +30,13 @@
 	clock *clock.Clock
 	pool  *transport.Hosts
 	tell  func(body string)
+	trace *record.Recorder // nil while nothing is captured
 
 	rules  *rules.Router
 	hosts  map[string]*host
 	nodes  map[*rules.Node]*host
 	sets   map[int64]bool // that the list has named
+	groups map[*rules.CmdGroup]int
 	cmds   map[string]*command
 	slots  map[*transport.Slot]*command // of commands that are owed an answer
 	due    deadlines
@@ -58,13 +61,18 @@
 
 var errStopped = errors.New("the router has stopped")
 
-// New makes a router that knows the list of the last run, if there was one.
-func New(s *setup.Start, pool *transport.Hosts, tell func(string), log *zap.Logger) (*Router, error) {
+// New makes a router that knows the list of the last run, if there was one. trace may be nil.
+func New(s *setup.Start, pool *transport.Hosts, tell func(string), trace *record.Recorder, log *zap.Logger) (*Router, error) {
 	r := &Router{start: s, log: log, queue: newQueue(s.Limits.Backlog), clock: clock.New(time.Now), pool: pool,
-		tell: tell, hosts: map[string]*host{}, nodes: map[*rules.Node]*host{}, sets: map[int64]bool{}, cmds: map[string]*command{},
+		tell: tell, trace: trace, hosts: map[string]*host{}, nodes: map[*rules.Node]*host{}, sets: map[int64]bool{}, groups: map[*rules.CmdGroup]int{}, cmds: map[string]*command{},
 		slots: map[*transport.Slot]*command{}, began: time.Now()}
 	r.rev.Store(-1)
-	r.rules = rules.New(r, s.Deployment, r.clock.Now())
+	for i, g := range s.Deployment.Groups {
+		r.groups[g] = i
+	}
+	now := r.clock.Now()
+	trace.Now(now)
+	r.rules = rules.New(r, s.Deployment, now)
 	if !s.Known.Has("targets") {
 		return r, nil
 	}
@@ -118,6 +126,7 @@
 		if c := r.slots[s]; c != nil {
 			r.Gone.Add(1)
 			r.final(c)
+			r.trace.Left(c.handle)
 			c.handle.Left()
 			r.settle(c.handle)
 		}
@@ -148,6 +157,7 @@
 func (r *Router) Heard(body string) {
 	r.queue.put(commands, func() {
 		r.moment()
+		r.trace.Heard(body)
 		r.rules.Heard(body)
 	})
 }
@@ -172,6 +182,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			r.trace.Flush()
 			return nil
 		case <-r.queue.ready:
 		case <-timer.C:
@@ -188,6 +199,7 @@
 func (r *Router) catchUp() {
 	if time.Since(r.stepAt) > 2*r.start.Limits.Pulse {
 		r.Stalls.Add(1)
+		r.trace.Stall(rules.Tenth(time.Since(r.stepAt) / clock.Tenth))
 		time.Sleep(r.start.Limits.Settle)
 	}
 	r.stepAt = time.Now()
@@ -223,6 +235,7 @@
 	if !r.wakeAt.IsZero() && !r.stepAt.Before(r.wakeAt) {
 		r.wakeAt = time.Time{}
 		r.moment()
+		r.trace.Woke()
 		if r.rules.Woke(); r.wakeAt.IsZero() { // it took the clock to be early
 			r.Wake(r.start.Deployment.Tick)
 		}
@@ -251,13 +264,15 @@
 				zap.String("panic", fmt.Sprint(p)), zap.ByteString("stack", debug.Stack()))
 			r.failAll()
 			r.wakeAt = time.Time{}
-			r.rules = rules.New(r, r.start.Deployment, r.clock.Now())
-			for uid, h := range r.hosts {
-				h.node = r.rules.Host(uid, h.Set)
-				r.nodes[h.node] = h
-				h.tell()
+			now := r.clock.Now()
+			r.trace.Now(now)
+			r.trace.Anew()
+			r.rules = rules.New(r, r.start.Deployment, now)
+			for _, h := range r.hosts {
+				r.introduce(h)
+				r.listHost(h)
 			}
-			r.rules.ListDone(false)
+			r.listDone(false)
 			more = true
 		}
 	}()
@@ -286,6 +301,10 @@
 func (r *Router) moment() rules.Tenth {
 	now := r.clock.Now()
 	r.rules.Clock(now)
+	if r.trace != nil {
+		r.trace.Now(now)
+		r.trace.System(time.Now().UnixNano() / int64(clock.Tenth))
+	}
 	return now
 }
 
@@ -309,7 +328,10 @@
 	c := &command{slot: s, statement: statement, until: until}
 	r.cmds[id], r.slots[s] = c, c
 	r.Taken.Add(1)
-	c.handle = r.rules.Take(id, g, set, key, now+rules.Tenth(time.Until(until)/clock.Tenth), since, nil, again)
+	timeout := now + rules.Tenth(time.Until(until)/clock.Tenth)
+	r.trace.Take(id, r.groups[g], set, key, timeout, since, again)
+	c.handle = r.rules.Take(id, g, set, key, timeout, since, nil, again)
+	r.trace.Taken(c.handle)
 	r.settle(c.handle)
 }
 
@@ -329,6 +351,7 @@
 		now := r.clock.Now()
 		h.answered(c.handle, a.Outcome, pos, role, now-took, now, took)
 	}
+	r.trace.Ended(c.handle, a.Outcome, pos, role, took, c.slot == nil)
 	c.handle.Ended(a.Outcome, pos, role, took, c.slot == nil)
 	r.settle(c.handle)
 }
@@ -338,6 +361,7 @@
 	t := r.start.Terms
 	pos, role, ok := t.Report(func(i int) (float64, bool) { return protocol.Field(load, t.Fields[i]) })
 	if n != nil && ok && pos >= 0 && float64(pos) <= 10*r.ahead() {
+		r.trace.Reported(n, pos, role)
 		n.Reported(pos, role)
 	}
 }
@@ -355,6 +379,7 @@
 // settle forgets a command for which nothing more will come, in whichever call it got its answer.
 func (r *Router) settle(handle *rules.Cmd) {
 	if handle.Over() {
+		r.trace.Settled(handle)
 		delete(r.cmds, handle.Name)
 	}
 }
@@ -373,6 +398,7 @@
 		}
 	}
 	r.Dispatched.Add(1)
+	r.trace.Dispatch(handle, n, timeout)
 	if r.start.Deployment.Told {
 		r.nodes[n].sent(handle)
 	}
@@ -380,6 +406,7 @@
 }
 
 func (r *Router) Throttle(handle *rules.Cmd, comeback rules.Tenth) {
+	r.trace.Throttle(handle, comeback)
 	if c := r.cmds[handle.Name]; c.slot != nil {
 		r.Throttled.Add(1)
 		c.slot.Throttle(comeback / 10)
@@ -389,6 +416,7 @@
 }
 
 func (r *Router) Fail(handle *rules.Cmd) {
+	r.trace.Fail(handle)
 	if c := r.cmds[handle.Name]; c.slot != nil {
 		r.Failed.Add(1)
 		c.slot.Fail(protocol.Failed, "no answer from a host")
@@ -404,26 +432,36 @@
 	}
 	until := time.Now().Add(r.start.Limits.Connect)
 	r.Probes.Add(1)
+	r.trace.Probe(n)
 	r.send(r.nodes[n], []byte(statement), until, until, false, func(a transport.Answer) {
 		if a.Outcome == rules.Answered {
 			r.report(n, a.Value)
 		}
+		r.trace.Probed(n, a.Outcome == rules.Answered)
 		n.Probed(a.Outcome == rules.Answered)
 	})
 }
 
-func (r *Router) Close(n *rules.Node) { r.nodes[n].conns.CloseIdle() }
+func (r *Router) Close(n *rules.Node) {
+	r.trace.Close(n)
+	r.nodes[n].conns.CloseIdle()
+}
 
 func (r *Router) Forget(n *rules.Node) {
 	r.Forgotten.Add(1)
+	r.trace.Forget(n)
 	r.nodes[n].conns.Remove()
 	delete(r.nodes, n)
 	delete(r.hosts, n.Name)
 }
 
-func (r *Router) Tell(body string) { r.tell(body) }
+func (r *Router) Tell(body string) {
+	r.trace.Tell(body)
+	r.tell(body)
+}
 
 func (r *Router) Wake(after rules.Tenth) {
+	r.trace.Wake(after)
 	if at := time.Now().Add(clock.Span(after)); r.wakeAt.IsZero() || at.Before(r.wakeAt) {
 		r.wakeAt = at
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -30,7 +30,7 @@
 		Buffer: 1 << 10, Whole: 20 * second, Stuck: 20 * second, Ready: 20 * second, Pulse: second / 20}}
 	ctx, end := context.WithCancel(context.Background())
 	room := transport.NewRoom(&s.Limits)
-	r, err := New(s, transport.NewHosts(ctx, &s.Limits, room), func(string) {}, zap.NewNop())
+	r, err := New(s, transport.NewHosts(ctx, &s.Limits, room), func(string) {}, nil, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,7 +102,7 @@
 	s := &setup.Start{Deployment: rules.Deployment{Tick: 10, Routers: 1, Dispatches: 4}, Terms: setup.Terms{Position: -1}}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	r, err := New(s, transport.NewHosts(ctx, &s.Limits, transport.NewRoom(&s.Limits)), func(string) {}, zap.NewNop())
+	r, err := New(s, transport.NewHosts(ctx, &s.Limits, transport.NewRoom(&s.Limits)), func(string) {}, nil, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -11,6 +11,7 @@
 	"math/big"
 	"net"
 	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -18,9 +19,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"ferrypitch/internal/catalog"
+	"ferrypitch/internal/clock"
 	"ferrypitch/internal/routing"
 	"ferrypitch/internal/setup"
 	"ferrypitch/internal/tier/forward"
+	"ferrypitch/internal/trace/file"
+	"ferrypitch/internal/trace/format"
+	"ferrypitch/internal/trace/record"
 	"ferrypitch/internal/transport"
 )
 
@@ -35,13 +40,16 @@
 	clients *transport.Clients
 	watch   *transport.Watch // nil for a forwarder
 	forward *forward.Forward // nil for any other
+	trace   *file.Writer     // nil while nothing is captured
 	peers   *transport.Peers // nil where routers don't talk
 
 	reloads, refused int // of the configuration, only attend's
 }
 
-// Run lives from the first socket to the last. With a forwarder's section it lives by the views of planners.
-func Run(start *setup.Start, section *setup.Forward, signals, reload <-chan os.Signal, log *zap.Logger) (err error) {
+// Run lives from the first socket to the last. With a forwarder's section it lives by the views of planners, with a
+// trace's it captures.
+func Run(o *setup.Operator, signals, reload <-chan os.Signal, log *zap.Logger) (err error) {
+	start, section := o.Start, o.Forward
 	p := program{start: start, limits: &start.Limits, log: log, room: transport.NewRoom(&start.Limits)}
 	listener, err := net.Listen("tcp", start.Listen)
 	if err != nil {
@@ -59,7 +67,13 @@
 	defer end()
 	tasks, ctx := errgroup.WithContext(ctx)
 	p.hosts = transport.NewHosts(ctx, p.limits, p.room)
-	if p.router, err = routing.New(start, p.hosts, tell, log); err != nil {
+	var recorder *record.Recorder
+	if o.Trace != nil {
+		if p.trace, recorder, err = capture(start, o.Trace, log); err != nil {
+			return fmt.Errorf("trace: %w", err)
+		}
+	}
+	if p.router, err = routing.New(start, p.hosts, tell, recorder, log); err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
 	p.clients = transport.NewClients(p.limits, p.room, p.router)
@@ -83,10 +97,19 @@
 	}
 	log.Info("started", zap.Stringer("listen", listener.Addr()), zap.Int("clients", p.limits.Clients),
 		zap.Int("hosts", p.limits.Hosts))
+	written := make(chan error, 1)
+	last, finish := context.WithCancel(context.Background()) // capture outlives what it captures
+	defer finish()
+	if p.trace != nil {
+		go func() { written <- p.trace.Run(last) }()
+	}
 	p.attend(ctx, signals, reload)
 	end()
 	err = tasks.Wait()
 	p.hosts.Wait()
+	if finish(); p.trace != nil {
+		err = errors.Join(err, <-written)
+	}
 	log.Info("counts", p.counts()...)
 	return err
 }
@@ -157,6 +180,9 @@
 	if p.watch != nil {
 		fields = append(fields, zap.Int64("watches", p.watch.Started.Load()), zap.Int64("list_lines", p.watch.Lines.Load()))
 	}
+	if p.trace != nil {
+		fields = append(fields, p.trace.Fields()...)
+	}
 	if p.forward != nil {
 		fields = append(fields, p.forward.Fields()...)
 	}
@@ -180,6 +206,33 @@
 	return f, nil
 }
 
+// capture makes what records and what writes.
+func capture(start *setup.Start, section *setup.Trace, log *zap.Logger) (*file.Writer, *record.Recorder, error) {
+	deployment, err := record.Deployment(start.Deployment)
+	if err != nil {
+		return nil, nil, err
+	}
+	header := format.Header{Router: start.Name, Life: Life(), Began: time.Now().UnixNano() / int64(clock.Tenth), Build: build(),
+		Part: section.Part, Schema: record.Schema, More: map[string][]byte{"deployment": deployment}}
+	w := file.New(file.Terms{Dir: section.Dir, Name: start.Name, Size: section.Size, Age: section.Age, Budget: section.Budget,
+		Flush: section.Flush, Blocks: section.Blocks}, file.Disk{}, header, time.Now, log)
+	return w, record.New(w, section.Block, section.Part, section.Key, section.Detail), nil
+}
+
+// build is the revision that the program was built from, as far as it knows.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return info.Main.Version
+}
+
 // Life is a number that no other process has.
 func Life() uint64 {
 	n, err := rand.Int(rand.Reader, new(big.Int).SetUint64(math.MaxUint64))
--- a/internal/setup/operator.go
+++ b/internal/setup/operator.go
@@ -41,6 +41,7 @@
 	Start   *Start
 	Forward *Forward // nil where the file has none
 	Plan    *Plan
+	Trace   *Trace
 }
 
 // Forward is the section of a forwarder.
@@ -109,6 +110,11 @@
 			return nil, err
 		}
 	}
+	if top.Has("trace") {
+		if o.Trace, err = trace(top.Within("trace"), filepath.Dir(path)); err != nil {
+			return nil, err
+		}
+	}
 	o.Start, err = start(top, getenv, o.Forward == nil && o.Plan == nil)
 	return o, err
 }
@@ -230,6 +236,43 @@
 	return f, err
 }
 
+// Trace is the section of capture.
+type Trace struct {
+	Dir    string
+	Part   uint32 // of sessions, in thousandths
+	Key    [32]byte
+	Detail bool
+
+	Size, Budget int64
+	Age, Flush   time.Duration
+	Block        int // bytes gathered before they are handed over, about
+	Blocks       int // that there are in all
+}
+
+func trace(o Object, dir string) (*Trace, error) {
+	t := &Trace{Dir: o.Text("dir"), Part: 1000, Detail: !o.Has("detail") || o.Flag("detail"),
+		Size: int64(o.count("file_mb", 64)) << 20, Budget: int64(o.count("budget_mb", 1024)) << 20,
+		Age: o.milliseconds("file_ms", time.Hour), Flush: time.Second, Block: 256 << 10, Blocks: 4}
+	if !filepath.IsAbs(t.Dir) {
+		t.Dir = filepath.Join(dir, t.Dir)
+	}
+	if info, err := os.Stat(t.Dir); err != nil || !info.IsDir() {
+		return nil, fmt.Errorf("%s.dir: %s: not a folder that is there", o.path, t.Dir)
+	}
+	if t.Budget < 2*t.Size {
+		return nil, fmt.Errorf("%s.budget_mb: less than two files", o.path)
+	}
+	if !o.Has("part") {
+		return t, nil
+	}
+	t.Part = uint32(o.Number("part") * 1000)
+	var err error
+	if t.Part < 1000 {
+		t.Key, err = key(o, dir)
+	}
+	return t, err
+}
+
 func plan(o Object, dir string) (*Plan, error) {
 	p := &Plan{Listen: o.Text("listen"), Forwarders: o.count("forwarders", 5000), Probes: o.count("probes", 64),
 		PerSecond: o.count("probes_per_second", 400), Reports: o.count("reports_per_second", 1000),
--- /dev/null
+++ b/internal/trace/file/file_test.go
@@ -0,0 +1,176 @@
+package file
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ferrypitch/internal/trace/format"
+)
+
+var schema = format.Schema{{Name: "x", Columns: []format.Column{{Name: "n", Type: format.Int, Mark: format.Plain}}}}
+
+// disk holds what a disk would, and fails where it is told to.
+type disk struct {
+	Disk
+	room int // bytes that there are left; -1: enough
+}
+
+type onDisk struct {
+	File
+	d *disk
+}
+
+var errFull = errors.New("no space left on device")
+
+func (d *disk) Create(path string) (File, error) {
+	f, err := d.Disk.Create(path)
+	return &onDisk{f, d}, err
+}
+
+func (f *onDisk) Write(b []byte) (int, error) {
+	if f.d.room >= 0 && len(b) > f.d.room {
+		n, _ := f.File.Write(b[:f.d.room])
+		f.d.room = 0
+		return n, errFull
+	}
+	if f.d.room >= 0 {
+		f.d.room -= len(b)
+	}
+	return f.File.Write(b)
+}
+
+// record puts blocks of a hundred events, waiting for room as no recorder would, and ends the writer.
+func record(t *testing.T, w *Writer, blocks int) (put int) {
+	t.Helper()
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- w.Run(ctx) }()
+	for k := range blocks {
+		b := w.Get()
+		for ; b == nil && !w.Ended.Load(); b = w.Get() {
+			time.Sleep(time.Millisecond)
+		}
+		if b == nil {
+			break
+		}
+		for i := range 100 {
+			b.Add(int64(1000*k+i), 0, []int64{int64(i * i)}, nil)
+		}
+		if w.Put(b) {
+			put++
+		}
+	}
+	end()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	return put
+}
+
+func terms(dir string) Terms {
+	return Terms{Dir: dir, Name: "f1/../x", Size: 2000, Age: time.Hour, Budget: 1 << 20, Flush: time.Hour, Blocks: 3}
+}
+
+func count(t *testing.T, dir string) (events, files, broken int) {
+	t.Helper()
+	all, _ := filepath.Glob(filepath.Join(dir, "*"+Ending))
+	for _, path := range all {
+		f, err := os.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		files++
+		r, err := format.NewReader(f)
+		for err == nil {
+			var some []format.Event
+			_, some, err = r.Next()
+			events += len(some)
+		}
+		if err != io.EOF {
+			broken++
+		}
+	}
+	return events, files, broken
+}
+
+func TestFilesRotateWithinTheirBudgetAndCarryAnIndex(t *testing.T) {
+	dir := t.TempDir()
+	tm := terms(dir)
+	w := New(tm, Disk{}, format.Header{Schema: schema, Life: 5}, time.Now, zap.NewNop())
+	put := record(t, w, 60)
+	events, files, broken := count(t, dir)
+	if events != 100*put || files < 3 || broken != 0 {
+		t.Errorf("%d events of %d blocks in %d files, %d of them broken", events, put, files, broken)
+	}
+	all, _ := filepath.Glob(filepath.Join(dir, "f1____x-*"+Ending))
+	if len(all) != files {
+		t.Errorf("%v", all)
+	}
+	for _, path := range all {
+		f, _ := os.Open(path)
+		info, _ := f.Stat()
+		if spans, err := format.ReadIndex(f, info.Size()); err != nil || len(spans) == 0 {
+			t.Errorf("%s: %v", path, err)
+		}
+		f.Close()
+	}
+	tm.Budget, tm.Dir = 7000, t.TempDir()
+	record(t, New(tm, Disk{}, format.Header{Schema: schema, Life: 6}, time.Now, zap.NewNop()), 60)
+	total := int64(0)
+	all, _ = filepath.Glob(filepath.Join(tm.Dir, "*"))
+	for _, path := range all {
+		info, _ := os.Stat(path)
+		total += info.Size()
+	}
+	if total > tm.Budget+1000 || len(all) < 2 {
+		t.Errorf("%d bytes in %d files, of a budget of %d", total, len(all), tm.Budget)
+	}
+}
+
+func TestADiskThatFillsAnywhereEndsCaptureAndLeavesReadableFiles(t *testing.T) {
+	for room := 0; room < 6000; room += 97 {
+		dir := t.TempDir()
+		w := New(terms(dir), &disk{room: room}, format.Header{Schema: schema, Life: 5}, time.Now, zap.NewNop())
+		record(t, w, 60)
+		if !w.Ended.Load() {
+			t.Fatalf("with %d bytes: capture goes on", room)
+		}
+		if w.Get() != nil || w.Put(format.NewBlock(schema)) {
+			t.Fatalf("with %d bytes: blocks are taken still", room)
+		}
+		events, files, broken := count(t, dir)
+		if int64(events) < w.Written.Load() || broken > 1 || files == 0 {
+			t.Fatalf("with %d bytes: %d events read of %d written, %d of %d files broken", room, events, w.Written.Load(), broken, files)
+		}
+	}
+}
+
+func TestAFolderThatIsNotThereEndsCaptureWithAWord(t *testing.T) {
+	w := New(terms("/nowhere/at/all"), Disk{}, format.Header{Schema: schema}, time.Now, zap.NewNop())
+	record(t, w, 5)
+	if !w.Ended.Load() || !strings.Contains(fmt.Sprint(w.Fields()), "trace_ended") {
+		t.Error("it goes on")
+	}
+}
+
+func TestAWriterThatStandsStillCostsBlocksNotTime(t *testing.T) {
+	w := New(terms(t.TempDir()), Disk{}, format.Header{Schema: schema}, time.Now, zap.NewNop())
+	for range 3 {
+		b := w.Get()
+		b.Add(1, 0, []int64{1}, nil)
+		w.Put(b)
+	}
+	if w.Get() != nil {
+		t.Error("there are more blocks than were made")
+	}
+}
--- /dev/null
+++ b/internal/trace/format/format_test.go
@@ -0,0 +1,234 @@
+package format
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var schema = Schema{
+	{Name: "taken", Columns: []Column{{"id", Text, Identity}, {"set", Int, Plain}, {"group", Text, Plain}}},
+	{Name: "ended", Columns: []Column{{"outcome", Int, Plain}, {"host", Text, Place}, {"took", Int, Plain}}},
+	{Name: "stalled"},
+}
+
+// write makes a file of events, so many in a block.
+func write(t interface{ Fatal(...any) }, events []Event, each int) (file []byte, spans []Span) {
+	file, err := AppendHeader(nil, Header{Router: "f1", Life: 3, Schema: schema})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := NewBlock(schema)
+	flush := func() {
+		if b.Len() == 0 {
+			return
+		}
+		var span Span
+		if file, span, err = b.Append(file, int64(len(file))); err != nil {
+			t.Fatal(err)
+		}
+		spans = append(spans, span)
+		b.Reset()
+	}
+	for _, e := range events {
+		if b.Add(e.At, e.Kind, e.Ints, e.Texts); b.Len() == each {
+			flush()
+		}
+	}
+	flush()
+	if file, err = AppendIndex(file, spans, int64(len(file))); err != nil {
+		t.Fatal(err)
+	}
+	return file, spans
+}
+
+// read gives all events up to the end or a break, and the faults on the way.
+func read(file []byte) (events []Event, faults []int64, err error) {
+	r, err := NewReader(bytes.NewReader(file))
+	if err != nil {
+		return nil, nil, err
+	}
+	for {
+		_, some, err := r.Next()
+		var f *Fault
+		switch {
+		case err == io.EOF:
+			return events, faults, nil
+		case errors.As(err, &f):
+			faults = append(faults, f.Offset)
+		case err != nil:
+			return events, faults, err
+		}
+		events = append(events, some...)
+	}
+}
+
+func few(n int) (all []Event) {
+	for i := range n {
+		all = append(all, Event{At: int64(1000 + i), Kind: 0, Ints: []int64{int64(i % 3)}, Texts: []string{fmt.Sprint("c", i), "own"}},
+			Event{At: int64(1001 + i), Kind: 1, Ints: []int64{int64(i), 40}, Texts: []string{"set1-a"}}, Event{At: int64(1002 + i), Kind: 2})
+	}
+	return all
+}
+
+func TestAnyEventsComeBackAsTheyWere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var events []Event
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			e := Event{At: rapid.Int64().Draw(t, "at"), Kind: rapid.IntRange(0, 2).Draw(t, "kind")}
+			for range schema[e.Kind].Count(Int) {
+				e.Ints = append(e.Ints, rapid.Int64().Draw(t, "int"))
+			}
+			for range schema[e.Kind].Count(Text) {
+				e.Texts = append(e.Texts, rapid.String().Draw(t, "text"))
+			}
+			events = append(events, e)
+		}
+		file, spans := write(t, events, rapid.IntRange(1, 20).Draw(t, "each"))
+		got, faults, err := read(file)
+		if err != nil || len(faults) > 0 || !reflect.DeepEqual(got, events) {
+			t.Fatalf("%v %v\n%v\n%v", err, faults, got, events)
+		}
+		index, err := ReadIndex(bytes.NewReader(file), int64(len(file)))
+		if err != nil || len(index) != len(spans) {
+			t.Fatalf("%v, %d spans of %d", err, len(index), len(spans))
+		}
+		from := 0
+		for _, s := range index {
+			some, err := ReadBlock(bytes.NewReader(file), schema, s)
+			if err != nil || !reflect.DeepEqual(some, events[from:from+int(s.Count)]) {
+				t.Fatal(err, some)
+			}
+			from += int(s.Count)
+		}
+	})
+}
+
+func TestAFileCutAtAnyByteReadsUpToTheBreak(t *testing.T) {
+	events := few(12)
+	file, spans := write(t, events, 9)
+	for cut := range file {
+		whole := 0
+		for _, s := range spans {
+			if s.Offset+int64(s.Length) <= int64(cut) {
+				whole += int(s.Count)
+			}
+		}
+		got, faults, err := read(file[:cut])
+		if int64(cut) < spans[0].Offset {
+			if err == nil {
+				t.Fatalf("cut at %d, in the head: no error", cut)
+			}
+			continue
+		}
+		if len(got) != whole || len(faults) > 0 || whole > 0 && !reflect.DeepEqual(got, events[:whole]) {
+			t.Fatalf("cut at %d: %d events of %d, faults %v, %v", cut, len(got), whole, faults, err)
+		}
+		if _, err := ReadIndex(bytes.NewReader(file[:cut]), int64(cut)); err == nil {
+			t.Fatalf("cut at %d: an index is found", cut)
+		}
+	}
+}
+
+func TestAFlippedByteIsNamedByOffsetAndCostsOneBlock(t *testing.T) {
+	events := few(12)
+	file, spans := write(t, events, 9)
+	for i, s := range spans {
+		for at := s.Offset; at < s.Offset+int64(s.Length); at++ {
+			bad := bytes.Clone(file)
+			bad[at] ^= 0x10
+			got, faults, err := read(bad)
+			if len(faults) == 0 || faults[0] != s.Offset {
+				if errors.Is(err, ErrBreak) && at < s.Offset+frameHead {
+					continue // a length that lies takes what is behind it along, or the rest of the file
+				}
+				t.Fatalf("block %d, byte %d: faults %v, %v", i, at-s.Offset, faults, err)
+			}
+			if at >= s.Offset+8 && len(got) != len(events)-int(s.Count) {
+				t.Fatalf("block %d, byte %d: %d events left", i, at-s.Offset, len(got))
+			}
+		}
+	}
+}
+
+func TestANewerVersionIsRefusedByNumberAndAForeignFileByName(t *testing.T) {
+	file, _ := write(t, few(1), 9)
+	newer := bytes.Clone(file)
+	newer[len(opening)] = 2
+	if _, err := NewReader(bytes.NewReader(newer)); !errors.Is(err, ErrNewer) || !strings.Contains(err.Error(), "version 2") {
+		t.Error(err)
+	}
+	if _, err := NewReader(strings.NewReader("PAR1 and so on, for long enough to be read")); !errors.Is(err, ErrForm) {
+		t.Error(err)
+	}
+}
+
+func TestAColumnThatThisProgramDoesNotKnowIsSkippedByName(t *testing.T) {
+	later := Schema{{Name: "taken", Columns: []Column{{"new", Text, Words}, {"id", Text, Identity}, {"set", Int, Plain}}}, {Name: "unheard of"}}
+	b := NewBlock(later)
+	b.Add(5, 0, []int64{7}, []string{"something", "c1"})
+	b.Add(6, 1, nil, nil)
+	file, _ := AppendHeader(nil, Header{Schema: later})
+	file, _, _ = b.Append(file, int64(len(file)))
+	r, err := NewReader(bytes.NewReader(file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, events, err := r.Next()
+	k := r.Header.Schema[0]
+	if err != nil || events[0].Texts[k.Find("id", Text)] != "c1" || events[0].Ints[k.Find("set", Int)] != 7 || k.Find("group", Text) != -1 {
+		t.Errorf("%v %v", events, err)
+	}
+}
+
+func TestAColumnWithoutAMarkIsNotWritten(t *testing.T) {
+	if _, err := AppendHeader(nil, Header{Schema: Schema{{Name: "x", Columns: []Column{{Name: "y", Type: Text}}}}}); err == nil {
+		t.Error("a column that says nothing of identities is taken")
+	}
+	if _, err := AppendHeader(nil, Header{Schema: Schema{{Name: "x", Columns: []Column{{"y", Int, Identity}}}}}); err == nil {
+		t.Error("an identity that could not be replaced is taken")
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	file, _ := write(f, few(3), 4)
+	f.Add(file)
+	f.Add(file[:len(file)-30])
+	f.Add([]byte(opening))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		events, _, _ := read(b)
+		ReadIndex(bytes.NewReader(b), int64(len(b)))
+		for _, e := range events {
+			if e.Kind < 0 {
+				t.Fatal(e)
+			}
+		}
+	})
+}
+
+func BenchmarkWrite(b *testing.B) {
+	events := few(10000)
+	b.ReportAllocs()
+	for range b.N {
+		file, _ := write(b, events, 8192)
+		b.ReportMetric(float64(len(file))/float64(len(events)), "bytes/event")
+	}
+	b.ReportMetric(float64(len(events)*b.N)/b.Elapsed().Seconds(), "events/s")
+}
+
+func BenchmarkRead(b *testing.B) {
+	file, _ := write(b, few(10000), 8192)
+	b.ResetTimer()
+	n := 0
+	for range b.N {
+		events, _, _ := read(file)
+		n += len(events)
+	}
+	b.ReportMetric(float64(n)/b.Elapsed().Seconds(), "events/s")
+}
--- /dev/null
+++ b/internal/trace/record/record.go
@@ -0,0 +1,440 @@
+// Package record turns what goes in and out of the decision module into events
+// of a trace, in the module's own order: enough to drive the module again. It is
+// called by the module's owner alone, and never waits: a block that has no room
+// to go to is lost, and the next one says how many events were.
+//
+//	routing -> Recorder (columns in memory) -> Sink (a writer's queue) -> files
+package record
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/blake3"
+
+	"ferrypitch/internal/trace/format"
+	"ferrypitch/rules"
+)
+
+// Kinds of events, by their place in Schema. Those up to Anew are calls into the module, from Dispatch to Wake what it
+// asked for, and the rest what happened beside it.
+const (
+	Host = iota
+	Listed
+	ListDone
+	Take
+	Ended
+	Left
+	Reported
+	Probed
+	Heard
+	Woke
+	Told
+	Count
+	Anew
+	Dispatch
+	Throttle
+	Fail
+	Probe
+	Close
+	Forget
+	Tell
+	Wake
+	Candidate
+	List
+	Stall
+	Reload
+	Clock
+	View
+)
+
+func i(names ...string) (all []format.Column) {
+	for _, n := range names {
+		all = append(all, format.Column{Name: n, Type: format.Int, Mark: format.Plain})
+	}
+	return all
+}
+
+func t(name string, m format.Mark) []format.Column {
+	return []format.Column{{Name: name, Type: format.Text, Mark: m}}
+}
+
+func kind(name string, columns ...[]format.Column) format.Kind {
+	k := format.Kind{Name: name}
+	for _, c := range columns {
+		k.Columns = append(k.Columns, c...)
+	}
+	return k
+}
+
+// Schema is of all files that are written here. Commands and hosts have numbers; times are in tenths of a
+// millisecond, sizes and shares in the bits of a float, work and lateness in thousandths.
+var Schema = format.Schema{
+	Host:      kind("host", i("host", "set"), t("name", format.Place)),
+	Listed:    kind("listed", i("host", "standing", "leader", "size", "boot"), t("zone", format.Place), t("model", format.Plain)),
+	ListDone:  kind("list_done", i("whole")),
+	Take:      kind("take", i("command", "group", "set", "timeout", "since", "again"), t("id", format.Identity), t("session", format.Identity)),
+	Ended:     kind("ended", i("command", "outcome", "position", "role", "took", "over")),
+	Left:      kind("left", i("command")),
+	Reported:  kind("reported", i("host", "position", "role")),
+	Probed:    kind("probed", i("host", "ok")),
+	Heard:     kind("heard", t("body", format.Words)),
+	Woke:      kind("woke"),
+	Told:      kind("told", i("host", "position", "role", "role_at", "late")),
+	Count:     kind("count", i("routers", "blind")),
+	Anew:      kind("anew"),
+	Dispatch:  kind("dispatch", i("command", "host", "timeout", "send_by", "for", "work")),
+	Throttle:  kind("throttle", i("command", "comeback")),
+	Fail:      kind("fail", i("command")),
+	Probe:     kind("probe", i("host")),
+	Close:     kind("close", i("host")),
+	Forget:    kind("forget", i("host")),
+	Tell:      kind("tell", t("body", format.Words)),
+	Wake:      kind("wake", i("after")),
+	Candidate: kind("candidate", i("command", "host", "standing", "role", "position", "out", "late", "share", "state")),
+	List:      kind("list", i("revision", "whole", "entries")),
+	Stall:     kind("stall", i("span")),
+	Reload:    kind("reload", i("ok")),
+	Clock:     kind("clock", i("system")),
+	View:      kind("view", i("hosts", "dropped", "routers", "blind")),
+}
+
+// Sink takes blocks and gives empty ones; neither waits.
+type Sink interface {
+	// Put takes a block that is full, or not at all.
+	Put(b *format.Block) bool
+	// Get gives an empty block, or nil while all are on their way.
+	Get() *format.Block
+}
+
+// Recorder records one router. A nil one records nothing.
+type Recorder struct {
+	sink     Sink
+	block    *format.Block
+	size     int
+	lost     uint64
+	now      int64
+	hosts    map[*rules.Node]int64
+	commands map[*rules.Cmd]int64
+	next     int64 // command
+	nodes    int64
+	part     uint32 // of sessions that are recorded, in thousandths
+	key      [32]byte
+	detail   bool
+	clockAt  int64
+	asked    int64 // the command that Take was called for, whose handle is not known yet
+
+	Events, Lost uint64
+}
+
+// New records into blocks of about size bytes. part is how many sessions in a thousand are recorded, chosen by a
+// keyed hash; with less than all, no replay is possible. detail: the candidates of each dispatch too.
+func New(sink Sink, size int, part uint32, key [32]byte, detail bool) *Recorder {
+	return &Recorder{sink: sink, size: size, part: part, key: key, detail: detail, hosts: map[*rules.Node]int64{},
+		commands: map[*rules.Cmd]int64{}}
+}
+
+// Deployment is a deployment's form in a header, from which a replay makes it again.
+func Deployment(d rules.Deployment) ([]byte, error) { return cbor.Marshal(d) }
+
+// ReadDeployment reads it back.
+func ReadDeployment(b []byte) (d rules.Deployment, err error) {
+	if err := cbor.Unmarshal(b, &d); err != nil {
+		return d, fmt.Errorf("the deployment: %w", err)
+	}
+	for i, g := range d.Groups {
+		if g == nil {
+			return d, fmt.Errorf("the deployment: group %d is missing", i)
+		}
+	}
+	return d, nil
+}
+
+// Now tells the moment of the events that follow, as the module was told it.
+func (r *Recorder) Now(now rules.Tenth) {
+	if r == nil {
+		return
+	}
+	r.now = now
+}
+
+// System notes a reading of the system's clock beside the module's, now and then.
+func (r *Recorder) System(reading int64) {
+	if r != nil && r.now >= r.clockAt {
+		r.clockAt = r.now + 10000
+		r.add(Clock, reading)
+	}
+}
+
+func flag(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// add adds an event of numbers.
+func (r *Recorder) add(kind int, ints ...int64) { r.put(kind, ints, nil) }
+
+func (r *Recorder) put(kind int, ints []int64, texts []string) {
+	if r.block == nil {
+		if r.block = r.sink.Get(); r.block == nil {
+			r.lost++
+			r.Lost++
+			return
+		}
+		r.block.Lost(r.lost)
+		r.lost = 0
+	}
+	r.block.Add(r.now, kind, ints, texts)
+	if r.Events++; r.block.Full(r.size) {
+		r.Flush()
+	}
+}
+
+// Flush hands over what was gathered.
+func (r *Recorder) Flush() {
+	if r == nil || r.block == nil || r.block.Len() == 0 {
+		return
+	}
+	if n := uint64(r.block.Len()); !r.sink.Put(r.block) {
+		r.lost += n
+		r.Lost += n
+		r.block.Reset()
+		r.block.Lost(r.lost)
+		r.lost = 0
+		return
+	}
+	r.block = nil
+}
+
+// Host, and what follows up to Anew, are the calls into the module, recorded before they are made.
+func (r *Recorder) Host(n *rules.Node, set int64) {
+	if r == nil {
+		return
+	}
+	r.nodes++
+	r.hosts[n] = r.nodes
+	r.put(Host, []int64{r.hosts[n], set}, []string{n.Name})
+}
+
+func (r *Recorder) Listed(n *rules.Node, standing rules.Standing, leader bool, zone, model string, size float64, boot rules.Tenth) {
+	if r != nil {
+		r.put(Listed, []int64{r.hosts[n], int64(standing), flag(leader), int64(math.Float64bits(size)), boot}, []string{zone, model})
+	}
+}
+
+func (r *Recorder) ListDone(whole bool) {
+	if r != nil {
+		r.add(ListDone, flag(whole))
+	}
+}
+
+// sampled says whether a session is recorded.
+func (r *Recorder) sampled(session string) bool {
+	if r.part >= 1000 {
+		return true
+	}
+	h, err := blake3.NewKeyed(r.key[:])
+	if err != nil {
+		panic(err) // the size is in its type
+	}
+	h.WriteString(session)
+	sum := h.Sum(nil)
+	return (uint32(sum[0])|uint32(sum[1])<<8|uint32(sum[2])<<16)%1000 < r.part
+}
+
+// Take is called before the module's, and Taken with the handle that it gave; what the module asks for in between
+// is of that command.
+func (r *Recorder) Take(id string, group int, set int64, session string, timeout, since rules.Tenth, again bool) {
+	if r == nil {
+		return
+	}
+	if !r.sampled(session) {
+		r.asked = -1
+		return
+	}
+	r.next++
+	r.asked = r.next
+	r.put(Take, []int64{r.asked, int64(group), set, timeout, since, flag(again)}, []string{id, session})
+}
+
+func (r *Recorder) Taken(c *rules.Cmd) {
+	if r == nil {
+		return
+	}
+	if r.asked >= 0 && !c.Over() {
+		r.commands[c] = r.asked
+	}
+	r.asked = 0
+}
+
+// command is a command's number; 0: it is not recorded.
+func (r *Recorder) command(c *rules.Cmd) int64 {
+	if n, known := r.commands[c]; known {
+		return n
+	}
+	return max(0, r.asked)
+}
+
+func (r *Recorder) Ended(c *rules.Cmd, o rules.Outcome, pos rules.Tenth, role rules.Role, took rules.Tenth, over bool) {
+	if r == nil {
+		return
+	}
+	if n := r.command(c); n != 0 {
+		r.add(Ended, n, int64(o), pos, int64(role), took, flag(over))
+	}
+}
+
+// Settled says that nothing more comes for a command.
+func (r *Recorder) Settled(c *rules.Cmd) {
+	if r != nil {
+		delete(r.commands, c)
+	}
+}
+
+func (r *Recorder) Left(c *rules.Cmd) {
+	if r == nil {
+		return
+	}
+	if n := r.command(c); n != 0 {
+		r.add(Left, n)
+	}
+}
+
+func (r *Recorder) Reported(n *rules.Node, pos rules.Tenth, role rules.Role) {
+	if r != nil {
+		r.add(Reported, r.hosts[n], pos, int64(role))
+	}
+}
+
+func (r *Recorder) Probed(n *rules.Node, ok bool) {
+	if r != nil {
+		r.add(Probed, r.hosts[n], flag(ok))
+	}
+}
+
+func (r *Recorder) Heard(body string) {
+	if r != nil {
+		r.put(Heard, nil, []string{body})
+	}
+}
+
+func (r *Recorder) Woke() {
+	if r != nil {
+		r.add(Woke)
+	}
+}
+
+func (r *Recorder) Told(n *rules.Node, pos rules.Tenth, role rules.Role, at, late rules.Tenth) {
+	if r != nil {
+		r.add(Told, r.hosts[n], pos, int64(role), at, late)
+	}
+}
+
+func (r *Recorder) Count(routers int, blind bool) {
+	if r != nil {
+		r.add(Count, int64(routers), flag(blind))
+	}
+}
+
+// Anew says that a new module has taken the place of one that panicked; hosts follow.
+func (r *Recorder) Anew() {
+	if r != nil {
+		clear(r.commands)
+		r.add(Anew)
+	}
+}
+
+// Dispatch, and what follows up to Wake, are what the module asked for.
+func (r *Recorder) Dispatch(c *rules.Cmd, n *rules.Node, timeout rules.Tenth) {
+	if r == nil {
+		return
+	}
+	number := r.command(c)
+	if number == 0 {
+		return
+	}
+	if r.detail {
+		c.Members(func(m *rules.Node, s rules.Seen) {
+			r.add(Candidate, number, r.hosts[m], int64(s.Standing), int64(s.Role), s.Position, int64(s.Out), int64(s.Late*1000),
+				int64(s.Share*1000), s.State)
+		})
+	}
+	r.add(Dispatch, number, r.hosts[n], timeout, c.SendBy, c.SentFor(), int64(c.Work()*1000))
+}
+
+func (r *Recorder) Throttle(c *rules.Cmd, comeback rules.Tenth) {
+	if r == nil {
+		return
+	}
+	if n := r.command(c); n != 0 {
+		r.add(Throttle, n, comeback)
+	}
+}
+
+func (r *Recorder) Fail(c *rules.Cmd) {
+	if r == nil {
+		return
+	}
+	if n := r.command(c); n != 0 {
+		r.add(Fail, n)
+	}
+}
+
+func (r *Recorder) Probe(n *rules.Node) {
+	if r != nil {
+		r.add(Probe, r.hosts[n])
+	}
+}
+
+func (r *Recorder) Close(n *rules.Node) {
+	if r != nil {
+		r.add(Close, r.hosts[n])
+	}
+}
+
+func (r *Recorder) Forget(n *rules.Node) {
+	if r != nil {
+		r.add(Forget, r.hosts[n])
+		delete(r.hosts, n)
+	}
+}
+
+func (r *Recorder) Tell(body string) {
+	if r != nil {
+		r.put(Tell, nil, []string{body})
+	}
+}
+
+func (r *Recorder) Wake(after rules.Tenth) {
+	if r != nil {
+		r.add(Wake, after)
+	}
+}
+
+// List, Stall, Reload and View are beside the module.
+func (r *Recorder) List(revision int64, whole bool, entries int) {
+	if r != nil {
+		r.add(List, revision, flag(whole), int64(entries))
+	}
+}
+
+func (r *Recorder) Stall(span rules.Tenth) {
+	if r != nil {
+		r.add(Stall, span)
+	}
+}
+
+func (r *Recorder) Reload(ok bool) {
+	if r != nil {
+		r.add(Reload, flag(ok))
+	}
+}
+
+func (r *Recorder) View(hosts, dropped, routers int, blind bool) {
+	if r != nil {
+		r.add(View, int64(hosts), int64(dropped), int64(routers), flag(blind))
+	}
+}
--- /dev/null
+++ b/internal/trace/replay/replay.go
@@ -0,0 +1,250 @@
+// Package replay drives the decision module with the events of a trace, in
+// virtual time, and holds what the module asks for against what was recorded.
+// On a trace of the same build it is exact; with another module it says where
+// decisions part. It has no clock and no files.
+package replay
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"ferrypitch/internal/trace/format"
+	"ferrypitch/internal/trace/record"
+	"ferrypitch/rules"
+)
+
+// ErrPart tells of a trace that can't be driven: of some sessions only, or not from the router's start.
+var ErrPart = errors.New("not the whole of a router's life from its start")
+
+// Difference is where the module does otherwise than was recorded.
+type Difference struct {
+	Event    int64 // of the trace, from 0
+	At       int64
+	Call     string // into the module
+	Recorded string // what it asked for then; empty: nothing
+	Now      string
+}
+
+func (d Difference) String() string {
+	return fmt.Sprintf("event %d at %d, after %s: recorded %q, now %q", d.Event, d.At, d.Call, d.Recorded, d.Now)
+}
+
+// Replay is a module and what it was told.
+type Replay struct {
+	most     int
+	deploy   rules.Deployment
+	module   *rules.Router
+	nodes    map[int64]*rules.Node
+	names    map[*rules.Node]int64
+	commands map[int64]*rules.Cmd
+	numbers  map[*rules.Cmd]int64
+	taking   int64
+	now      int64
+	began    bool
+
+	got    []string // what the module asked for since the last call
+	want   []string
+	after  string
+	since  int64
+	event  int64
+	closed bool
+
+	Calls, Asked, Apart int64
+	Differences         []Difference // the first few
+}
+
+// New replays from a header; most is how many differences are kept.
+func New(h format.Header, most int) (*Replay, error) {
+	if h.Part != 1000 {
+		return nil, fmt.Errorf("%w: %.1f %% of sessions were recorded", ErrPart, float64(h.Part)/10)
+	}
+	for i, k := range record.Schema {
+		if i >= len(h.Schema) || h.Schema[i].Name != k.Name || len(h.Schema[i].Columns) != len(k.Columns) {
+			return nil, fmt.Errorf("%w: kind %q is otherwise than here", format.ErrForm, k.Name)
+		}
+	}
+	d, err := record.ReadDeployment(h.More["deployment"])
+	if err != nil {
+		return nil, err
+	}
+	return &Replay{most: most, deploy: d, nodes: map[int64]*rules.Node{}, names: map[*rules.Node]int64{},
+		commands: map[int64]*rules.Cmd{}, numbers: map[*rules.Cmd]int64{}}, nil
+}
+
+func (r *Replay) begin(now int64) {
+	r.now = now
+	r.module = rules.New(r, r.deploy, now)
+}
+
+// Lost tells that events are missing before the next; nothing after them can be held against anything.
+func (r *Replay) Lost(n uint64) error {
+	if n > 0 {
+		return fmt.Errorf("%w: %d events were lost in capture before event %d", ErrPart, n, r.event)
+	}
+	return nil
+}
+
+// Event takes the next event of the trace.
+func (r *Replay) Event(e format.Event) error {
+	defer func() { r.event++ }()
+	if !r.began {
+		r.began, r.after = true, "start"
+		r.begin(e.At)
+	}
+	switch e.Kind {
+	case record.Candidate, record.List, record.Stall, record.Reload, record.Clock, record.View:
+		return nil
+	case record.Dispatch, record.Throttle, record.Fail, record.Probe, record.Close, record.Forget, record.Tell, record.Wake:
+		r.want = append(r.want, r.asked(e))
+		return nil
+	case record.Host:
+		// Introducing a host asks for nothing, and is recorded after the call.
+		n := r.module.Host(e.Texts[0], e.Ints[1])
+		r.nodes[e.Ints[0]], r.names[n] = n, e.Ints[0]
+		return nil
+	}
+	r.settle()
+	r.Calls++
+	r.after, r.since = record.Schema[e.Kind].Name, e.At
+	r.now = e.At
+	if e.Kind == record.Anew {
+		clear(r.commands)
+		clear(r.numbers)
+		clear(r.names)
+		r.begin(e.At)
+		return nil
+	}
+	r.module.Clock(e.At)
+	return r.call(e)
+}
+
+// call makes one call into the module.
+func (r *Replay) call(e format.Event) error {
+	v := e.Ints
+	var n *rules.Node
+	var c *rules.Cmd
+	switch e.Kind {
+	case record.Listed, record.Reported, record.Probed, record.Told:
+		if n = r.nodes[v[0]]; n == nil {
+			return fmt.Errorf("%w: event %d is of a host that was never introduced", ErrPart, r.event)
+		}
+	case record.Ended, record.Left:
+		if c = r.commands[v[0]]; c == nil {
+			return fmt.Errorf("%w: event %d is of a command that was never taken", ErrPart, r.event)
+		}
+	}
+	switch e.Kind {
+	case record.Listed:
+		n.Listed(rules.Standing(v[1]), v[2] == 1, e.Texts[0], e.Texts[1], math.Float64frombits(uint64(v[3])), v[4])
+	case record.ListDone:
+		r.module.ListDone(v[0] == 1)
+	case record.Take:
+		if v[1] < 0 || v[1] >= int64(len(r.deploy.Groups)) {
+			return fmt.Errorf("event %d: command group %d of %d", r.event, v[1], len(r.deploy.Groups))
+		}
+		r.taking = v[0]
+		c := r.module.Take(e.Texts[0], r.deploy.Groups[v[1]], v[2], e.Texts[1], v[3], v[4], nil, v[5] == 1)
+		if r.taking = 0; !c.Over() {
+			r.commands[v[0]], r.numbers[c] = c, v[0]
+		}
+	case record.Ended:
+		c.Ended(rules.Outcome(v[1]), v[2], rules.Role(v[3]), v[4], v[5] == 1)
+		r.forget(v[0], c)
+	case record.Left:
+		c.Left()
+		r.forget(v[0], c)
+	case record.Reported:
+		n.Reported(v[1], rules.Role(v[2]))
+	case record.Probed:
+		n.Probed(v[1] == 1)
+	case record.Heard:
+		r.module.Heard(e.Texts[0])
+	case record.Woke:
+		r.module.Woke()
+	case record.Told:
+		n.Told(v[1], rules.Role(v[2]), v[3], v[4])
+	case record.Count:
+		r.module.Count(int(v[0]), v[1] == 1)
+	}
+	return nil
+}
+
+func (r *Replay) forget(number int64, c *rules.Cmd) {
+	if c.Over() {
+		delete(r.commands, number)
+		delete(r.numbers, c)
+	}
+}
+
+// End settles the last call. A router that was killed may have lost what its last call asked for.
+func (r *Replay) End() {
+	if r.began {
+		r.settle()
+	}
+}
+
+// settle holds what the last call asked for against what was recorded.
+func (r *Replay) settle() {
+	for i := range max(len(r.got), len(r.want)) {
+		got, want := "", ""
+		if i < len(r.got) {
+			got = r.got[i]
+		}
+		if i < len(r.want) {
+			want = r.want[i]
+		}
+		if r.Asked++; got != want {
+			if r.Apart++; len(r.Differences) < r.most {
+				r.Differences = append(r.Differences, Difference{r.event, r.since, r.after, want, got})
+			}
+		}
+	}
+	r.got, r.want = r.got[:0], r.want[:0]
+}
+
+// asked is what a recorded event says, in the words of the calls below.
+func (r *Replay) asked(e format.Event) string {
+	v := e.Ints
+	switch e.Kind {
+	case record.Dispatch:
+		return fmt.Sprintf("dispatch %d to %d, timeout %d, by %d, for %d", v[0], v[1], v[2], v[3], v[4])
+	case record.Throttle:
+		return fmt.Sprintf("throttle %d, back after %d", v[0], v[1])
+	case record.Fail:
+		return fmt.Sprintf("fail %d", v[0])
+	case record.Tell:
+		return "tell " + e.Texts[0]
+	}
+	return fmt.Sprintf("%s %d", record.Schema[e.Kind].Name, v[0])
+}
+
+func (r *Replay) number(c *rules.Cmd) int64 {
+	if n, known := r.numbers[c]; known {
+		return n
+	}
+	return r.taking
+}
+
+func (r *Replay) note(format string, args ...any) {
+	r.got = append(r.got, fmt.Sprintf(format, args...))
+}
+
+// Dispatch and the rest are what the module asks for.
+func (r *Replay) Dispatch(c *rules.Cmd, n *rules.Node, timeout rules.Tenth) {
+	r.note("dispatch %d to %d, timeout %d, by %d, for %d", r.number(c), r.names[n], timeout, c.SendBy, c.SentFor())
+}
+func (r *Replay) Throttle(c *rules.Cmd, back rules.Tenth) {
+	r.note("throttle %d, back after %d", r.number(c), back)
+}
+func (r *Replay) Fail(c *rules.Cmd)      { r.note("fail %d", r.number(c)) }
+func (r *Replay) Probe(n *rules.Node)    { r.note("probe %d", r.names[n]) }
+func (r *Replay) Close(n *rules.Node)    { r.note("close %d", r.names[n]) }
+func (r *Replay) Tell(body string)       { r.note("tell %s", body) }
+func (r *Replay) Wake(after rules.Tenth) { r.note("wake %d", after) }
+
+func (r *Replay) Forget(n *rules.Node) {
+	r.note("forget %d", r.names[n])
+	delete(r.nodes, r.names[n])
+	delete(r.names, n)
+}
--- a/rules/door.go
+++ b/rules/door.go
@@ -144,3 +144,30 @@
 
 // Spent is the part of the response target that an answer took.
 func (c *Cmd) Spent(took Tenth) float64 { return float64(took) / float64(max(1, c.group.Target)) }
+
+// SentFor is the position that a command's last dispatch was for; 0: none.
+func (c *Cmd) SentFor() Tenth { return c.sentFor }
+
+// Seen is a member of a set as the module sees it now. State adds 1 for a silent host, 2 for one out of reach, 4 for a
+// cold one, 8 for one whose position is known and 16 for the primary that is followed.
+type Seen struct {
+	Standing    Standing
+	Role        Role
+	Position    Tenth
+	Out         int
+	Late, Share float64
+	State       int64
+}
+
+// Members visits the members of a command's set.
+func (c *Cmd) Members(visit func(n *Node, s Seen)) {
+	for _, n := range c.set.members {
+		state := int64(0)
+		for i, is := range []bool{n.left, n.dark || n.down, n.cold(), n.known, n == c.set.primary} {
+			if is {
+				state |= 1 << i
+			}
+		}
+		visit(n, Seen{n.standing, n.role, n.pos, len(n.out), n.crowd, n.share, state})
+	}
+}
