--- a/cmd/ferrypitch/command.go
+++ b/cmd/ferrypitch/command.go
@@ -30,7 +30,7 @@
 		Long: "A query router for sharded, replicated databases.\n\n" + environment, SilenceErrors: true, SilenceUsage: true,
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	root.CompletionOptions.HiddenDefaultCmd = true
-	root.AddCommand(serveCommand(), forwardCommand(), planCommand(), checkCommand(), keyCommand())
+	root.AddCommand(serveCommand(), forwardCommand(), planCommand(), checkCommand(), keyCommand(), traceCommand())
 	root.SetArgs(args)
 	err := root.Execute()
 	var end status
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -212,8 +213,18 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	names := make([]string, len(start.Deployment.Groups))
+	for name, g := range start.Terms.Groups {
+		if i := slices.Index(start.Deployment.Groups, g); i >= 0 {
+			names[i] = name
+		}
+	}
+	groups, err := record.Groups(names)
+	if err != nil {
+		return nil, nil, err
+	}
 	header := format.Header{Router: start.Name, Life: Life(), Began: time.Now().UnixNano() / int64(clock.Tenth), Build: build(),
-		Part: section.Part, Schema: record.Schema, More: map[string][]byte{"deployment": deployment}}
+		Part: section.Part, Schema: record.Schema, More: map[string][]byte{"deployment": deployment, "groups": groups}}
 	w := file.New(file.Terms{Dir: section.Dir, Name: start.Name, Size: section.Size, Age: section.Age, Budget: section.Budget,
 		Flush: section.Flush, Blocks: section.Blocks}, file.Disk{}, header, time.Now, log)
 	return w, record.New(w, section.Block, section.Part, section.Key, section.Detail), nil
--- a/internal/setup/operator.go
+++ b/internal/setup/operator.go
@@ -180,34 +180,41 @@
 	return fmt.Errorf("%s: %s", key, text)
 }
 
-// key reads a shared key, which others must not be able to read.
-func key(o Object, dir string) (k [32]byte, err error) {
-	path := o.Text("key_file")
-	if !filepath.IsAbs(path) {
-		path = filepath.Join(dir, path)
-	}
-	at := o.path + ".key_file"
+// ReadKey reads a shared key from a file, which others must not be able to read.
+func ReadKey(path string) (k [32]byte, err error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return k, fmt.Errorf("%s: %w", at, err)
+		return k, err
 	}
 	if info.Mode().Perm()&0o077 != 0 {
-		return k, fmt.Errorf("%s: %s: others than its owner may read it", at, path)
+		return k, fmt.Errorf("%s: others than its owner may read it", path)
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return k, fmt.Errorf("%s: %w", at, err)
+		return k, err
 	}
 	digits := strings.TrimSpace(string(text))
 	if len(digits) != 2*len(k) {
-		return k, fmt.Errorf("%s: %s: %w", at, path, link.ErrKeySize)
+		return k, fmt.Errorf("%s: %w", path, link.ErrKeySize)
 	}
 	if _, err := hex.Decode(k[:], []byte(digits)); err != nil {
-		return k, fmt.Errorf("%s: %s: %w", at, path, link.ErrKeySize)
+		return k, fmt.Errorf("%s: %w", path, link.ErrKeySize)
 	}
 	return k, nil
 }
 
+// key reads the key that a section names.
+func key(o Object, dir string) (k [32]byte, err error) {
+	path := o.Text("key_file")
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(dir, path)
+	}
+	if k, err = ReadKey(path); err != nil {
+		err = fmt.Errorf("%s.key_file: %w", o.path, err)
+	}
+	return k, err
+}
+
 // milliseconds is a field in them, or what stands for it.
 func (o Object) milliseconds(field string, otherwise time.Duration) time.Duration {
 	if !o.Has(field) {
--- a/internal/trace/record/record.go
+++ b/internal/trace/record/record.go
@@ -138,6 +138,9 @@
 // Deployment is a deployment's form in a header, from which a replay makes it again.
 func Deployment(d rules.Deployment) ([]byte, error) { return cbor.Marshal(d) }
 
+// Groups is the form of command groups' names in a header, by number.
+func Groups(names []string) ([]byte, error) { return cbor.Marshal(names) }
+
 // ReadDeployment reads it back.
 func ReadDeployment(b []byte) (d rules.Deployment, err error) {
 	if err := cbor.Unmarshal(b, &d); err != nil {
