--- /dev/null
+++ b/cmd/ferrypitch/trace_test.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"ferrypitch/internal/lab/fleet"
+	"ferrypitch/internal/lab/load"
+)
+
+// traced is the file of a router that served a load for a moment.
+func traced(t *testing.T) string {
+	t.Helper()
+	f, err := fleet.New(t.TempDir(), 1, 3, 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Stop()
+	dir, listen := t.TempDir(), ""
+	path := example(t, func(all map[string]any) {
+		all["discovery"], all["trace"] = f.Discovery.Address(), map[string]any{"dir": dir}
+		delete(all, "known")
+		listen = all["listen"].(string)
+	})
+	cmd := exec.Command(binary, "serve", path)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithTimeout(t.Context(), patience)
+	defer stop()
+	if err := fleet.Ready(ctx, listen); err != nil {
+		t.Fatal(err)
+	}
+	load.Run(ctx, load.Terms{Routers: []string{listen}, Sets: []int64{1}, Clients: 4, Rate: 150, For: time.Second, Writes: 0.2, Sessions: 2,
+		Timeout: time.Second, Seed: 5}, nil)
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	files, _ := filepath.Glob(filepath.Join(dir, "*.fptrace"))
+	if len(files) != 1 {
+		t.Fatalf("%v", files)
+	}
+	return files[0]
+}
+
+func TestATraceIsReadCutAnonymisedRepairedAndReplayed(t *testing.T) {
+	file, dir := traced(t), t.TempDir()
+	for _, want := range []struct {
+		args   []string
+		status int
+		words  []string
+	}{
+		{[]string{"info", file}, 0, []string{"router f1", "0 lost", "take", "dispatch"}},
+		{[]string{"replay", file}, 0, []string{" 0 apart"}},
+		{[]string{"summary", file}, 0, []string{"order", "list"}},
+		{[]string{"summary", "--json", "--group", "order", file}, 0, []string{`"Group": "order"`, `"Throttled": 0`}},
+		{[]string{"cat", "--group", "order", file}, 0, []string{" take command=", "session=s"}},
+		{[]string{"cat", "--group", "nothing", file}, 2, []string{"--group nothing: the file has list"}},
+		{[]string{"cat", "--from", "yesterday", file}, 2, []string{"neither a moment"}},
+		{[]string{"cut", "--session", "s0-0", file, filepath.Join(dir, "cut")}, 0, nil},
+		{[]string{"replay", filepath.Join(dir, "cut")}, 2, []string{"not the whole of a router's life"}},
+		{[]string{"diff", file, filepath.Join(dir, "cut")}, 0, []string{"→"}},
+		{[]string{"info", filepath.Join(dir, "not there")}, 1, []string{"no such file"}},
+	} {
+		out, status := call(append([]string{"trace"}, want.args...)...)
+		for _, w := range want.words {
+			if !strings.Contains(out, w) {
+				t.Errorf("%v: no %q in %s", want.args, w, out)
+			}
+		}
+		if status != want.status {
+			t.Errorf("%v: status %d, %s", want.args, status, out)
+		}
+	}
+	key := filepath.Join(dir, "key")
+	call("key", key)
+	if out, status := call("trace", "anonymise", "--key", key, file, filepath.Join(dir, "nobody")); status != 0 {
+		t.Error(out)
+	}
+	if out, _ := call("trace", "cat", filepath.Join(dir, "nobody")); strings.Contains(out, "set1-") || strings.Contains(out, "session=s") ||
+		!strings.Contains(out, " take command=") {
+		t.Errorf("%.400s", out)
+	}
+	whole, _ := os.ReadFile(file)
+	broken := filepath.Join(dir, "broken")
+	os.WriteFile(broken, whole[:len(whole)-7], 0o600)
+	if out, status := call("trace", "repair", broken, filepath.Join(dir, "mended")); status != 0 {
+		t.Errorf("%d %s", status, out)
+	}
+	if out, status := call("trace", "replay", filepath.Join(dir, "mended")); status != 0 || !strings.Contains(out, " 0 apart") {
+		t.Errorf("%d %s", status, out)
+	}
+	whole[8] = 9
+	os.WriteFile(broken, whole, 0o600)
+	if out, status := call("trace", "info", broken); status != 1 || !strings.Contains(out, "trace version 9; this program reads up to version 1") {
+		t.Errorf("%d %s", status, out)
+	}
+}
