Traces of every life on the virtual network replay exactly; export to Parquet

Need: a replay is a regression tool for rules only if it is exact for the build that wrote the trace, candidates included. Change: the virtual network captures each life of each forwarder and replays it; replay holds the candidates of a dispatch too, where they were recorded; a trace that breaks off is not held to its last call; trace export writes Parquet, a file a kind.

--- a/internal/lab/virtual/forward.go
+++ b/internal/lab/virtual/forward.go
@@ -9,6 +9,7 @@
 // settle forgets a command for which nothing more will come.
 func (f *forward) settle(handle *rules.Cmd) {
 	if c := f.open[handle.Name]; c != nil && c.final && handle.Over() {
+		f.trace.Settled(handle)
 		delete(f.open, handle.Name)
 	}
 }
@@ -28,29 +29,34 @@
 }
 
 // Throttle, Fail, Dispatch and the rest are what the module asks for.
-func (f *forward) Throttle(c *rules.Cmd, _ rules.Tenth) {
+func (f *forward) Throttle(c *rules.Cmd, back rules.Tenth) {
+	f.trace.Throttle(c, back)
 	f.end(c, &f.w.Throttled)
 	f.settle(c)
 }
 
 func (f *forward) Fail(c *rules.Cmd) {
+	f.trace.Fail(c)
 	f.end(c, &f.w.Failed)
 	f.settle(c)
 }
 
 func (f *forward) Probe(n *rules.Node) { f.w.broke("%s probes %s", f.name, f.names[n]) }
-func (f *forward) Close(*rules.Node)   {}
+func (f *forward) Close(n *rules.Node) { f.trace.Close(n) }
 func (f *forward) Tell(string)         { f.w.broke("%s tells others", f.name) }
 func (f *forward) Forget(n *rules.Node) {
+	f.trace.Forget(n)
 	delete(f.nodes, f.names[n])
 	delete(f.names, n)
 }
 
 func (f *forward) Wake(after rules.Tenth) {
 	life := f.life
+	f.trace.Wake(after)
 	f.w.in(max(ms, after), func() {
 		if f.up && f.life == life {
-			f.rules.Clock(f.w.now)
+			f.moment()
+			f.trace.Woke()
 			f.rules.Woke()
 		}
 	})
@@ -68,6 +74,7 @@
 	if at := f.drains[h.name]; at != 0 && w.now > at+second {
 		w.broke("%s: %s goes to %s, drained or gone %d ms ago", f.name, handle.Name, h.name, (w.now-at)/10)
 	}
+	f.trace.Dispatch(handle, n, timeout)
 	w.serial++
 	c.out = w.serial
 	serial, life, sent := c.out, f.life, w.now
@@ -152,7 +159,7 @@
 func (f *forward) ended(c *command, h *host, o rules.Outcome, pos rules.Tenth, role rules.Role, sent rules.Tenth) {
 	w := f.w
 	c.out = 0
-	f.rules.Clock(w.now)
+	f.moment()
 	took := w.now - sent
 	if o == rules.Answered && !c.final {
 		f.end(c.handle, &w.Answered)
@@ -167,6 +174,7 @@
 		heard.Count++
 		heard.Sum += uint32(min(10, c.handle.Spent(took)) * 1000)
 	}
+	f.trace.Ended(c.handle, o, pos, role, took, c.final)
 	c.handle.Ended(o, pos, role, took, c.final)
 	f.settle(c.handle)
 }
--- a/internal/trace/replay/replay.go
+++ b/internal/trace/replay/replay.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
+	"strings"
 
 	"ferrypitch/internal/trace/format"
 	"ferrypitch/internal/trace/record"
@@ -40,15 +42,15 @@
 	commands map[int64]*rules.Cmd
 	numbers  map[*rules.Cmd]int64
 	taking   int64
+	detail   bool // candidates were recorded too
 	now      int64
 	began    bool
 
-	got    []string // what the module asked for since the last call
-	want   []string
-	after  string
-	since  int64
-	event  int64
-	closed bool
+	got   []string // what the module asked for since the last call
+	want  []string
+	after string
+	since int64
+	event int64
 
 	Calls, Asked, Apart int64
 	Differences         []Difference // the first few
@@ -93,13 +95,17 @@
 		r.begin(e.At)
 	}
 	switch e.Kind {
-	case record.Candidate, record.List, record.Stall, record.Reload, record.Clock, record.View:
+	case record.List, record.Stall, record.Reload, record.Clock, record.View:
 		return nil
+	case record.Candidate:
+		r.detail = true
+		fallthrough
 	case record.Dispatch, record.Throttle, record.Fail, record.Probe, record.Close, record.Forget, record.Tell, record.Wake:
 		r.want = append(r.want, r.asked(e))
 		return nil
 	case record.Host:
 		// Introducing a host asks for nothing, and is recorded after the call.
+		r.module.Clock(e.At)
 		n := r.module.Host(e.Texts[0], e.Ints[1])
 		r.nodes[e.Ints[0]], r.names[n] = n, e.Ints[0]
 		return nil
@@ -177,15 +183,18 @@
 	}
 }
 
-// End settles the last call. A router that was killed may have lost what its last call asked for.
-func (r *Replay) End() {
-	if r.began {
+// End settles the last call, unless the trace breaks off and may lack what that asked for.
+func (r *Replay) End(whole bool) {
+	if r.began && whole {
 		r.settle()
 	}
 }
 
 // settle holds what the last call asked for against what was recorded.
 func (r *Replay) settle() {
+	if !r.detail { // candidates were not recorded, or none of this life was sent yet
+		r.got = slices.DeleteFunc(r.got, func(s string) bool { return strings.HasPrefix(s, "candidate ") })
+	}
 	for i := range max(len(r.got), len(r.want)) {
 		got, want := "", ""
 		if i < len(r.got) {
@@ -213,6 +222,9 @@
 		return fmt.Sprintf("throttle %d, back after %d", v[0], v[1])
 	case record.Fail:
 		return fmt.Sprintf("fail %d", v[0])
+	case record.Candidate:
+		return fmt.Sprintf("candidate %d: host %d, standing %d, role %d, position %d, out %d, late %d, share %d, state %d",
+			v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7], v[8])
 	case record.Tell:
 		return "tell " + e.Texts[0]
 	}
@@ -232,6 +244,10 @@
 
 // Dispatch and the rest are what the module asks for.
 func (r *Replay) Dispatch(c *rules.Cmd, n *rules.Node, timeout rules.Tenth) {
+	c.Members(func(m *rules.Node, s rules.Seen) {
+		r.note("candidate %d: host %d, standing %d, role %d, position %d, out %d, late %d, share %d, state %d", r.number(c), r.names[m],
+			s.Standing, s.Role, s.Position, s.Out, int64(s.Late*1000), int64(s.Share*1000), s.State)
+	})
 	r.note("dispatch %d to %d, timeout %d, by %d, for %d", r.number(c), r.names[n], timeout, c.SendBy, c.SentFor())
 }
 func (r *Replay) Throttle(c *rules.Cmd, back rules.Tenth) {
--- /dev/null
+++ b/internal/trace/tool/export_test.go
@@ -0,0 +1,47 @@
+package tool
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/parquet-go/parquet-go"
+
+	"ferrypitch/internal/trace/format"
+	"ferrypitch/internal/trace/record"
+)
+
+func TestAnExportedKindIsReadByItsColumns(t *testing.T) {
+	_, events := all(t, day(t, t.TempDir(), "a", 1, 40, 0, 0))
+	var out bytes.Buffer
+	e, err := NewExport(&out, record.Schema[record.Take])
+	if err != nil {
+		t.Fatal(err)
+	}
+	var takes []format.Event
+	for _, ev := range events {
+		if ev.Kind == record.Take {
+			takes = append(takes, ev)
+			if err := e.Add(ev); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := e.Close(); err != nil {
+		t.Fatal(err)
+	}
+	type row struct {
+		At      int64  `parquet:"at"`
+		Command int64  `parquet:"command"`
+		Session string `parquet:"session"`
+		Group   int64  `parquet:"group"`
+	}
+	rows, err := parquet.Read[row](bytes.NewReader(out.Bytes()), int64(out.Len()))
+	if err != nil || len(rows) != len(takes) {
+		t.Fatalf("%v, %d rows of %d", err, len(rows), len(takes))
+	}
+	for i, r := range rows {
+		if r != (row{takes[i].At, takes[i].Ints[0], takes[i].Texts[1], takes[i].Ints[1]}) {
+			t.Fatalf("%+v, %+v", r, takes[i])
+		}
+	}
+}
