--- a/cmd/ferrylab/tiers.go
+++ b/cmd/ferrylab/tiers.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -15,6 +16,7 @@
 func tiersCommand() *cobra.Command {
 	t := tiers.Terms{}
 	var asJSON, both bool
+	var capture string
 	c := &cobra.Command{Use: "tiers", Args: cobra.NoArgs, Short: "Forwarders and planners as processes, under load and faults",
 		Long: "Starts stand-in hosts and discovery here, planners and forwarders as processes (or, with --planners 0, routers\n" +
 			"that are alone), loads them, kills them in turn, and reports by the hosts' own record.",
@@ -27,6 +29,9 @@
 			if t.Binary, err = fleet.Build(dir); err != nil {
 				return err
 			}
+			if t.Trace, err = tracing(dir, capture); err != nil {
+				return err
+			}
 			runs := []tiers.Terms{t}
 			if both {
 				alone := t
@@ -78,7 +83,24 @@
 	f.BoolVar(&t.Faults, "kill", false, "kill planners, forwarders and hosts in turn")
 	f.DurationVar(&t.Blind, "blind", 0, "all planners gone for so long")
 	f.Uint64Var(&t.Seed, "seed", 1, "of load and faults")
+	f.StringVar(&capture, "trace", "", "capture in full, or a part of sessions, as 0.05")
 	f.BoolVar(&both, "versus", false, "then the same with routers that are alone")
 	f.BoolVar(&asJSON, "json", false, "print as JSON")
 	return c
 }
+
+// tracing is a trace's section: full, or a part of sessions.
+func tracing(dir, capture string) (map[string]any, error) {
+	if capture == "" {
+		return nil, nil
+	}
+	at := dir + "/trace"
+	if err := os.Mkdir(at, 0o700); err != nil {
+		return nil, err
+	}
+	if capture == "full" {
+		return map[string]any{"dir": at}, nil
+	}
+	part, err := strconv.ParseFloat(capture, 64)
+	return map[string]any{"dir": at, "part": part, "key_file": "link.key"}, err
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -22,6 +22,7 @@
 	Hosts     *pg.Fleet
 	Discovery *discovery.Discovery
 	Dir       string
+	Trace     map[string]any // the section of routers' and forwarders' files; nil: none
 	routers   int
 	planners  []string
 }
@@ -116,6 +117,9 @@
 	for k, v := range more {
 		all[k] = v
 	}
+	if f.Trace != nil && more["plan"] == nil {
+		all["trace"] = f.Trace
+	}
 	text, err := json.MarshalIndent(all, "", "  ")
 	if err != nil {
 		return "", err
--- a/internal/lab/tiers/tiers.go
+++ b/internal/lab/tiers/tiers.go
@@ -26,10 +26,11 @@
 	Sets, Members        int
 	Rate                 float64
 	For                  time.Duration
-	Clients              int           // at each forwarder
-	Faults               bool          // planners, forwarders and hosts are killed in turn
-	Changes              int           // of a set's primary, in equal parts of the time
-	Blind                time.Duration // at the half of the time all planners are gone for so long
+	Clients              int            // at each forwarder
+	Faults               bool           // planners, forwarders and hosts are killed in turn
+	Changes              int            // of a set's primary, in equal parts of the time
+	Blind                time.Duration  // at the half of the time all planners are gone for so long
+	Trace                map[string]any // of the routers' files; nil: nothing is captured
 	Seed                 uint64
 }
 
@@ -70,6 +71,7 @@
 	if r.fleet, err = fleet.New(t.Dir, t.Sets, t.Members, t.Forwarders, t.Planners); err != nil {
 		return nil, err
 	}
+	r.fleet.Trace = t.Trace
 	defer r.fleet.Stop()
 	defer r.stop()
 	if err := r.start(ctx); err != nil {
