--- a/cmd/ferrypitch/plan.go
+++ b/cmd/ferrypitch/plan.go
@@ -16,6 +16,8 @@
 	"ferrypitch/internal/service"
 	"ferrypitch/internal/setup"
 	"ferrypitch/internal/tier/plan"
+	"ferrypitch/internal/trace/file"
+	"ferrypitch/internal/trace/record"
 )
 
 func planCommand() *cobra.Command {
@@ -54,7 +56,19 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	p := plan.New(o.Start, o.Plan, service.Life(), log)
+	var recorder *record.Planner
+	var writer *file.Writer
+	last, finish := context.WithCancel(context.Background()) // capture outlives what it captures
+	defer finish()
+	written := make(chan error, 1)
+	if o.Trace != nil {
+		if writer, err = service.Capture(o.Start, o.Trace, log); err != nil {
+			return fmt.Errorf("trace: %w", err)
+		}
+		recorder = record.NewPlanner(writer, o.Trace.Block)
+		go func() { written <- writer.Run(last) }()
+	}
+	p := plan.New(o.Start, o.Plan, service.Life(), recorder, log)
 	ran := make(chan error, 1)
 	go func() { ran <- p.Run(ctx, listener) }()
 	log.Info("started", zap.Stringer("listen", listener.Addr()))
@@ -62,13 +76,16 @@
 		select {
 		case s := <-signals:
 			if s == syscall.SIGUSR1 {
-				log.Info("counts", p.Fields()...)
+				log.Info("counts", counts(p, writer)...)
 				continue
 			}
 			log.Info("stopping", zap.String("signal", s.String()))
 			end()
 		case err := <-ran:
-			log.Info("counts", p.Fields()...)
+			if finish(); writer != nil {
+				<-written
+			}
+			log.Info("counts", counts(p, writer)...)
 			if err != nil && ctx.Err() == nil {
 				log.Error("ended", zap.Error(err))
 				return status(failed)
@@ -77,3 +94,11 @@
 		}
 	}
 }
+
+func counts(p *plan.Plan, w *file.Writer) []zap.Field {
+	fields := p.Fields()
+	if w != nil {
+		fields = append(fields, w.Fields()...)
+	}
+	return fields
+}
--- a/cmd/ferrypitch/trace_test.go
+++ b/cmd/ferrypitch/trace_test.go
@@ -109,3 +109,36 @@
 		t.Errorf("%d %s", status, out)
 	}
 }
+
+func TestAPlannerCapturesWhatItHeardAndAsked(t *testing.T) {
+	f, err := fleet.New(t.TempDir(), 1, 2, 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Stop()
+	dir := t.TempDir()
+	path := example(t, func(all map[string]any) {
+		all["discovery"], all["trace"] = f.Discovery.Address(), map[string]any{"dir": dir}
+	})
+	cmd := exec.Command(binary, "plan", path)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for till := time.Now().Add(patience); f.Hosts.Seen().Probes < 4 && time.Now().Before(till); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	files, _ := filepath.Glob(filepath.Join(dir, "*.fptrace"))
+	if len(files) != 1 {
+		t.Fatalf("%v", files)
+	}
+	out, status := call("trace", "info", files[0])
+	for _, kind := range []string{"plan_list", "plan_probe ", "plan_probed", "plan_change"} {
+		if !strings.Contains(out, kind) || status != 0 {
+			t.Errorf("status %d, no %s in %s", status, kind, out)
+		}
+	}
+}
--- a/internal/lab/fleet/run.go
+++ b/internal/lab/fleet/run.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	p := plan.New(o.Start, o.Plan, service.Life(), log.Named(o.Start.Name))
+	p := plan.New(o.Start, o.Plan, service.Life(), nil, log.Named(o.Start.Name))
 	tasks.Go(func() error { return p.Run(ctx, l) })
 	return nil
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -70,9 +70,10 @@
 	p.hosts = transport.NewHosts(ctx, p.limits, p.room)
 	var recorder *record.Recorder
 	if o.Trace != nil {
-		if p.trace, recorder, err = capture(start, o.Trace, log); err != nil {
+		if p.trace, err = Capture(start, o.Trace, log); err != nil {
 			return fmt.Errorf("trace: %w", err)
 		}
+		recorder = record.New(p.trace, o.Trace.Block, o.Trace.Part, o.Trace.Key, o.Trace.Detail)
 	}
 	if p.router, err = routing.New(start, p.hosts, tell, recorder, log); err != nil {
 		return fmt.Errorf("known: %w", err)
@@ -207,11 +208,11 @@
 	return f, nil
 }
 
-// capture makes what records and what writes.
-func capture(start *setup.Start, section *setup.Trace, log *zap.Logger) (*file.Writer, *record.Recorder, error) {
+// Capture makes what writes traces; nothing is written before its Run.
+func Capture(start *setup.Start, section *setup.Trace, log *zap.Logger) (*file.Writer, error) {
 	deployment, err := record.Deployment(start.Deployment)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	names := make([]string, len(start.Deployment.Groups))
 	for name, g := range start.Terms.Groups {
@@ -221,13 +222,12 @@
 	}
 	groups, err := record.Groups(names)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	header := format.Header{Router: start.Name, Life: Life(), Began: time.Now().UnixNano() / int64(clock.Tenth), Build: build(),
 		Part: section.Part, Schema: record.Schema, More: map[string][]byte{"deployment": deployment, "groups": groups}}
-	w := file.New(file.Terms{Dir: section.Dir, Name: start.Name, Size: section.Size, Age: section.Age, Budget: section.Budget,
-		Flush: section.Flush, Blocks: section.Blocks}, file.Disk{}, header, time.Now, log)
-	return w, record.New(w, section.Block, section.Part, section.Key, section.Detail), nil
+	return file.New(file.Terms{Dir: section.Dir, Name: start.Name, Size: section.Size, Age: section.Age, Budget: section.Budget,
+		Flush: section.Flush, Blocks: section.Blocks}, file.Disk{}, header, time.Now, log), nil
 }
 
 // build is the revision that the program was built from, as far as it knows.
--- a/internal/tier/plan/plan.go
+++ b/internal/tier/plan/plan.go
@@ -20,6 +20,7 @@
 	"ferrypitch/internal/tier/line"
 	"ferrypitch/internal/tier/link"
 	"ferrypitch/internal/tier/planner"
+	"ferrypitch/internal/trace/record"
 	"ferrypitch/internal/transport"
 	"ferrypitch/rules"
 )
@@ -36,6 +37,7 @@
 	pool    *transport.Hosts
 	hosts   map[string]*transport.Host
 	lines   map[*planner.Forwarder]*line.Line
+	trace   *record.Planner // nil while nothing is captured
 	in      chan func()
 	rev     atomic.Int64
 
@@ -43,9 +45,9 @@
 	open, routers, doubles, overdue, silent, cold, hostCount                         atomic.Int64
 }
 
-// New makes a planner of a life that no other has.
-func New(start *setup.Start, section *setup.Plan, life uint64, log *zap.Logger) *Plan {
-	p := &Plan{start: start, section: section, life: life, log: log, clock: clock.New(time.Now),
+// New makes a planner of a life that no other has; trace may be nil.
+func New(start *setup.Start, section *setup.Plan, life uint64, trace *record.Planner, log *zap.Logger) *Plan {
+	p := &Plan{start: start, section: section, life: life, trace: trace, log: log, clock: clock.New(time.Now),
 		room: transport.NewRoom(&start.Limits), hosts: map[string]*transport.Host{},
 		lines: map[*planner.Forwarder]*line.Line{}, in: make(chan func(), 1024)}
 	t := func(d time.Duration) int64 { return int64(d / clock.Tenth) }
@@ -94,7 +96,9 @@
 	known := make(chan struct{})
 	p.put(ctx, func() {
 		defer close(known)
-		if !p.core.Listed(p.clock.Now(), rev, whole, entries) {
+		held := p.core.Listed(p.clock.Now(), rev, whole, entries)
+		p.trace.List(rev, whole, len(entries), held)
+		if !held {
 			p.Stale.Add(1)
 			p.log.Warn("a list that is older than the one held", zap.Int64("rev", rev))
 			return
@@ -141,14 +145,17 @@
 	for {
 		select {
 		case <-ctx.Done():
+			p.trace.Flush()
 			return nil
 		case do := <-p.in:
+			p.moment()
 			do()
 			for range len(p.in) { // what is there already costs one tick
 				(<-p.in)()
 			}
 		case <-timer.C:
 		}
+		p.moment()
 		do := p.core.Tick(p.clock.Now())
 		for _, name := range do.Probe {
 			p.probe(ctx, name)
@@ -172,8 +179,15 @@
 	}
 }
 
+func (p *Plan) moment() {
+	if p.trace != nil {
+		p.trace.Now(p.clock.Now(), time.Now().UnixNano()/int64(clock.Tenth))
+	}
+}
+
 // tell encodes a change once for all.
 func (p *Plan) tell(do *planner.Todo) {
+	p.trace.Change(do.Change, len(do.Whole), len(p.lines))
 	skip := map[*planner.Forwarder]bool{}
 	if len(do.Whole) > 0 {
 		body := link.Body(p.core.Whole())
@@ -207,6 +221,7 @@
 		statement = "SHOW server_load"
 	}
 	p.Probes.Add(1)
+	p.trace.Probe(name)
 	asked, at := p.clock.Now(), time.Now()
 	until := at.Add(p.start.Limits.Connect)
 	var once sync.Once
@@ -223,6 +238,7 @@
 						pos, role = at, is
 					}
 				}
+				p.trace.Probed(name, a.Outcome == rules.Answered, pos, role, now-asked)
 				p.core.Probed(now, name, a.Outcome == rules.Answered, pos, role, asked)
 			})
 		})
@@ -287,11 +303,16 @@
 			p.put(ctx, func() {
 				p.lines[f] = l
 				f.Begun()
+				p.trace.Forwarder(l.Peer.Name, l.Peer.Life, true, "")
 			})
 			err = p.read(ctx, f, l)
 			l.End(err)
 			l.Wait()
-			p.put(ctx, func() { delete(p.lines, f); f.Left() })
+			p.put(ctx, func() {
+				delete(p.lines, f)
+				f.Left()
+				p.trace.Forwarder(l.Peer.Name, l.Peer.Life, false, err.Error())
+			})
 			if ctx.Err() == nil {
 				p.log.Info("a forwarder left", zap.String("name", l.Peer.Name), zap.Error(err))
 			}
@@ -326,7 +347,10 @@
 				return err
 			}
 			p.Reports.Add(1)
-			p.put(ctx, func() { f.Reported(p.clock.Now(), r) })
+			p.put(ctx, func() {
+				p.trace.Report(l.Peer.Name, r)
+				f.Reported(p.clock.Now(), r)
+			})
 		case link.KindWant:
 			p.put(ctx, func() { f.Wanted(p.clock.Now()) })
 		}
--- a/internal/tier/plan/plan_test.go
+++ b/internal/tier/plan/plan_test.go
@@ -49,7 +49,7 @@
 		t.Fatal(err)
 	}
 	core, log := observer.New(zap.InfoLevel)
-	p = New(start, section, 7, zap.New(core))
+	p = New(start, section, 7, nil, zap.New(core))
 	ctx, end := context.WithCancel(context.Background())
 	ended := make(chan error)
 	go func() { ended <- p.Run(ctx, l) }()
--- a/internal/trace/record/record.go
+++ b/internal/trace/record/record.go
@@ -47,6 +47,12 @@
 	Reload
 	Clock
 	View
+	PlanList
+	PlanProbe
+	PlanProbed
+	PlanChange
+	PlanReport
+	PlanForwarder
 )
 
 func i(names ...string) (all []format.Column) {
@@ -98,6 +104,13 @@
 	Reload:    kind("reload", i("ok")),
 	Clock:     kind("clock", i("system")),
 	View:      kind("view", i("hosts", "dropped", "routers", "blind")),
+
+	PlanList:      kind("plan_list", i("revision", "whole", "entries", "held")),
+	PlanProbe:     kind("plan_probe", t("name", format.Place)),
+	PlanProbed:    kind("plan_probed", i("ok", "position", "role", "took"), t("name", format.Place)),
+	PlanChange:    kind("plan_change", i("seq", "hosts", "dropped", "routers", "every", "whole", "links")),
+	PlanReport:    kind("plan_report", i("entries", "answers", "cold"), t("forwarder", format.Place)),
+	PlanForwarder: kind("plan_forwarder", i("open", "life"), t("forwarder", format.Place), t("why", format.Words)),
 }
 
 // Sink takes blocks and gives empty ones; neither waits.
--- a/internal/trace/replay/replay.go
+++ b/internal/trace/replay/replay.go
@@ -61,7 +61,7 @@
 	if h.Part != 1000 {
 		return nil, fmt.Errorf("%w: %.1f %% of sessions were recorded", ErrPart, float64(h.Part)/10)
 	}
-	for i, k := range record.Schema {
+	for i, k := range record.Schema[:record.View+1] { // what came later is beside the module
 		if i >= len(h.Schema) || h.Schema[i].Name != k.Name || len(h.Schema[i].Columns) != len(k.Columns) {
 			return nil, fmt.Errorf("%w: kind %q is otherwise than here", format.ErrForm, k.Name)
 		}
@@ -94,6 +94,9 @@
 		r.began, r.after = true, "start"
 		r.begin(e.At)
 	}
+	if e.Kind > record.View {
+		return nil
+	}
 	switch e.Kind {
 	case record.List, record.Stall, record.Reload, record.Clock, record.View:
 		return nil
--- a/internal/trace/tool/tool_test.go
+++ b/internal/trace/tool/tool_test.go
@@ -275,3 +275,62 @@
 		t.Errorf("%v, %d events", again.Broken, len(same))
 	}
 }
+
+func TestFortyFilesMergeWithTwoDescriptors(t *testing.T) {
+	dir := t.TempDir()
+	open := func() int {
+		all, err := os.ReadDir("/proc/self/fd")
+		if err != nil {
+			t.Skip("no list of descriptors here")
+		}
+		return len(all)
+	}
+	before := open()
+	var feeds []Feed
+	var first *Delays
+	var skews []Skew
+	for i := range 40 {
+		s, err := Open(day(t, dir, fmt.Sprintf("r%02d", i), uint64(i+1), 30, int64(i)*500, 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := NewDelays(s.Header.Schema)
+		if err := s.Each(Window{First: -1 << 62}, nil, func(e format.Event) error { d.Add(e); return nil }); err != nil {
+			t.Fatal(err)
+		}
+		feed, err := s.Feed()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if first == nil {
+			first = d
+		}
+		skew, err := Estimate(s.Header.Router, first, d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if off := skew.At(base+int64(i)*500) - base; off > 60 || off < -60 {
+			t.Errorf("router %d is off by %.1f ms", i, float64(off)/10)
+		}
+		feeds, skews = append(feeds, feed), append(skews, skew)
+	}
+	n, most, last := 0, 0, int64(0)
+	if err := Merge(feeds, skews, func(e format.Event) error {
+		if e.At < last {
+			t.Fatalf("%d after %d", e.At, last)
+		}
+		if last = e.At; n%500 == 0 {
+			most = max(most, open())
+		}
+		n++
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if n != 40*(2+3*150) || most > before+2 {
+		t.Errorf("%d events, %d descriptors, %d before", n, most, before)
+	}
+}
