--- a/cmd/ferrylab/tiers.go
+++ b/cmd/ferrylab/tiers.go
@@ -16,16 +16,18 @@
 func tiersCommand() *cobra.Command {
 	t := tiers.Terms{}
 	var asJSON, both bool
-	var capture string
+	var capture, keep string
 	c := &cobra.Command{Use: "tiers", Args: cobra.NoArgs, Short: "Forwarders and planners as processes, under load and faults",
 		Long: "Starts stand-in hosts and discovery here, planners and forwarders as processes (or, with --planners 0, routers\n" +
 			"that are alone), loads them, kills them in turn, and reports by the hosts' own record.",
 		RunE: func(c *cobra.Command, _ []string) error {
-			dir, err := os.MkdirTemp("", "ferrylab")
-			if err != nil {
-				return err
+			dir, err := keep, error(nil)
+			if keep == "" {
+				if dir, err = os.MkdirTemp("", "ferrylab"); err != nil {
+					return err
+				}
+				defer os.RemoveAll(dir)
 			}
-			defer os.RemoveAll(dir)
 			if t.Binary, err = fleet.Build(dir); err != nil {
 				return err
 			}
@@ -84,6 +86,7 @@
 	f.DurationVar(&t.Blind, "blind", 0, "all planners gone for so long")
 	f.Uint64Var(&t.Seed, "seed", 1, "of load and faults")
 	f.StringVar(&capture, "trace", "", "capture in full, or a part of sessions, as 0.05")
+	f.StringVar(&keep, "keep", "", "a folder that is there, in which files, logs and traces are left")
 	f.BoolVar(&both, "versus", false, "then the same with routers that are alone")
 	f.BoolVar(&asJSON, "json", false, "print as JSON")
 	return c
--- a/cmd/ferrypitch/command.go
+++ b/cmd/ferrypitch/command.go
@@ -16,6 +16,7 @@
   GW_NAME        goes before name of the file
   GW_LISTEN      goes before listen
   GW_DISCOVERY   goes before discovery
+  GW_TRACE       a folder for trace files, of 12 MB at most; nothing is captured without it
 
 Status 0: done; 1: failed; 2: wrong use or configuration.`
 
--- a/cmd/ferrypitch/main.go
+++ b/cmd/ferrypitch/main.go
@@ -28,7 +28,11 @@
 	}
 	os.Exit(serve(func() (*setup.Operator, error) {
 		start, err := setup.Load(os.Getenv)
-		return &setup.Operator{Start: start}, err
+		o := &setup.Operator{Start: start}
+		if dir := os.Getenv("GW_TRACE"); dir != "" {
+			o.Trace = setup.TraceTo(dir)
+		}
+		return o, err
 	}))
 }
 
--- a/internal/setup/operator.go
+++ b/internal/setup/operator.go
@@ -256,6 +256,11 @@
 	Blocks       int // that there are in all
 }
 
+// TraceTo is full capture into a folder that may be memory, as a router without an operator's file has it.
+func TraceTo(dir string) *Trace {
+	return &Trace{Dir: dir, Part: 1000, Size: 4 << 20, Budget: 12 << 20, Age: time.Hour, Flush: time.Second, Block: 128 << 10, Blocks: 3}
+}
+
 func trace(o Object, dir string) (*Trace, error) {
 	t := &Trace{Dir: o.Text("dir"), Part: 1000, Detail: !o.Has("detail") || o.Flag("detail"),
 		Size: int64(o.count("file_mb", 64)) << 20, Budget: int64(o.count("budget_mb", 1024)) << 20,
