--- a/internal/trace/tool/export.go
+++ b/internal/trace/export/export.go
@@ -1,4 +1,6 @@
-package tool
+// Package export writes events as Parquet. It is apart from the other tools because the library is as large as the rest of
+// a router, whose program is kept without it.
+package export
 
 import (
 	"fmt"
@@ -9,9 +11,9 @@
 	"ferrypitch/internal/trace/format"
 )
 
-// Export writes the events of one kind as Parquet, a column for each of the kind's and one for the moment. The
+// File writes the events of one kind as Parquet, a column for each of the kind's and one for the moment. The
 // rows of a group are all that it holds in memory.
-type Export struct {
+type File struct {
 	writer *parquet.Writer
 	order  []int // of a row's values: the place of each column among those of the schema, which Parquet sorts by name
 	kind   format.Kind
@@ -22,8 +24,8 @@
 // rowGroup is how many rows are gathered before they are written.
 const rowGroup = 64 << 10
 
-// NewExport begins a file.
-func NewExport(out io.Writer, k format.Kind) (*Export, error) {
+// New begins a file.
+func New(out io.Writer, k format.Kind) (*File, error) {
 	group := parquet.Group{"at": parquet.Int(64)}
 	for _, c := range k.Columns {
 		if _, twice := group[c.Name]; twice {
@@ -36,7 +38,7 @@
 		}
 	}
 	schema := parquet.NewSchema(k.Name, group)
-	e := &Export{kind: k, row: make(parquet.Row, len(group)),
+	e := &File{kind: k, row: make(parquet.Row, len(group)),
 		writer: parquet.NewWriter(out, schema, parquet.Compression(&parquet.Zstd), parquet.MaxRowsPerRowGroup(rowGroup))}
 	place := map[string]int{}
 	for i, path := range schema.Columns() {
@@ -50,7 +52,7 @@
 }
 
 // Add adds an event of the kind.
-func (e *Export) Add(ev format.Event) error {
+func (e *File) Add(ev format.Event) error {
 	set := func(column int, v parquet.Value) { e.row[e.order[column]] = v.Level(0, 0, e.order[column]) }
 	set(0, parquet.Int64Value(ev.At))
 	i, t := 0, 0
@@ -69,4 +71,4 @@
 }
 
 // Close writes what is left.
-func (e *Export) Close() error { return e.writer.Close() }
+func (e *File) Close() error { return e.writer.Close() }
