--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -237,7 +237,7 @@
 		r.moment()
 		r.trace.Woke()
 		if r.rules.Woke(); r.wakeAt.IsZero() { // it took the clock to be early
-			r.Wake(r.start.Deployment.Tick)
+			r.wake(r.start.Deployment.Tick)
 		}
 		return true
 	}
@@ -462,6 +462,10 @@
 
 func (r *Router) Wake(after rules.Tenth) {
 	r.trace.Wake(after)
+	r.wake(after)
+}
+
+func (r *Router) wake(after rules.Tenth) {
 	if at := time.Now().Add(clock.Span(after)); r.wakeAt.IsZero() || at.Before(r.wakeAt) {
 		r.wakeAt = at
 	}
