Hosts that err count as more loaded, and their errors less against commands

Change: load grows with the mean part of errors, which fades; errors of a host that mostly errs don't count against a command; a write's miss makes a replica of its host.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -4,7 +4,7 @@
 // The design: writes leave a token, the position of their commit; a session's read goes to a replica known at
 // or past its token, else to the primary. Beside the design stand these mechanisms:
 //
-//  1. caps and shares: what is out at a host, or its share of what comes, shrinks with late answers
+//  1. caps and shares: what is out at a host, or its share of what comes, shrinks with late answers, errors
 //  2. silence: a host silent for unusually long, or out of reach, is left and tried again gently
 //  3. hold: what has no place waits here, worthiest first, while it is of use
 //  4. cold budget: a host just started gets a part of what warm hosts do
@@ -64,6 +64,7 @@
 	size, cap, share, crowd, spare     float64 // crowd: mean part of the target taken; spare: work while cold
 	boot, spareAt, backoff, tightTo    Tenth   // boot: when it last started; 0: long ago
 	roleAt, pos, posAt, lag            Tenth   // it had applied all up to pos at posAt, and was lag behind
+	faults                             float64 // the mean part of its answers that are errors
 	since, quickAt                     Tenth   // its last answer; when what it answered in good time was sent
 	cutAt, judgedAt, toldAt, trialAt   Tenth
 }
@@ -332,7 +333,10 @@
 		r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+second && len(n.out) == 0)
 }
 
-func (n *Node) load() float64 { return float64(n.busy()+1) * (n.crowd + late/4) / n.size }
+// load grows with errors too: a host that fails fast looks idle, and would draw ever more.
+func (n *Node) load() float64 {
+	return float64(n.busy()+1) * (n.crowd + late/4) / n.size / math.Pow(1.02-n.faults, 2)
+}
 
 // busy is what is out, but for what is long past its target: lost answers must not fill the cap.
 func (n *Node) busy() (hoped int) {
@@ -446,7 +450,9 @@
 // off, is the command's fault. Guards against floods of bad commands.
 func (c *Cmd) again(o Outcome) bool {
 	r, g := c.set.r, c.group
-	c.blame += [...]int{Errored: 3, Reset: 2, Missed: 0}[o] // at 6 it is the command's fault
+	if blame := [...]int{Errored: 3, Reset: 2, Missed: 0}[o]; c.Node.faults < 0.5 { // else it always errs
+		c.blame += blame // at 6 it is the command's fault
+	}
 	return c.blame < 6 && c.Sent < r.Dispatches && r.now+r.Tick < c.timeout && (c.maybe == 0 ||
 		g.Effect == Replayable || g.Effect == Keyed && r.now+r.Tick < c.maybe+g.Memory)
 }
@@ -463,6 +469,9 @@
 	if n == nil {
 		return
 	}
+	if g.Need == Write && o == Missed { // whatever it says beside
+		role = Replica
+	}
 	n.is(role, c.sentAt) // what was sent later knows better
 	if g.Need == Write && o == Answered {
 		r.stamp(c.session, pos)
@@ -524,12 +533,14 @@
 	switch {
 	case o == Missed:
 		n.tell(mum)
+	case o == Errored: // commands that err everywhere count alike at all hosts
+		n.faults += (1 - n.faults) / 16
 	case o == Full:
 		n.full()
 		n.tell(full)
 	case o == Answered:
 		part := float64(cost) / float64(g.Target)
-		n.backoff, g.count = 0, min(g.count+1, 500)
+		n.backoff, n.faults, g.count = 0, n.faults*15/16, min(g.count+1, 500)
 		g.latency += (float64(cost) - g.latency) / g.count
 		r.latency += (g.latency - r.latency) / 100
 		if !n.cold() {
@@ -733,6 +744,7 @@
 	}
 	for _, n := range r.nodes {
 		n.crowd, n.share = n.crowd+(late/2-n.crowd)/400, min(1, n.share*1.0035) // what is spared is tried again
+		n.faults *= 0.9975
 		if k := Tenth(len(n.out)); k > 0 && r.now-max(n.since, r.stoodTo) > limit*max(1, 4-k) {
 			n.leave(limit)
 		}
