Errors of hosts that always err count against commands again

Change: the exemption is reverted; the load that grows with errors and the miss that makes a replica stay.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -450,9 +450,7 @@
 // off, is the command's fault. Guards against floods of bad commands.
 func (c *Cmd) again(o Outcome) bool {
 	r, g := c.set.r, c.group
-	if blame := [...]int{Errored: 3, Reset: 2, Missed: 0}[o]; c.Node.faults < 0.5 { // else it always errs
-		c.blame += blame // at 6 it is the command's fault
-	}
+	c.blame += [...]int{Errored: 3, Reset: 2, Missed: 0}[o] // at 6 it is the command's fault
 	return c.blame < 6 && c.Sent < r.Dispatches && r.now+r.Tick < c.timeout && (c.maybe == 0 ||
 		g.Effect == Replayable || g.Effect == Keyed && r.now+r.Tick < c.maybe+g.Memory)
 }
