Reloads are recorded in traces; tools are tried through pipes

Need: of what trace files are to record, reloads were missing, and pipes had no story. Change: the service tells the owner of each reload; the tools' story sends one and cuts through pipes. Result: the story finds the reload in the file of a router that was sent SIGHUP.

--- a/cmd/ferrypitch/trace_test.go
+++ b/cmd/ferrypitch/trace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -39,6 +40,11 @@
 	}
 	load.Run(ctx, load.Terms{Routers: []string{listen}, Sets: []int64{1}, Clients: 4, Rate: 150, For: time.Second, Writes: 0.2, Sessions: 2,
 		Timeout: time.Second, Seed: 5}, nil)
+	cmd.Process.Signal(syscall.SIGHUP)
+	client, err := net.Dial("tcp", listen) // keeps it there for a moment
+	if err == nil {
+		defer client.Close()
+	}
 	cmd.Process.Signal(syscall.SIGTERM)
 	if err := cmd.Wait(); err != nil {
 		t.Error(err)
@@ -57,7 +63,7 @@
 		status int
 		words  []string
 	}{
-		{[]string{"info", file}, 0, []string{"router f1", "0 lost", "take", "dispatch"}},
+		{[]string{"info", file}, 0, []string{"router f1", "0 lost", "take", "dispatch", "reload"}},
 		{[]string{"replay", file}, 0, []string{" 0 apart"}},
 		{[]string{"summary", file}, 0, []string{"order", "list"}},
 		{[]string{"summary", "--json", "--group", "order", file}, 0, []string{`"Group": "order"`, `"Throttled": 0`}},
@@ -79,6 +85,11 @@
 			t.Errorf("%v: status %d, %s", want.args, status, out)
 		}
 	}
+	piped := exec.Command(binary, "trace", "cut", "-", "-")
+	piped.Stdin, _ = os.Open(file)
+	if cut, err := piped.Output(); err != nil || len(cut) < 1000 {
+		t.Errorf("through pipes: %d bytes, %v", len(cut), err)
+	}
 	key := filepath.Join(dir, "key")
 	call("key", key)
 	if out, status := call("trace", "anonymise", "--key", key, file, filepath.Join(dir, "nobody")); status != 0 {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -162,6 +162,16 @@
 	})
 }
 
+// Reloaded notes, for whoever captures, that the configuration was read again, and whether it was good.
+func (r *Router) Reloaded(ok bool) {
+	if r.trace != nil {
+		r.queue.put(lists, func() {
+			r.moment()
+			r.trace.Reload(ok)
+		})
+	}
+}
+
 // Stop fails what is owed, when time is up.
 func (r *Router) Stop() {
 	done := make(chan struct{})
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -155,6 +155,7 @@
 // reload takes in what the file says now. What is wrong with it changes nothing.
 func (p *program) reload() {
 	next, kept, err := p.start.Again(os.Getenv)
+	p.router.Reloaded(err == nil)
 	if err != nil {
 		p.refused++
 		p.log.Warn("the configuration stays as it was", zap.Error(err))
