--- a/rules/rules.go
+++ b/rules/rules.go
@@ -4,7 +4,7 @@
 // The design: writes leave a token, the position of their commit; a session's read goes to a replica known at
 // or past its token, else to the primary. Beside the design stand these mechanisms:
 //
-//  1. caps and shares: what is out at a host, or its share of what comes, shrinks with late answers, errors
+//  1. caps and shares: what is out at a host, or its share of what comes, shrinks with late answers
 //  2. silence: a host silent for unusually long, or out of reach, is left and tried again gently
 //  3. hold: what has no place waits here, worthiest first, while it is of use
 //  4. cold budget: a host just started gets a part of what warm hosts do
@@ -64,7 +64,6 @@
 	size, cap, share, crowd, spare     float64 // crowd: mean part of the target taken; spare: work while cold
 	boot, spareAt, backoff, tightTo    Tenth   // boot: when it last started; 0: long ago
 	roleAt, pos, posAt, lag            Tenth   // it had applied all up to pos at posAt, and was lag behind
-	faults                             float64 // the mean part of its answers that are errors
 	since, quickAt                     Tenth   // its last answer; when what it answered in good time was sent
 	cutAt, judgedAt, toldAt, trialAt   Tenth
 }
@@ -333,10 +332,7 @@
 		r.Guarded && (n.known && r.now-r.Zero-n.lag >= need || r.now >= n.posAt+second && len(n.out) == 0)
 }
 
-// load grows with errors too: a host that fails fast looks idle, and would draw ever more.
-func (n *Node) load() float64 {
-	return float64(n.busy()+1) * (n.crowd + late/4) / n.size / math.Pow(1.02-n.faults, 2)
-}
+func (n *Node) load() float64 { return float64(n.busy()+1) * (n.crowd + late/4) / n.size }
 
 // busy is what is out, but for what is long past its target: lost answers must not fill the cap.
 func (n *Node) busy() (hoped int) {
@@ -531,14 +527,12 @@
 	switch {
 	case o == Missed:
 		n.tell(mum)
-	case o == Errored: // commands that err everywhere count alike at all hosts
-		n.faults += (1 - n.faults) / 16
 	case o == Full:
 		n.full()
 		n.tell(full)
 	case o == Answered:
 		part := float64(cost) / float64(g.Target)
-		n.backoff, n.faults, g.count = 0, n.faults*15/16, min(g.count+1, 500)
+		n.backoff, g.count = 0, min(g.count+1, 500)
 		g.latency += (float64(cost) - g.latency) / g.count
 		r.latency += (g.latency - r.latency) / 100
 		if !n.cold() {
@@ -742,7 +736,6 @@
 	}
 	for _, n := range r.nodes {
 		n.crowd, n.share = n.crowd+(late/2-n.crowd)/400, min(1, n.share*1.0035) // what is spared is tried again
-		n.faults *= 0.9975
 		if k := Tenth(len(n.out)); k > 0 && r.now-max(n.since, r.stoodTo) > limit*max(1, 4-k) {
 			n.leave(limit)
 		}
