Forwarders keep their view on a disk, and start from it when no planner is there

A kept view is joined like a planner's, so newer words go before it and positions of the future are passed over. Off by default; the bare router has none of it.

--- a/cmd/ferrypitch/command_test.go
+++ b/cmd/ferrypitch/command_test.go
@@ -200,6 +200,47 @@
 	}
 }
 
+func TestAForwarderThatRestartsWithoutPlannersServesFromTheViewItKept(t *testing.T) {
+	f, err := fleet.New(t.TempDir(), 1, 2, 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Stop()
+	listen := ""
+	path := example(t, func(all map[string]any) {
+		all["discovery"], listen = f.Discovery.Address(), all["listen"].(string)
+		forward := all["forward"].(map[string]any)
+		forward["planners"], forward["keep"] = []any{all["plan"].(map[string]any)["listen"]}, "view"
+		delete(all, "known")
+	})
+	start := func(command string) *exec.Cmd {
+		cmd := exec.Command(binary, command, path)
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		return cmd
+	}
+	planner, forwarder := start("plan"), start("forward")
+	ctx, stop := context.WithTimeout(t.Context(), patience)
+	defer stop()
+	if err := fleet.Ready(ctx, listen); err != nil {
+		t.Fatal(err)
+	}
+	for kept := filepath.Join(filepath.Dir(path), "view"); ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		if _, err := os.Stat(kept); err == nil {
+			break
+		}
+	}
+	for _, cmd := range []*exec.Cmd{planner, forwarder} {
+		cmd.Process.Kill()
+		cmd.Wait()
+	}
+	running(t, "forward", path)
+	if err := fleet.Ready(ctx, listen); err != nil {
+		t.Errorf("with no planner: %v", err)
+	}
+}
+
 func TestAForwarderWithoutPlannersServesFromTheListItIsGivenOrSaysThatItIsNotReady(t *testing.T) {
 	f, err := fleet.New(t.TempDir(), 1, 2, 1, 0)
 	if err != nil {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -206,6 +206,7 @@
 		}
 		f.Known(rev, whole, hosts)
 	}
+	f.Kept()
 	return f, nil
 }
 
--- a/internal/setup/operator.go
+++ b/internal/setup/operator.go
@@ -48,6 +48,8 @@
 type Forward struct {
 	Planners []string
 	Key      [32]byte
+	Keep     string        // where the view is kept for the next start; empty: nowhere
+	Kept     time.Duration // between two of them, at the least
 
 	Again, Most, Report, Silent time.Duration // see follower.Terms
 	Dial                        time.Duration // for a link to come up, its greeting included
@@ -233,6 +235,14 @@
 func forward(o Object, dir string) (*Forward, error) {
 	f := &Forward{Again: 50 * time.Millisecond, Most: 5 * time.Second, Report: o.milliseconds("report_ms", 200*time.Millisecond),
 		Silent: o.milliseconds("silent_ms", 2*time.Second), Dial: 2 * time.Second, Queue: 16, Write: 2 * time.Second, Frame: link.FrameMost}
+	if f.Kept = time.Second; o.Has("keep") {
+		if f.Keep = o.Text("keep"); !filepath.IsAbs(f.Keep) {
+			f.Keep = filepath.Join(dir, f.Keep)
+		}
+		if info, err := os.Stat(filepath.Dir(f.Keep)); err != nil || !info.IsDir() {
+			return nil, fmt.Errorf("%s.keep: %s: its folder is not there", o.path, f.Keep)
+		}
+	}
 	for i, p := range o.List("planners") {
 		a, _ := p.(string)
 		address(a, o.path+".planners["+strconv.Itoa(i)+"]")
--- a/internal/tier/follower/follower.go
+++ b/internal/tier/follower/follower.go
@@ -68,6 +68,16 @@
 	f.view.List(view.Version{Rev: rev}, whole, hosts)
 }
 
+// Kept takes in a view that an earlier life kept: joined like a planner's, so that whatever is newer goes before it,
+// and what no host can have said by now is passed over.
+func (f *Follower) Kept(c view.Change) {
+	var kept view.Copy
+	c.Whole = true
+	if _, err := kept.Follow(c); err == nil {
+		f.view.Join(&kept.View, f.now+20)
+	}
+}
+
 // View is the join of all that was told; not to be changed.
 func (f *Follower) View() *view.View { return &f.view }
 
--- a/internal/tier/follower/follower_test.go
+++ b/internal/tier/follower/follower_test.go
@@ -147,3 +147,31 @@
 		t.Errorf("%d hosts after the whole view", f.View().Len())
 	}
 }
+
+func TestAKeptViewIsAStartAndNothingMore(t *testing.T) {
+	s := &source{life: 9}
+	s.list(5, true, view.Host{Name: "a", Address: "x"}, view.Host{Name: "b", Address: "y", Standing: rules.Draining}, view.Host{Name: "gone"})
+	s.Believe(view.Evidence{Name: "a", Pos: start + 60*second, Role: rules.Primary, RoleAt: start + 60*second}, start+90*second)
+	f := New(1, terms, []string{"p"}, 1, start)
+	f.Kept(s.whole())
+	a, _ := f.View().Host("a")
+	b, _ := f.View().Host("b")
+	if !f.Ready() || a.Address != "x" || a.Role == rules.Primary || b.Standing != rules.Draining || !f.Blind() {
+		t.Errorf("%+v %+v", a, b)
+	}
+	later := &source{life: 2}
+	later.list(7, true, view.Host{Name: "a", Address: "z"}, view.Host{Name: "b", Address: "y"})
+	f.Planners()[0].Connected(start)
+	f.Planners()[0].Changed(start, later.whole())
+	a, _ = f.View().Host("a")
+	b, _ = f.View().Host("b")
+	if _, there := f.View().Host("gone"); there || a.Address != "z" || b.Standing != rules.In {
+		t.Errorf("%v %+v %+v", there, a, b)
+	}
+	torn := s.whole()
+	torn.Hosts = torn.Hosts[:1]
+	other := New(1, terms, nil, 1, start)
+	if other.Kept(torn); other.Ready() {
+		t.Error("a view that does not match its digest is taken")
+	}
+}
--- a/internal/tier/forward/forward.go
+++ b/internal/tier/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"ferrypitch/internal/clock"
 	"ferrypitch/internal/setup"
+	"ferrypitch/internal/store"
 	"ferrypitch/internal/tier/follower"
 	"ferrypitch/internal/tier/line"
 	"ferrypitch/internal/tier/link"
@@ -38,15 +39,18 @@
 	core    *follower.Follower
 	in      chan func()
 	lines   map[*follower.Planner]*line.Line
+	keeping chan []byte // to the writer of kept views
+	keepAt  int64
 
-	Links, Changes, Wholes, Faults, Reports, Age, Routers atomic.Int64 // Age in milliseconds, -1: never heard
-	Blind                                                 atomic.Bool
+	Unkept, Links, Changes, Wholes, Faults, Reports, Age, Routers atomic.Int64 // Age in milliseconds, -1: never heard
+	Blind                                                         atomic.Bool
 }
 
 // New makes a forwarder of a life that no other has; known is the list that it starts with, if any.
 func New(section *setup.Forward, name string, life uint64, routers int, router Router, log *zap.Logger) *Forward {
 	f := &Forward{section: section, name: name, life: life, router: router, log: log, clock: clock.New(time.Now),
-		in: make(chan func(), 64), lines: map[*follower.Planner]*line.Line{}}
+		in: make(chan func(), 64), lines: map[*follower.Planner]*line.Line{},
+		keeping: make(chan []byte, 1)}
 	t := func(d time.Duration) int64 { return int64(d / clock.Tenth) }
 	f.core = follower.New(life, follower.Terms{Again: t(section.Again), Most: t(section.Most), Report: t(section.Report),
 		Silent: t(section.Silent)}, section.Planners, routers, f.clock.Now())
@@ -58,6 +62,56 @@
 // Known takes in the list that a forwarder starts with, before Run.
 func (f *Forward) Known(rev int64, whole bool, hosts []view.Host) { f.core.Known(rev, whole, hosts) }
 
+// Kept takes in what an earlier life kept, before Run. What is wrong with it costs no more than not having it.
+func (f *Forward) Kept() {
+	if f.section.Keep == "" {
+		return
+	}
+	body, err := store.Read(store.Disk{}, f.section.Keep)
+	if store.None(err) {
+		return
+	}
+	var c view.Change
+	if err == nil {
+		c, err = link.ReadChange(body)
+	}
+	if err != nil {
+		f.log.Warn("the kept view is not used", zap.Error(err))
+		return
+	}
+	f.core.Kept(c)
+	f.log.Info("began with a kept view", zap.Int("hosts", len(c.Hosts)))
+}
+
+// keep writes views until the context ends. Only the newest waits; a disk that fails costs the next start, not service.
+func (f *Forward) keep(ctx context.Context) {
+	failing := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case body := <-f.keeping:
+			if err := store.Write(store.Disk{}, f.section.Keep, body); err != nil {
+				if f.Unkept.Add(1); !failing {
+					f.log.Warn("the view is not kept", zap.Error(err))
+				}
+				failing = true
+				continue
+			}
+			failing = false
+		}
+	}
+}
+
+// offer gives the writer the view as it is, unless it is still writing.
+func (f *Forward) offer(now int64) {
+	if f.section.Keep == "" || now < f.keepAt || !f.core.Ready() || len(f.keeping) > 0 {
+		return
+	}
+	f.keepAt = now + int64(f.section.Kept/clock.Tenth)
+	f.keeping <- link.Body(f.core.View().Whole(f.life, 0))
+}
+
 // put hands the owner what to do.
 func (f *Forward) put(ctx context.Context, do func()) {
 	select {
@@ -70,6 +124,7 @@
 func (f *Forward) Run(ctx context.Context) error {
 	links, ctx := errgroup.WithContext(ctx)
 	defer links.Wait()
+	links.Go(func() error { f.keep(ctx); return nil })
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -98,6 +153,9 @@
 				f.log.Info("planners", zap.Bool("none is there", do.Blind), zap.Int("routers", do.Routers))
 			}
 		}
+		if do.Told {
+			f.offer(f.clock.Now())
+		}
 		if do.Report {
 			f.report()
 		}
@@ -183,5 +241,5 @@
 	return []zap.Field{zap.Int64("planners", f.Links.Load()), zap.Bool("blind", f.Blind.Load()),
 		zap.Int64("view_age_ms", f.Age.Load()), zap.Int64("routers", f.Routers.Load()), zap.Int64("changes", f.Changes.Load()),
 		zap.Int64("whole_views", f.Wholes.Load()), zap.Int64("faulty_changes", f.Faults.Load()),
-		zap.Int64("reports", f.Reports.Load())}
+		zap.Int64("reports", f.Reports.Load()), zap.Int64("views_not_kept", f.Unkept.Load())}
 }
