--- a/rules/rules.go
+++ b/rules/rules.go
@@ -463,9 +463,6 @@
 	if n == nil {
 		return
 	}
-	if g.Need == Write && o == Missed { // whatever it says beside
-		role = Replica
-	}
 	n.is(role, c.sentAt) // what was sent later knows better
 	if g.Need == Write && o == Answered {
 		r.stamp(c.session, pos)
