--- a/cmd/ferrypitch/trace_test.go
+++ b/cmd/ferrypitch/trace_test.go
@@ -15,6 +15,16 @@
 	"ferrypitch/internal/lab/load"
 )
 
+// only is the one trace file of a folder.
+func only(t *testing.T, dir string) string {
+	t.Helper()
+	files, _ := filepath.Glob(filepath.Join(dir, "*.fptrace"))
+	if len(files) != 1 {
+		t.Fatalf("%v", files)
+	}
+	return files[0]
+}
+
 // traced is the file of a router that served a load for a moment.
 func traced(t *testing.T) string {
 	t.Helper()
@@ -49,11 +59,7 @@
 	if err := cmd.Wait(); err != nil {
 		t.Error(err)
 	}
-	files, _ := filepath.Glob(filepath.Join(dir, "*.fptrace"))
-	if len(files) != 1 {
-		t.Fatalf("%v", files)
-	}
-	return files[0]
+	return only(t, dir)
 }
 
 func TestATraceIsReadCutAnonymisedRepairedAndReplayed(t *testing.T) {
@@ -136,11 +142,8 @@
 	if err := cmd.Wait(); err != nil {
 		t.Error(err)
 	}
-	files, _ := filepath.Glob(filepath.Join(dir, "*.fptrace"))
-	if len(files) != 1 {
-		t.Fatalf("%v", files)
-	}
-	out, status := call("trace", "info", files[0])
+	file := only(t, dir)
+	out, status := call("trace", "info", file)
 	for _, kind := range []string{"plan_list", "plan_probe ", "plan_probed", "plan_change"} {
 		if !strings.Contains(out, kind) || status != 0 {
 			t.Errorf("status %d, no %s in %s", status, kind, out)
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -630,10 +630,7 @@
 	f.rules.Count(do.Routers, do.Blind)
 	for _, h := range hosts {
 		if n := f.nodes[h.Name]; n != nil {
-			late := rules.Tenth(13)
-			if h.Late > 0 {
-				late = rules.Tenth(h.Late - 1)
-			}
+			late := rules.Lateness(h.Late)
 			f.trace.Told(n, h.Pos, h.Role, h.RoleAt, late)
 			n.Told(h.Pos, h.Role, h.RoleAt, late)
 			if s := w.host(h.Name).set; s.named != nil && !s.named[f] && h.Role == rules.Primary && s.primary == w.host(h.Name) {
--- a/internal/routing/counts.go
+++ b/internal/routing/counts.go
@@ -18,9 +18,6 @@
 	Outcomes                                         [rules.Missed + 1]atomic.Int64
 }
 
-var outcomeNames = [rules.Missed + 1]string{"answered", "errored", "full", "timed_out", "unreached", "reset",
-	"cancelled", "moot", "missed"}
-
 // Fields are the counts for a line of the log. What is still out counts what the queue holds, too.
 func (r *Router) Fields() []zap.Field {
 	c := &r.Counts
@@ -35,7 +32,7 @@
 		zap.Int64("panics", c.Panics.Load()), zap.Int64("stalls", c.Stalls.Load()), zap.Int("queued", r.queue.length()),
 	}
 	for i := range c.Outcomes {
-		fields = append(fields, zap.Int64("outcome_"+outcomeNames[i], c.Outcomes[i].Load()))
+		fields = append(fields, zap.Int64("outcome_"+rules.Outcome(i).String(), c.Outcomes[i].Load()))
 	}
 	return fields
 }
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -86,9 +86,6 @@
 	r.rules.ListDone(whole)
 }
 
-// mum is the word of lateness for nothing known.
-const mum = 13
-
 // Told takes in what is new in a view, from any goroutine: hosts as they are now, names of those that it dropped,
 // how many routers there are, and whether any planner is there. Lists that are held are the view's alone.
 func (r *Router) Told(hosts []view.Host, dropped []string, routers int, blind bool) {
@@ -110,10 +107,7 @@
 		r.rules.Count(routers, blind)
 		for _, e := range hosts {
 			if h := r.hosts[e.Name]; h != nil {
-				word := rules.Tenth(mum)
-				if e.Late > 0 {
-					word = rules.Tenth(e.Late - 1)
-				}
+				word := rules.Lateness(e.Late)
 				r.trace.Told(h.node, e.Pos, e.Role, e.RoleAt, word)
 				h.node.Told(e.Pos, e.Role, e.RoleAt, word)
 			}
--- a/internal/trace/tool/merge.go
+++ b/internal/trace/tool/merge.go
@@ -60,14 +60,14 @@
 	k := d.schema[e.Kind]
 	switch k.Name {
 	case "host":
-		d.names[number2(k, e, "host")] = text(k, e, "name")
+		d.names[value(k, e, "host")] = text(k, e, "name")
 	case "dispatch":
-		d.sent[number2(k, e, "command")] = number2(k, e, "host")
+		d.sent[value(k, e, "command")] = value(k, e, "host")
 	case "ended":
-		number := number2(k, e, "command")
-		name, pos := d.names[d.sent[number]], number2(k, e, "position")
+		number := value(k, e, "command")
+		name, pos := d.names[d.sent[number]], value(k, e, "position")
 		delete(d.sent, number)
-		if pos <= 0 || name == "" || rules.Role(number2(k, e, "role")) != rules.Primary {
+		if pos <= 0 || name == "" || rules.Role(value(k, e, "role")) != rules.Primary {
 			return
 		}
 		s := spot{name, pos / window}
--- a/internal/trace/tool/summary.go
+++ b/internal/trace/tool/summary.go
@@ -60,8 +60,6 @@
 	return &Summary{schema: h.Schema, groups: Groups(h), lines: map[[2]int64]*line{}, open: map[int64]*pending{}}
 }
 
-var outcomes = [...]string{"answered", "errored", "full", "timed_out", "unreached", "reset", "cancelled", "moot", "missed"}
-
 // Add takes the next event.
 func (s *Summary) Add(e format.Event) {
 	s.Events++
@@ -72,7 +70,7 @@
 	}
 	number := e.Ints[at]
 	if k.Name == "take" {
-		l := s.line(number2(k, e, "group"), number2(k, e, "set"))
+		l := s.line(value(k, e, "group"), value(k, e, "set"))
 		l.Taken++
 		l.taken[e.At/10000]++
 		s.open[number] = &pending{of: l, at: e.At}
@@ -91,23 +89,21 @@
 			l.waited += e.At - c.at
 		}
 	case "ended":
-		o := rules.Outcome(number2(k, e, "outcome"))
-		if int(o) < len(outcomes) {
-			l.Outcomes[outcomes[o]]++
-		}
+		o := rules.Outcome(value(k, e, "outcome"))
+		l.Outcomes[o.String()]++
 		if o == rules.Answered && !c.final {
 			c.final = true
 			l.Answered++
 			l.good[c.at/10000]++
 			l.latency.RecordValue(max(0, e.At-c.at))
-			if rules.Role(number2(k, e, "role")) == rules.Replica {
+			if rules.Role(value(k, e, "role")) == rules.Replica {
 				l.replicas++
 			}
 		}
 	case "throttle":
 		c.final = true
 		l.Throttled++
-		l.comeback += number2(k, e, "comeback")
+		l.comeback += value(k, e, "comeback")
 	case "fail":
 		c.final = true
 		l.Failed++
--- a/internal/trace/tool/tool.go
+++ b/internal/trace/tool/tool.go
@@ -237,7 +237,7 @@
 	number := e.Ints[at]
 	if k.Name == "take" {
 		picked := len(f.Sessions) == 0 || f.Sessions[text(k, e, "session")]
-		picked = picked && (len(f.Sets) == 0 || f.Sets[number2(k, e, "set")]) && (len(f.Groups) == 0 || f.Groups[number2(k, e, "group")])
+		picked = picked && (len(f.Sets) == 0 || f.Sets[value(k, e, "set")]) && (len(f.Groups) == 0 || f.Groups[value(k, e, "group")])
 		if picked {
 			f.commands[number] = true
 		}
@@ -252,7 +252,7 @@
 	return ""
 }
 
-func number2(k format.Kind, e format.Event, name string) int64 {
+func value(k format.Kind, e format.Event, name string) int64 {
 	if i := k.Find(name, format.Int); i >= 0 {
 		return e.Ints[i]
 	}
--- a/rules/door.go
+++ b/rules/door.go
@@ -39,6 +39,16 @@
 	Missed            // not the primary, or too far behind: never ran
 )
 
+var outcomes = [Missed + 1]string{"answered", "errored", "full", "timed_out", "unreached", "reset", "cancelled", "moot", "missed"}
+
+// String is an outcome's name in counters, logs and summaries.
+func (o Outcome) String() string {
+	if int(o) < len(outcomes) {
+		return outcomes[o]
+	}
+	return "unknown"
+}
+
 // Role is what a host said it is.
 type Role uint8
 
@@ -131,6 +141,14 @@
 // Cmd.Left on its handle; Node.Reported and Node.Probed; Node.Told and
 // Router.Count; Router.Heard; Router.Woke.
 
+// Lateness is the word that Told takes for a view's: one more than the tenths of the response target, 0 for not known.
+func Lateness(late uint8) Tenth {
+	if late == 0 {
+		return mum
+	}
+	return Tenth(late) - 1
+}
+
 // Work is how much a command asks for, in commands of the usual mix.
 func (c *Cmd) Work() float64 { return c.work() }
 
