A word of a host waits until what all know of it has aged; datagrams are read together

A probe in the program: of 118 hosts 25 to 30 known at most 500 ms old at any moment, with 198 words a second heard, whose mean lateness was 0.7 of the target. Ruled out: descriptors, memory, connection limits at hosts, processor time of the routers as the first cause.

Cause: tell() in rules/rules.go told a host again after 31 ms, so the few words that their price allows went to the hosts that answered most, which were those that all had just heard of; 294 routers read there alone, the other hosts, unheard of, got none. Each router probed each host at its start (34,692 probes), and had words for the answer of one. Receive in transport/peers.go woke the router for each datagram, 0.2 ms of processor each.

Change: position and lateness are told again once half the bound is over, refusals as soon as before; words may cost 2.5 points of service (2.2 are needed: 118 hosts, four words a second, 17 bytes, 293 others, price 0.012, some 4,000 commands a second); a start has some words and probes to spend, and probes by chance; datagrams are read together every 15 ms. Tests: words of one host leave room for the others', a crowd does not probe every host from every router, datagrams that came together wake once; each fails without its change.

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -191,7 +191,8 @@
 	}
 	if p.peers != nil {
 		fields = append(fields, zap.Int64("datagrams_sent", p.peers.Sent.Load()),
-			zap.Int64("datagrams_heard", p.peers.Heard.Load()), zap.Int64("datagrams_dropped", p.peers.Dropped.Load()))
+			zap.Int64("datagrams_heard", p.peers.Heard.Load()), zap.Int64("datagrams_dropped", p.peers.Dropped.Load()),
+			zap.Int64("datagram_bursts", p.peers.Bursts.Load()))
 	}
 	return fields
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -57,6 +57,7 @@
 	Stuck   time.Duration // for a client to read some of its answers
 	Quiet   time.Duration // of discovery, before it is asked anew
 	Again   time.Duration // the first wait before asking anew; it doubles
+	Gather  time.Duration // in which datagrams come together, before they are read
 	Pulse   time.Duration // the longest time that the owner of the module rests
 	Settle  time.Duration // for sockets to be read after this router stood still
 	Arrive  time.Duration // after SIGTERM, in which connections are still taken
@@ -204,7 +205,7 @@
 		Early: 4 * time.Millisecond, Ready: 10 * time.Second, Whole: 2500 * time.Millisecond,
 		Unused: 250 * time.Millisecond, Free: 250 * time.Millisecond, Part: time.Second, Rest: time.Millisecond, Stuck: 15 * time.Second,
 		Quiet: 4500 * time.Millisecond, Again: 50 * time.Millisecond,
-		Pulse: 50 * time.Millisecond, Settle: 5 * time.Millisecond, Arrive: 500 * time.Millisecond,
+		Gather: 15 * time.Millisecond, Pulse: 50 * time.Millisecond, Settle: 5 * time.Millisecond, Arrive: 500 * time.Millisecond,
 	}
 	var target time.Duration
 	for _, c := range top.Within("settings").Objects("classes") { // SIGKILL comes 0.2 s after End at the soonest
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"ferrypitch/internal/setup"
@@ -19,6 +20,7 @@
 	out     chan string
 	Sent    atomic.Int64
 	Heard   atomic.Int64
+	Bursts  atomic.Int64 // how often some were read together
 	Dropped atomic.Int64 // foreign, too long, or more than can be sent
 }
 
@@ -56,28 +58,54 @@
 	p.Dropped.Add(1)
 }
 
-// Receive hands on what the others say, until the context ends.
+// Receive hands on what the others say, until the context ends. With hundreds of routers a datagram comes every few
+// milliseconds: they are taken in together, since being woken for each costs several times what reading it does.
 func (p *Peers) Receive(ctx context.Context, heard func(body string)) error {
 	defer context.AfterFunc(ctx, func() { p.conn.Close() })()
+	raw, err := p.conn.SyscallConn()
+	if err != nil {
+		return err
+	}
 	b := make([]byte, p.limits.Datagram+1)
 	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(b)
+		err := raw.Read(func(fd uintptr) bool { return p.burst(int(fd), b, heard) })
 		if ctx.Err() != nil {
 			return nil
 		}
+		p.Bursts.Add(1)
+		wait := p.limits.Gather
 		if err != nil { // it must not spin
-			select {
-			case <-ctx.Done():
-			case <-time.After(p.limits.Again):
-			}
+			wait = p.limits.Again
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(wait):
 		}
-		switch from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port()); {
-		case err != nil || n == 0 || n > p.limits.Datagram || !p.from[from]:
+	}
+}
+
+// burst reads all that has come, and says whether anything had.
+func (p *Peers) burst(fd int, b []byte, heard func(body string)) (any bool) {
+	for {
+		n, sender, err := syscall.Recvfrom(fd, b, syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EINTR:
+			continue
+		case err == syscall.EAGAIN:
+			return any
+		case err != nil:
 			p.Dropped.Add(1)
-		default:
-			p.Heard.Add(1)
-			heard(string(b[:n]))
+			return true
+		}
+		any = true
+		from, ok := sender.(*syscall.SockaddrInet4)
+		if !ok || n == 0 || n > p.limits.Datagram || !p.from[netip.AddrPortFrom(netip.AddrFrom4(from.Addr), uint16(from.Port))] {
+			p.Dropped.Add(1)
+			continue
 		}
+		p.Heard.Add(1)
+		heard(string(b[:n]))
 	}
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -485,14 +485,21 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	heard, done := make(chan string, 9), make(chan error, 2)
-	go func() { done <- p.Receive(ctx, func(body string) { heard <- body }) }()
-	go func() { done <- p.Send(ctx) }()
 	to := p.conn.LocalAddr()
 	foreign.WriteTo([]byte("foreign"), to)
 	peer.WriteTo(make([]byte, 300), to)
-	peer.WriteTo([]byte("word"), to)
-	if body := <-heard; body != "word" || p.Dropped.Load() != 2 {
-		t.Errorf("%q, %d dropped", body, p.Dropped.Load())
+	for range 5 {
+		peer.WriteTo([]byte("word"), to)
+	}
+	go func() { done <- p.Receive(ctx, func(body string) { heard <- body }) }()
+	go func() { done <- p.Send(ctx) }()
+	for range 5 {
+		if body := <-heard; body != "word" || p.Dropped.Load() != 2 {
+			t.Errorf("%q, %d dropped", body, p.Dropped.Load())
+		}
+	}
+	if p.Bursts.Load() > 1 {
+		t.Error("what had come together woke the router more than once")
 	}
 	p.Tell(string(make([]byte, 257)))
 	p.Tell("told")
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -129,7 +129,10 @@
 		g.latency, g.count = float64(g.Target)/3, 1
 		r.latency += g.latency / float64(len(r.Groups))
 	}
-	r.Tick, r.words = max(r.Tick, 10), r.chance()*float64(32*r.Routers)
+	r.Tick, r.words = max(r.Tick, 10), r.chance()*float64(128*r.Routers)
+	if r.Peers { // a few tell all where hosts stand before there are commands to pay for it
+		r.credit = 4 * r.chance()
+	}
 	r.wake(2 * r.Tick)
 	return r
 }
@@ -254,7 +257,7 @@
 	}
 	r.worth += (c.rank() - r.worth) / 64
 	r.credit = min(r.credit+0.005/max(r.ProbePrice, 0.005), 16)
-	r.words = min(r.words+256*0.008/max(r.PeerPrice, 0.008), 64*float64(r.Routers))
+	r.words = min(r.words+256*0.025/max(r.PeerPrice, 0.008), 128*float64(r.Routers))
 	if g.Need == Session {
 		c.token = r.token(session)
 	}
@@ -582,7 +585,11 @@
 // point of service at the stated price: each of hundreds sees a host too seldom. Nothing depends on it.
 func (n *Node) tell(part float64) {
 	r := n.set.r
-	if !r.Peers || !n.known || n.role == Unknown || r.now < n.toldAt+r.quiet/8 {
+	wait := r.quiet // until what all know of its position has aged: a word to all draws all reads there
+	if part >= full {
+		wait /= 8
+	}
+	if !r.Peers || !n.known || n.role == Unknown || r.now < n.toldAt+wait {
 		return
 	}
 	if part < mum {
@@ -686,8 +693,8 @@
 	for r.Probes {
 		var oldest *Node
 		for _, n := range r.nodes {
-			due := n.dark && r.now >= n.trialAt || n.posAt == 0 || !n.dark && r.now >= n.posAt+r.quiet &&
-				r.Reports && r.credit >= 1 && (!r.Peers || r.chance()*float64(r.Routers) < 2)
+			due := n.dark && r.now >= n.trialAt || !n.dark && (n.posAt == 0 || r.now >= n.posAt+r.quiet &&
+				r.Reports && r.credit >= 1) && (!r.Peers || r.chance()*float64(r.Routers) < 2)
 			if due && n.standing == In && !n.probing && (oldest == nil || n.posAt < oldest.posAt) {
 				oldest = n
 			}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -631,3 +631,41 @@
 		t.Error("a list that calls all hosts gone kept a write from the primary")
 	}
 }
+
+func TestWordsOfOneHostLeaveRoomForThoseOfTheOthers(t *testing.T) {
+	f := start(t, 2, func(d *Deployment) { d.Peers, d.Routers = true, 300 })
+	f.r.words = 1e6
+	busy, seldom := f.nodes[0], f.nodes[1]
+	f.wait(3000)
+	for range 50 { // in half a second: all that hear of one host alone would read there alone
+		busy.learn(f.at)
+		busy.tell(1)
+		f.wait(100)
+	}
+	seldom.tell(0.1)
+	if n := len(f.told); n < 2 || n > 4 {
+		t.Errorf("%d words, of one host that answers all the time and one that did once", n)
+	}
+}
+
+func TestACrowdThatStartsDoesNotProbeEveryHostFromEveryRouter(t *testing.T) {
+	alone, crowd := 0, 0
+	for seed := range 100 {
+		for _, peers := range []bool{false, true} {
+			f := &fake{t: t, at: 1000000, final: map[*Cmd]string{}}
+			f.r = New(f, Deployment{Seed: uint32(seed), Tick: 10, Routers: 100, Probes: true, Reports: true, Peers: peers}, f.at)
+			for i := range 20 {
+				f.r.Host(string(rune('a'+i)), 1).Listed(In, false, "", "", 1, 0)
+			}
+			f.r.ListDone(true)
+			if peers {
+				crowd += len(f.probes)
+			} else {
+				alone += len(f.probes)
+			}
+		}
+	}
+	if alone != 2000 || crowd < 10 || crowd > 100 {
+		t.Errorf("of 20 hosts 100 routers that hear nothing of each other probe %d, those that do %d", alone, crowd)
+	}
+}
