--- a/rules/rules.go
+++ b/rules/rules.go
@@ -111,7 +111,6 @@
 	second     = Tenth(10000)
 	unusual    = 12.0 // deviations of silence beyond the mean
 	late       = 0.3  // of the response target: a mean latency that tells of crowding
-	crowded    = 0.5  // of the same: one where part of the answers come past it
 	full       = 15   // what routers tell of a host that turns commands away; else tenths of the target
 	tight      = 14   // and of one that turns connections away
 	mum        = 13   // and where nothing is known of lateness
@@ -556,7 +555,7 @@
 		n.quickAt = max(n.quickAt, sentAt)
 	}
 	n.crowd += (min(part, 1) - n.crowd) * w
-	if grow := 1 + w*max(-1, 1-part/crowded); grow > 1 || float64(len(n.out)) < n.cap/4 {
+	if grow := 1 + w*max(-1, 1-part/late); grow > 1 || float64(len(n.out)) < n.cap/4 {
 		n.share = min(1, max(4/float64(n.set.r.Routers), n.share*grow))
 	}
 	if n.crowd > late && now >= n.cutAt {
