--- a/rules/rules.go
+++ b/rules/rules.go
@@ -361,9 +361,7 @@
 	return float64(n.busy()) < n.cap*part
 }
 
-// lucky says whether a command is among the share of those that a host may get. The worthier fare better, and as the
-// share nears one nobody is left out: the least worthy group may be most of what comes.
-func (c *Cmd) lucky(share float64) bool { return c.luck <= math.Pow(share, c.set.r.worth/c.rank()) }
+func (c *Cmd) lucky(share float64) bool { return share >= 1 || c.luck*c.set.r.worth <= share*c.rank() }
 
 func (n *Node) cold() bool { return n.boot != 0 && n.set.r.now < n.boot+n.set.r.ColdFor }
 
