Words that a command pays for are told as before; what turns away is told at once

Cause: tell() in rules/rules.go rationed by time alone, whatever a word costs.

Change: a word that costs more than one command pays (533 bytes to all at the price of 0.012, so from some thirty routers on) waits; cheaper ones are told after 31 ms as they were, and refusals of both kinds at once. Tests: three routers tell freely where 300 ration, both refusals are told at once; each fails without its change.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -257,7 +257,7 @@
 	}
 	r.worth += (c.rank() - r.worth) / 64
 	r.credit = min(r.credit+0.005/max(r.ProbePrice, 0.005), 16)
-	r.words = min(r.words+256*0.025/max(r.PeerPrice, 0.008), 128*float64(r.Routers))
+	r.words = min(r.words+r.pay(), 128*float64(r.Routers))
 	if g.Need == Session {
 		c.token = r.token(session)
 	}
@@ -581,28 +581,30 @@
 // id is what routers call a host among themselves.
 func (n *Node) id() string { return strconv.FormatUint(uint64(crc32.ChecksumIEEE([]byte(n.Name))), 36) }
 
-// tell shares a host's position, role and lateness with the other routers, unless one just did, for about a
-// point of service at the stated price: each of hundreds sees a host too seldom. Nothing depends on it.
+// tell shares a host's position, role and lateness with the other routers, unless one just did, at the stated price:
+// each of hundreds sees a host too seldom. A word that costs more than a command pays waits until what all know
+// has aged, but for refusals: it draws all their reads there, and hosts without words get none. Nothing depends on it.
 func (n *Node) tell(part float64) {
 	r := n.set.r
-	wait := r.quiet // until what all know of its position has aged: a word to all draws all reads there
-	if part >= full {
-		wait /= 8
-	}
-	if !r.Peers || !n.known || n.role == Unknown || r.now < n.toldAt+wait {
+	if !r.Peers || !n.known || n.role == Unknown || r.now < n.toldAt+r.quiet/8 {
 		return
 	}
+	wait := part <= mum
 	if part < mum {
 		part = min(mum-1, 10*part+0.5)
 	}
 	word := (n.pos/10*2+Tenth(n.role)%2)*16 + Tenth(part)
 	body := n.id() + "." + strconv.FormatInt(word, 36)
-	if cost := float64(len(body) * (r.Routers - 1)); cost <= r.words {
+	cost := float64(len(body) * (r.Routers - 1))
+	if cost <= r.words && (cost <= r.pay() || !wait || r.now >= n.toldAt+r.quiet) {
 		r.words, n.toldAt = r.words-cost, r.now
 		r.caller.Tell(body)
 	}
 }
 
+// pay is how many bytes a command pays for words: two and a half points of service.
+func (r *Router) pay() float64 { return 256 * 0.025 / max(r.PeerPrice, 0.008) }
+
 // Heard is a message of another router. What none can have said is passed over.
 func (r *Router) Heard(body string) {
 	id, said, _ := strings.Cut(body, ".")
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -633,18 +633,20 @@
 }
 
 func TestWordsOfOneHostLeaveRoomForThoseOfTheOthers(t *testing.T) {
-	f := start(t, 2, func(d *Deployment) { d.Peers, d.Routers = true, 300 })
-	f.r.words = 1e6
-	busy, seldom := f.nodes[0], f.nodes[1]
-	f.wait(3000)
-	for range 50 { // in half a second: all that hear of one host alone would read there alone
-		busy.learn(f.at)
-		busy.tell(1)
-		f.wait(100)
-	}
-	seldom.tell(0.1)
-	if n := len(f.told); n < 2 || n > 4 {
-		t.Errorf("%d words, of one host that answers all the time and one that did once", n)
+	for _, routers := range []int{3, 300} {
+		f := start(t, 2, func(d *Deployment) { d.Peers, d.Routers, d.PeerPrice = true, routers, 0.012 })
+		f.r.words = 1e6
+		busy, seldom := f.nodes[0], f.nodes[1]
+		f.wait(3000)
+		for range 50 { // in half a second: all that hear of one host alone would read there alone
+			busy.learn(f.at)
+			busy.tell(1)
+			f.wait(100)
+		}
+		seldom.tell(0.1)
+		if n := len(f.told); routers == 300 && (n < 2 || n > 4) || routers == 3 && n < 10 {
+			t.Errorf("%d routers: %d words, of one host that answers all the time and one that did once", routers, n)
+		}
 	}
 }
 
@@ -669,3 +671,16 @@
 		t.Errorf("of 20 hosts 100 routers that hear nothing of each other probe %d, those that do %d", alone, crowd)
 	}
 }
+
+func TestThatAHostTakesNoMoreConnectionsIsToldAtOnce(t *testing.T) {
+	f := start(t, 2, func(d *Deployment) { d.Peers, d.Routers, d.PeerPrice = true, 300, 0.012 })
+	f.r.words = 1e6
+	f.wait(3000)
+	for _, part := range []float64{0.1, tight, full} {
+		f.nodes[1].tell(part)
+		f.wait(400)
+	}
+	if len(f.told) != 3 {
+		t.Errorf("%d words of a host that answers, then turns away connections, then commands", len(f.told))
+	}
+}
