Datagrams of IPv6 peers are heard again, and a burst of them is bounded

Need: found on reading the change once more. Reading datagrams together took only IPv4 senders for peers, so installations whose routers talk over IPv6 heard nothing of each other; and burst() in transport/peers.go read until none was left, so under a flood of datagrams the program's end could have waited for the flood's.

Change: both kinds of sender are looked up among the peers; a burst ends after 1,024 datagrams.

Tests of transport and routing pass, transport's under the race detector too. The bound has no test of its own.

--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -85,9 +85,9 @@
 	}
 }
 
-// burst reads all that has come, and says whether anything had.
+// burst reads what has come, and says whether anything had. It is bounded: a flood must not keep it from the context's end.
 func (p *Peers) burst(fd int, b []byte, heard func(body string)) (any bool) {
-	for {
+	for range 1024 {
 		n, sender, err := syscall.Recvfrom(fd, b, syscall.MSG_DONTWAIT)
 		switch {
 		case err == syscall.EINTR:
@@ -99,14 +99,21 @@
 			return true
 		}
 		any = true
-		from, ok := sender.(*syscall.SockaddrInet4)
-		if !ok || n == 0 || n > p.limits.Datagram || !p.from[netip.AddrPortFrom(netip.AddrFrom4(from.Addr), uint16(from.Port))] {
+		var from netip.AddrPort
+		switch a := sender.(type) {
+		case *syscall.SockaddrInet4:
+			from = netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
+		case *syscall.SockaddrInet6:
+			from = netip.AddrPortFrom(netip.AddrFrom16(a.Addr).Unmap(), uint16(a.Port))
+		}
+		if n == 0 || n > p.limits.Datagram || !p.from[from] {
 			p.Dropped.Add(1)
 			continue
 		}
 		p.Heard.Add(1)
 		heard(string(b[:n]))
 	}
+	return any
 }
 
 // Send sends until the context ends.
