What never comes back shrinks a host's share, and a report's age is no lag

Checked: judge was called for each of them from look, but its condition that one of hundreds of routers has too little out for the cap counted the lost command itself, so len(n.out) < n.cap/4 never held and the share was only shrunk by late answers; where clients give up at the target no such answer comes. Now the others count. A second cause, of 'behind': Reported took the age of a load report for the replica's lag (learn). Primaries' reports show how old reports are; that is taken off.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -36,6 +36,7 @@
 	tokens                        map[string]Tenth // by session
 	gaps                          ring             // between the answers of any one host
 	credit, words, latency, worth float64          // probes to spend, bytes to tell; mean answer, mean rank
+	aged                          float64          // mean age of a report
 }
 
 // kind is the mean work that warm hosts of a kind do in a tenth for each unit of size, and its makings.
@@ -538,7 +539,7 @@
 		if !n.cold() {
 			n.kind.done += c.work()
 		}
-		if n.judge(part, c.sentAt); n.crowd <= late && float64(len(n.out)+1) >= n.cap/2 {
+		if n.judge(part, c.sentAt, len(n.out)); n.crowd <= late && float64(len(n.out)+1) >= n.cap/2 {
 			n.cap += 1 / n.cap
 		}
 		n.tell(part)
@@ -546,8 +547,8 @@
 }
 
 // judge takes in how late an answer was, own or told; the fewer there are, the more each weighs. Late ones
-// shrink the cap, or, where one of hundreds of routers has too little out for that, the host's share.
-func (n *Node) judge(part float64, sentAt Tenth) {
+// shrink the cap, or, where one of hundreds of routers has too little else out for that, the host's share.
+func (n *Node) judge(part float64, sentAt Tenth, others int) {
 	now := n.set.r.now
 	w := min(0.5, max(0.125, float64(now-n.judgedAt)/float64(2*second)))
 	n.judgedAt = now
@@ -555,7 +556,7 @@
 		n.quickAt = max(n.quickAt, sentAt)
 	}
 	n.crowd += (min(part, 1) - n.crowd) * w
-	if grow := 1 + w*max(-1, 1-part/late); grow > 1 || float64(len(n.out)) < n.cap/4 {
+	if grow := 1 + w*max(-1, 1-part/late); grow > 1 || float64(others) < n.cap/4 {
 		n.share = min(1, max(4/float64(n.set.r.Routers), n.share*grow))
 	}
 	if n.crowd > late && now >= n.cutAt {
@@ -565,7 +566,7 @@
 
 // full leaves a host that turns away unseen alone, longer each time: its fast refusals would draw ever more.
 func (n *Node) full() {
-	n.judge(1, 0)
+	n.judge(1, 0, len(n.out))
 	n.backoff = min(max(2*n.backoff, second/50), second/2)
 	n.trialAt = n.set.r.now + Tenth((2+2*n.set.r.chance())*float64(n.backoff)/3)
 }
@@ -621,7 +622,7 @@
 	case word == tight:
 		n.tight(5 * second)
 	case word < mum:
-		n.judge(float64(word)/10, r.now-second/10)
+		n.judge(float64(word)/10, r.now-second/10, len(n.out))
 	}
 }
 
@@ -652,9 +653,17 @@
 	}
 }
 
-// Reported is what a load report says; it may be old.
+// Reported is what a load report says; it may be old. How old reports are shows in those of primaries, which
+// stand at the present: the rest is a replica's lag.
 func (n *Node) Reported(pos Tenth, role Role) {
-	n.learn(pos)
+	r, news := n.set.r, pos > n.pos
+	age := float64(r.now - r.Zero - pos)
+	if role == Primary && age >= 0 {
+		r.aged += (age - r.aged) / 8
+	}
+	if n.learn(pos); news {
+		n.lag = max(0, n.lag-Tenth(r.aged))
+	}
 	n.is(role, pos+n.set.r.Zero)
 }
 
@@ -673,7 +682,7 @@
 		s.next = slices.Index(s.members, n)
 	}
 	if word < mum {
-		n.judge(float64(word)/10, r.now-second/10)
+		n.judge(float64(word)/10, r.now-second/10, len(n.out))
 	}
 }
 
@@ -748,7 +757,7 @@
 		for _, c := range n.out {
 			fresh := !c.late // past its target; if nothing sent later was answered in good time, it is not lost
 			if c.late = r.now >= c.sentAt+c.group.Target; c.late && fresh && c.sentAt > n.quickAt {
-				n.judge(1, 0)
+				n.judge(1, 0, len(n.out)-1)
 				n.tell(1)
 			}
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -547,12 +547,12 @@
 		f := start(t, 2, func(d *Deployment) { d.Routers = routers })
 		n := f.nodes[1]
 		for range 40 {
-			n.judge(1, 0)
+			n.judge(1, 0, 0)
 		}
 		f.never(routers == 200 && n.share > 0.05, "a jammed host gets most of what comes for it")
 		f.never(routers == 1 && n.share < 1, "a router alone has its cap for that")
 		for range 200 {
-			n.judge(0.1, f.at)
+			n.judge(0.1, f.at, 0)
 		}
 		f.never(n.share < 1, "a host that does well again does not get all")
 	}
--- /dev/null
+++ b/rules/shape_test.go
@@ -0,0 +1,39 @@
+package rules
+
+import "testing"
+
+// Stories of deployments of another build: many routers without a word of each other, hosts seen seldom.
+
+func TestWhatNeverComesBackShrinksTheShare(t *testing.T) {
+	for _, routers := range []int{2, 120} {
+		f := start(t, 2, func(d *Deployment) { d.Routers = routers })
+		n := f.nodes[1]
+		for range 6 {
+			c := f.take(Bounded, Replayable, "", 0)
+			if c.Node != n {
+				continue
+			}
+			f.wait(3000)
+			c.Ended(TimedOut, -1, Unknown, 3000, false)
+			f.fresh()
+		}
+		f.never(routers == 120 && n.share > 0.6, "a host that answers nothing in time is sent all that comes for it")
+		f.never(routers == 2 && n.share < 1, "one of two routers has its cap for that")
+	}
+}
+
+func TestAReportsAgeIsNoLag(t *testing.T) {
+	f := start(t, 3, func(d *Deployment) { d.Guarded = true })
+	for range 40 { // reports are 0.6 s old, as the primary's show
+		f.wait(1000)
+		for i, n := range f.nodes {
+			n.Reported(f.at-6000, Role(min(i+1, 2)))
+		}
+	}
+	f.wait(100)
+	need := f.at - 1000
+	f.never(!f.nodes[1].reached(need), "a replica is taken to be behind, since its report is old")
+	f.wait(1000)
+	f.nodes[2].Reported(f.at-6900, Replica) // 0.1 s further in 1.1 s
+	f.never(f.nodes[2].reached(f.at-800), "a replica that falls behind is taken to have caught up")
+}
