A replica is asked where it stands before the primary takes its reads

A router of 130 sends a host one command in three seconds, so positions are seconds old against a bound of 200 ms, and nobody tells it more: the fallen assumption is that answers or words keep positions fresh. Change: where hosts check no reads and routers don't talk, a read that no replica is known to be new enough for has one asked, then another, for a sixteenth of its target at most each, before the primary takes it (Set.ask, Probed); probes may then cost two points of service at the stated price, and hosts whose position has aged are no longer probed in advance. Elsewhere nothing changes.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,7 +25,7 @@
 type Router struct {
 	Deployment
 	caller                        Caller
-	blind                         bool  // no planner tells what is new
+	blind, asks                   bool  // no planner tells what is new; replicas are asked for each read in need
 	now, wakeAt, lookAt, stoodTo  Tenth // the next wake; when hosts were gone over; when a stall ended
 	quiet, floor, draws           Tenth // how long a position stays good; no forgotten token is greater
 	sets                          map[int64]*Set
@@ -36,7 +36,7 @@
 	tokens                        map[string]Tenth // by session
 	gaps                          ring             // between the answers of any one host
 	credit, words, latency, worth float64          // probes to spend, bytes to tell; mean answer, mean rank
-	aged                          float64          // mean age of a report
+	aged, spend                   float64          // mean age of a report; what probes may cost
 }
 
 // kind is the mean work that warm hosts of a kind do in a tenth for each unit of size, and its makings.
@@ -50,6 +50,7 @@
 	held    []*Cmd  // worthiest first
 	next    int     // the member to ask next for the primary
 	lookAt  Tenth   // when to ask it
+	askedTo Tenth   // until when reads wait for what a replica was asked
 }
 
 // Node is a database host.
@@ -61,6 +62,7 @@
 	role                               Role
 	out                                []*Cmd
 	listed, known, probing, left, dark bool    // left: silent or unreachable; dark: unreachable
+	asked                              bool    // by a read that waits for it
 	down                               bool    // it took no connection, and no probe tells when it is back
 	size, cap, share, crowd, spare     float64 // crowd: mean part of the target taken; spare: work while cold
 	boot, spareAt, backoff, tightTo    Tenth   // boot: when it last started; 0: long ago
@@ -76,9 +78,10 @@
 	group                         *CmdGroup
 	Node                          *Node // where it is out
 	tried                         []*Node
+	asked                         *Node // the last one that was asked for it
 	token, taken, target, timeout Tenth // token: what a read must see, but for Bounded
 	sentAt, sentFor, maybe        Tenth // its dispatch, and for which position; the first that may have run
-	Sent                          int   // its dispatches so far
+	Sent, asks                    int   // its dispatches so far, and what was asked for it
 	SendBy                        Tenth // when the one that is out must be on its way; 0: whenever it can
 	benefit, luck                 float64
 	over, held, late              bool // late: out past its target
@@ -134,6 +137,9 @@
 	if r.Peers { // a few tell all where hosts stand before there are commands to pay for it
 		r.credit = 4 * r.chance()
 	}
+	if r.spend = 0.005; r.Probes && r.Reports && !r.Guarded && !r.Peers && !r.Told {
+		r.asks, r.spend = true, 0.02
+	}
 	r.wake(2 * r.Tick)
 	return r
 }
@@ -257,7 +263,7 @@
 		}
 	}
 	r.worth += (c.rank() - r.worth) / 64
-	r.credit = min(r.credit+0.005/max(r.ProbePrice, 0.005), 16)
+	r.credit = min(r.credit+r.spend/max(r.ProbePrice, r.spend), 16)
 	r.words = min(r.words+r.pay(), 128*float64(r.Routers))
 	if g.Need == Session {
 		c.token = r.token(session)
@@ -291,12 +297,42 @@
 			best = p
 		}
 	}
+	if best == nil && !fresh && s.ask(c, need) {
+		return false
+	}
 	if best == nil && p != nil && p.open(c, 0.7) && c.lucky(p.share) && (fresh || p.crowd < 1.5*late) {
 		best = p
 	}
 	return best != nil && c.dispatch(best, need)
 }
 
+// ask has a replica say where it stands, for a read that none is known to be new enough for, and says that the
+// answer is awaited. Where hundreds of routers share nothing, what one knows of a host is as old as its last
+// command there, and the primary would take all reads.
+func (s *Set) ask(c *Cmd, need Tenth) bool {
+	r := s.r
+	if !r.asks || r.now < s.askedTo {
+		return r.asks
+	}
+	best, least := (*Node)(nil), 0.0
+	for _, n := range s.members {
+		if n == s.primary || n.probing || n.left || n == c.asked || n.reached(need) || !n.open(c, 1) || !c.lucky(n.share) {
+			continue
+		}
+		if l := n.load() / n.share * math.Pow(-math.Log(1-r.chance()), 0.99); best == nil || l < least {
+			best, least = n, l
+		}
+	}
+	if best == nil || c.asks >= 2 || r.credit < 1 {
+		return false
+	}
+	c.asks++
+	r.credit--
+	best.asked, c.asked, s.askedTo = true, best, r.now+c.group.Target/16
+	r.probeAt(best)
+	return true
+}
+
 // write sends to the primary. With none known, or that one silent, members are tried, one every few ticks.
 func (c *Cmd) write() bool {
 	s, r := c.set, c.set.r
@@ -697,6 +733,10 @@
 	if ok {
 		n.tell(mum)
 	}
+	if n.asked {
+		n.asked, n.set.askedTo = false, 0
+		n.set.serve()
+	}
 }
 
 // probe asks new hosts and, within what may be spent, those whose position has aged, the oldest first.
@@ -705,7 +745,7 @@
 		var oldest *Node
 		for _, n := range r.nodes {
 			due := n.dark && r.now >= n.trialAt || !n.dark && (n.posAt == 0 || r.now >= n.posAt+r.quiet &&
-				r.Reports && r.credit >= 1) && (!r.Peers || r.chance()*float64(r.Routers) < 2)
+				r.Reports && !r.asks && r.credit >= 1) && (!r.Peers || r.chance()*float64(r.Routers) < 2)
 			if due && n.standing == In && !n.probing && (oldest == nil || n.posAt < oldest.posAt) {
 				oldest = n
 			}
@@ -718,11 +758,15 @@
 		} else if oldest.posAt > 0 {
 			r.credit--
 		}
-		oldest.probing, oldest.posAt = true, max(oldest.posAt, 1)
-		r.caller.Probe(oldest)
+		r.probeAt(oldest)
 	}
 }
 
+func (r *Router) probeAt(n *Node) {
+	n.probing, n.posAt = true, max(n.posAt, 1)
+	r.caller.Probe(n)
+}
+
 // Woke is called soon while commands are held, now and then otherwise: hundreds of hosts must cost little.
 func (r *Router) Woke() {
 	next := second / 20
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestSessionReadsFollowTheirToken(t *testing.T) {
-	f := start(t, 3, nil)
+	f := start(t, 3, func(d *Deployment) { d.Reports = false })
 	w := f.take(Write, Mutating, "s", 0)
 	if w.Node != f.nodes[0] {
 		t.Fatalf("write went to %v, not to the primary", w.Node)
@@ -44,7 +44,7 @@
 }
 
 func TestBroughtWriteTimeIsAToken(t *testing.T) {
-	f := start(t, 2, nil)
+	f := start(t, 2, func(d *Deployment) { d.Reports = false })
 	f.wait(2000)
 	f.nodes[1].learn(f.at - 1000)
 	if c := f.take(Session, Replayable, "s", 900); c.Node != f.nodes[0] {
@@ -203,7 +203,7 @@
 }
 
 func TestADispatchNamesTheMomentAtWhichItsDataIsTooOld(t *testing.T) {
-	f := start(t, 2, nil)
+	f := start(t, 2, func(d *Deployment) { d.Reports = false })
 	c := f.take(Bounded, Replayable, "", 0)
 	f.never(c.Node != f.nodes[1] || c.SendBy != f.at+5000, "a bounded read may be sent whenever it can")
 	f.wait(5100)
--- a/rules/shape_test.go
+++ b/rules/shape_test.go
@@ -37,3 +37,42 @@
 	f.nodes[2].Reported(f.at-6900, Replica) // 0.1 s further in 1.1 s
 	f.never(f.nodes[2].reached(f.at-800), "a replica that falls behind is taken to have caught up")
 }
+
+func TestAReplicaIsAskedBeforeThePrimaryTakesItsReads(t *testing.T) {
+	f := start(t, 3, func(d *Deployment) { d.Routers, d.ProbePrice = 120, 0.02 })
+	f.r.credit = 8
+	f.wait(6000) // what is known of replicas is past the bound
+	f.probes = nil
+	c := f.take(Bounded, Replayable, "", 0)
+	f.never(len(f.probes) != 1 || c.Node != nil, "no replica is asked where it stands")
+	asked := f.probes[0]
+	asked.Reported(f.at-6000, Replica) // an old report
+	asked.Probed(true)
+	f.never(len(f.probes) != 2 || f.probes[1] == asked || c.Node != nil, "the other replica is not asked next")
+	f.probes[1].Reported(f.at-1000, Replica)
+	f.probes[1].Probed(true)
+	f.never(c.Node != f.probes[1], "the read did not go to the replica that said it is new enough")
+
+	f.wait(6000)
+	f.probes = nil
+	c = f.take(Bounded, Replayable, "", 0)
+	f.wait(2500) // neither says anything
+	f.never(len(f.probes) != 2, "what does not answer is asked on and on")
+	f.never(c.Node != f.nodes[0], "a read that no replica answers for does not go to the primary")
+}
+
+func TestAskingIsPaidFor(t *testing.T) {
+	f := start(t, 3, func(d *Deployment) { d.Routers, d.ProbePrice = 120, 0.2 })
+	f.probes = nil
+	for range 50 {
+		f.wait(6000)
+		c := f.take(Bounded, Replayable, "", 0)
+		for _, n := range f.nodes[1:] {
+			n.Probed(true)
+		}
+		if f.never(c.Node != f.nodes[0], "a read that nobody was asked for does not go to the primary"); c.Node != nil {
+			f.answer(c, 100)
+		}
+	}
+	f.never(len(f.probes) < 3 || len(f.probes) > 8, "fifty commands are to pay for five probes")
+}
