The list is asked for where it comes only on request

Change: New and Woke ask (Caller.Watch) at a moment drawn by chance within a quarter of ask_within, again after a refusal or a dropped watch (Router.Unlisted) at moments ever further apart, and once more where no answer comes. discovery that is neither pushed nor on_request, and on_request without ask_within, is refused with its key.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -168,6 +168,7 @@
 func (r *router) members(ev setup.Object) {
 	mode := ev.Text("mode")
 	if mode == "refused" {
+		r.rules.Unlisted()
 		return
 	}
 	for _, e := range r.d.sheets[ev.Integer("sheet")] {
@@ -227,6 +228,8 @@
 	r.d.act(`{"t":"close_idle","who":%d,"host":%s}`, r.who, quote(n.Name))
 }
 
+func (r *router) Watch() { r.d.act(`{"t":"subscribe","who":%d,"active":true}`, r.who) }
+
 func (r *router) Forget(n *rules.Node) { delete(r.hosts, n.Name) }
 
 func (r *router) Tell(body string) {
--- a/internal/setup/deployment.go
+++ b/internal/setup/deployment.go
@@ -48,6 +48,15 @@
 		ColdFrom: limits.MaybeNumber("cold_from"), ColdFor: Up(limits.MaybeNumber("cold")),
 		DrainAlone: limits.Flag("drain_binds_alone"),
 	}
+	switch mode := env.MaybeText("discovery"); mode {
+	case "", "pushed":
+	case "on_request":
+		if dep.AskWithin = Down(limits.MaybeNumber("ask_within")); dep.AskWithin <= 0 {
+			limits.fault("ask_within", "not over 0, where the list comes only on request")
+		}
+	default:
+		env.fault("discovery", "neither pushed nor on_request: "+strconv.Quote(mode))
+	}
 	if bounds.Flag("retry_after") {
 		dep.Comeback = Down(bounds.MaybeNumber("max_retry_after"))
 	}
--- a/rules/door.go
+++ b/rules/door.go
@@ -116,7 +116,8 @@
 	FallSpan   Tenth
 	ColdFrom   float64
 	ColdFor    Tenth
-	DrainAlone bool // only a drain binds; a host that left the list may be up
+	DrainAlone bool  // only a drain binds; a host that left the list may be up
+	AskWithin  Tenth // the list comes only to those who ask, and who have not for so long count as told; 0: it comes
 
 	Groups []*CmdGroup
 	Shares []*Share
@@ -131,6 +132,7 @@
 	Probe(n *Node)
 	Close(n *Node)    // the idle connections to a host
 	Forget(n *Node)   // it left the list, and no call will name it again
+	Watch()           // asks for the list, and what changes from then on
 	Tell(body string) // to every other router, may be lost
 	Wake(after Tenth) // one call of Router.Woke
 }
--- a/rules/fake_test.go
+++ b/rules/fake_test.go
@@ -18,6 +18,7 @@
 	nodes  []*Node
 
 	forgotten []*Node
+	watches   []Tenth
 }
 
 func (f *fake) Dispatch(c *Cmd, n *Node, limit Tenth) {
@@ -34,6 +35,7 @@
 func (f *fake) Forget(n *Node)              { f.forgotten = append(f.forgotten, n) }
 func (f *fake) Tell(body string)            { f.told = append(f.told, body) }
 func (f *fake) Wake(Tenth)                  {}
+func (f *fake) Watch()                      { f.watches = append(f.watches, f.at) }
 
 func (f *fake) end(c *Cmd, how string) {
 	if f.final[c] != "" {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,9 +25,10 @@
 type Router struct {
 	Deployment
 	caller                        Caller
-	blind, asks                   bool  // no planner tells what is new; replicas are asked for each read in need
+	blind, asks, watching         bool  // no planner tells what is new; reads in need ask; the list was asked for
 	now, wakeAt, lookAt, stoodTo  Tenth // the next wake; when hosts were gone over; when a stall ended
 	quiet, floor, draws           Tenth // how long a position stays good; no forgotten token is greater
+	watchAt, watchWait            Tenth // when to ask for the list next, 0: it comes; the wait after a refusal
 	sets                          map[int64]*Set
 	ordered                       []*Set
 	nodes                         []*Node
@@ -140,6 +141,9 @@
 	if r.spend = 0.005; r.Probes && r.Reports && !r.Guarded && !r.Peers && !r.Told {
 		r.asks, r.spend = true, 0.02
 	}
+	if r.AskWithin > 0 { // all routers' calls fit into a few seconds, and being told later breaks no rule
+		r.watchAt, r.watchWait = now+1+Tenth(r.chance()*float64(r.AskWithin/4)), r.AskWithin/8
+	}
 	r.wake(2 * r.Tick)
 	return r
 }
@@ -224,9 +228,19 @@
 		}
 		n.listed = false
 	}
+	if r.watching {
+		r.watchAt = 0
+	}
 	r.probe()
 }
 
+// Unlisted says that the list was asked for and refused, or that it comes no more. It is asked for again, at
+// moments that lie ever further apart, lest hundreds of routers keep a service that is short of capacity busy.
+func (r *Router) Unlisted() {
+	r.watching, r.watchAt = false, r.now+Tenth((0.5+r.chance())*float64(r.watchWait))
+	r.watchWait = min(2*r.watchWait, r.AskWithin/2)
+}
+
 // forget drops a host that left the list, once nothing is out to it; should it come back, it is a new one.
 func (n *Node) forget() bool {
 	if n.standing != Gone || n.probing || len(n.out) > 0 {
@@ -776,6 +790,10 @@
 			next = 4 * r.Tick
 		}
 	}
+	if r.watchAt > 0 && r.now >= r.watchAt { // once more where no answer ever comes
+		r.watching, r.watchAt = true, r.now+r.AskWithin
+		r.caller.Watch()
+	}
 	if r.now >= r.lookAt+second/20 {
 		r.look(float64(r.now - r.lookAt))
 	}
--- a/rules/shape_test.go
+++ b/rules/shape_test.go
@@ -76,3 +76,34 @@
 	}
 	f.never(len(f.probes) < 3 || len(f.probes) > 8, "fifty commands are to pay for five probes")
 }
+
+func TestAListThatComesOnRequestIsAskedForAndNoCrowdAsksAtOnce(t *testing.T) {
+	first := map[Tenth]bool{}
+	for seed := range uint32(20) {
+		f := start(t, 2, func(d *Deployment) { d.Seed, d.AskWithin = seed*7919, 100000 })
+		f.wait(26000)
+		if len(f.watches) != 1 {
+			t.Fatalf("the list was asked for %d times in its first 2.6 s", len(f.watches))
+		}
+		first[f.watches[0]/2000] = true
+		var gaps [4]Tenth
+		for i := range gaps { // each is refused; what is held serves on
+			f.r.Unlisted()
+			at := f.at
+			for asked := len(f.watches); len(f.watches) == asked; {
+				f.wait(100)
+			}
+			gaps[i] = f.at - at
+		}
+		f.never(gaps[0] > 20000 || gaps[3] < 25000 || gaps[3] > 75100, "calls after a refusal don't lie ever further apart")
+		f.wait(101000) // a call that is never answered
+		f.never(len(f.watches) != 6, "what is never answered is not asked again")
+		f.r.ListDone(false)
+		f.wait(300000)
+		f.never(len(f.watches) != 6, "a list that comes is asked for again")
+	}
+	f := start(t, 2, nil)
+	f.wait(300000)
+	f.never(len(first) < 6, "all ask at one time")
+	f.never(len(f.watches) > 0, "a list that comes by itself is asked for")
+}
