--- a/internal/lab/virtual/forward.go
+++ b/internal/lab/virtual/forward.go
@@ -44,6 +44,7 @@
 func (f *forward) Probe(n *rules.Node) { f.w.broke("%s probes %s", f.name, f.names[n]) }
 func (f *forward) Close(n *rules.Node) { f.trace.Close(n) }
 func (f *forward) Tell(string)         { f.w.broke("%s tells others", f.name) }
+func (f *forward) Watch()              { f.w.broke("%s asks for a list", f.name) }
 func (f *forward) Forget(n *rules.Node) {
 	f.trace.Forget(n)
 	delete(f.nodes, f.names[n])
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -695,7 +695,7 @@
 	})
 	f.open[id] = c
 	f.trace.Take(id, slices.Index(f.groups, g), set.id, session, c.until, since, false)
-	c.handle = f.rules.Take(id, g, set.id, session, c.until, since, nil, false)
+	c.handle = f.rules.Take(id, g, set.id, session, c.until, since, false)
 	f.trace.Taken(c.handle)
 	f.settle(c.handle)
 }
--- a/internal/routing/counts.go
+++ b/internal/routing/counts.go
@@ -15,6 +15,7 @@
 	Refused                                          atomic.Int64 // commands that could not be read
 	Dispatched, Probes, Lists, Stale, Panics, Stalls atomic.Int64
 	Held, Forgotten                                  atomic.Int64 // hosts
+	Asks, Unlists                                    atomic.Int64 // for the list, and those that brought none or broke off
 	Outcomes                                         [rules.Missed + 1]atomic.Int64
 }
 
@@ -28,6 +29,7 @@
 		zap.Int64("left", c.Gone.Load()), zap.Int64("out", out), zap.Int64("refused", c.Refused.Load()),
 		zap.Int64("dispatched", c.Dispatched.Load()), zap.Int64("probes", c.Probes.Load()),
 		zap.Int64("lists", c.Lists.Load()), zap.Int64("stale_lists", c.Stale.Load()),
+		zap.Int64("list_asks", c.Asks.Load()), zap.Int64("list_asks_failed", c.Unlists.Load()),
 		zap.Int64("hosts_held", c.Held.Load()), zap.Int64("hosts_forgotten", c.Forgotten.Load()),
 		zap.Int64("panics", c.Panics.Load()), zap.Int64("stalls", c.Stalls.Load()), zap.Int("queued", r.queue.length()),
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -30,6 +30,7 @@
 	clock *clock.Clock
 	pool  *transport.Hosts
 	tell  func(body string)
+	watch func()           // asks for the list, where it comes only on request
 	trace *record.Recorder // nil while nothing is captured
 
 	rules  *rules.Router
@@ -79,10 +80,13 @@
 	return r, r.list(s.Known, false)
 }
 
+// Watching says what asks for the list, before Run.
+func (r *Router) Watching(ask func()) { r.watch = ask }
+
 // Rev is the version of the list that is held.
 func (r *Router) Rev() int64 { return max(0, r.rev.Load()) }
 
-// Command, Empty, Left, List and Heard are called from other goroutines.
+// Command, Empty, Left, List, Unlisted and Heard are called from other goroutines.
 
 func (r *Router) Command(s *transport.Slot, statement []byte, at time.Time) {
 	id, group, key, set, wait, after, again, writes, err := protocol.Comment(statement)
@@ -154,6 +158,16 @@
 	}
 }
 
+// Unlisted tells that a list that was asked for did not come, or comes no more. What is held serves on.
+func (r *Router) Unlisted() {
+	r.queue.put(lists, func() {
+		r.Unlists.Add(1)
+		r.moment()
+		r.trace.Unlisted()
+		r.rules.Unlisted()
+	})
+}
+
 func (r *Router) Heard(body string) {
 	r.queue.put(commands, func() {
 		r.moment()
@@ -340,7 +354,7 @@
 	r.Taken.Add(1)
 	timeout := now + rules.Tenth(time.Until(until)/clock.Tenth)
 	r.trace.Take(id, r.groups[g], set, key, timeout, since, again)
-	c.handle = r.rules.Take(id, g, set, key, timeout, since, nil, again)
+	c.handle = r.rules.Take(id, g, set, key, timeout, since, again)
 	r.trace.Taken(c.handle)
 	r.settle(c.handle)
 }
@@ -465,6 +479,12 @@
 	delete(r.hosts, n.Name)
 }
 
+func (r *Router) Watch() {
+	r.Asks.Add(1)
+	r.trace.Watch()
+	r.watch()
+}
+
 func (r *Router) Tell(body string) {
 	r.trace.Tell(body)
 	r.tell(body)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -79,6 +79,15 @@
 		return fmt.Errorf("known: %w", err)
 	}
 	p.clients = transport.NewClients(p.limits, p.room, p.router)
+	if section == nil {
+		p.watch = transport.NewWatch(p.limits, p.room, start.Discovery, p.router.Rev, p.router.List, func(err error) {
+			log.Warn("the watch of the list ended", zap.Error(err))
+		})
+		if start.Deployment.AskWithin > 0 {
+			p.watch.OnRequest(p.router.Unlisted)
+			p.router.Watching(p.watch.Ask)
+		}
+	}
 	tasks.Go(func() error { return p.router.Run(ctx) })
 	if section != nil {
 		if p.forward, err = forwarder(start, section, p.router, log); err != nil {
@@ -87,9 +96,6 @@
 		}
 		tasks.Go(func() error { return p.forward.Run(ctx) })
 	} else {
-		p.watch = transport.NewWatch(p.limits, p.room, start.Discovery, p.router.Rev, p.router.List, func(err error) {
-			log.Warn("the watch of the list ended", zap.Error(err))
-		})
 		tasks.Go(func() error { return p.watch.Run(ctx) })
 	}
 	tasks.Go(func() error { return p.clients.Serve(ctx, listener) })
--- a/internal/setup/deployment.go
+++ b/internal/setup/deployment.go
@@ -9,7 +9,6 @@
 // Terms is how commands, answers and load reports of a deployment are read.
 type Terms struct {
 	Groups         map[string]*rules.CmdGroup
-	Shares         map[string]*rules.Share
 	Fields         []string // of a load report, in order
 	Position, Role int      // the fields of a load report that hold them; -1: none
 	Positions      bool     // every answer carries one
@@ -20,7 +19,7 @@
 	bounds, limits := env.Within("bounds"), env.Within("rules")
 	prices, tele := env.Within("prices"), env.Within("telemetry")
 	info := env.Within("family_info")
-	terms = Terms{Groups: map[string]*rules.CmdGroup{}, Shares: map[string]*rules.Share{},
+	terms = Terms{Groups: map[string]*rules.CmdGroup{},
 		Position: -1, Role: -1, Positions: info.Flag("stamps")}
 	for i, f := range tele.MaybeList("fields") {
 		name, _ := f.(string)
@@ -42,8 +41,7 @@
 		Reports: (how == "answers" || how == "probe") && terms.Position >= 0,
 		Probes:  bounds.Flag("probes"),
 		Peers:   bounds.Flag("peers"), PeerPrice: prices.MaybeNumber("peer"),
-		ProbePrice: prices.MaybeNumber("probe"), ZonePrice: prices.MaybeNumber("cross_zone"),
-		OverShare:  env.MaybeNumber("over_share_worth"),
+		ProbePrice: prices.MaybeNumber("probe"),
 		FallFactor: limits.MaybeNumber("overload_factor"), FallSpan: Down(limits.MaybeNumber("fall")),
 		ColdFrom: limits.MaybeNumber("cold_from"), ColdFor: Up(limits.MaybeNumber("cold")),
 		DrainAlone: limits.Flag("drain_binds_alone"),
@@ -82,13 +80,6 @@
 		dep.Groups = append(dep.Groups, g)
 		terms.Groups[c.Text("name")] = g
 	}
-	if env.Has("tenants") {
-		for _, t := range env.Objects("tenants") {
-			s := &rules.Share{PerSecond: t.MaybeNumber("quota_per_s")}
-			dep.Shares = append(dep.Shares, s)
-			terms.Shares[t.Text("name")] = s
-		}
-	}
 	return dep, terms
 }
 
--- a/internal/setup/operator.go
+++ b/internal/setup/operator.go
@@ -339,6 +339,6 @@
 // AsForwarder has a router live by views alone: it probes nothing, talks to no peers, and what it was given as
 // known is for the view.
 func (s *Start) AsForwarder() {
-	s.Deployment.Told, s.Deployment.Probes, s.Deployment.Peers = true, false, false
+	s.Deployment.Told, s.Deployment.Probes, s.Deployment.Peers, s.Deployment.AskWithin = true, false, false, 0
 	s.Given, s.Known = s.Known, Object{}
 }
--- a/internal/trace/record/record.go
+++ b/internal/trace/record/record.go
@@ -53,6 +53,8 @@
 	PlanChange
 	PlanReport
 	PlanForwarder
+	Unlisted // a call into the module
+	Watch    // asked for by it
 )
 
 func i(names ...string) (all []format.Column) {
@@ -111,6 +113,9 @@
 	PlanChange:    kind("plan_change", i("seq", "hosts", "dropped", "routers", "every", "whole", "links")),
 	PlanReport:    kind("plan_report", i("entries", "answers", "cold"), t("forwarder", format.Place)),
 	PlanForwarder: kind("plan_forwarder", i("open", "life"), t("forwarder", format.Place), t("why", format.Words)),
+
+	Unlisted: kind("unlisted"),
+	Watch:    kind("watch"),
 }
 
 // Sink takes blocks and gives empty ones; neither waits.
@@ -247,6 +252,12 @@
 	}
 }
 
+func (r *Recorder) Unlisted() {
+	if r != nil {
+		r.add(Unlisted)
+	}
+}
+
 // sampled says whether a session is recorded.
 func (r *Recorder) sampled(session string) bool {
 	if r.part >= 1000 {
@@ -430,6 +441,12 @@
 	}
 }
 
+func (r *Recorder) Watch() {
+	if r != nil {
+		r.add(Watch)
+	}
+}
+
 // List, Stall, Reload and View are beside the module.
 func (r *Recorder) List(revision int64, whole bool, entries int) {
 	if r != nil {
--- a/internal/trace/replay/replay.go
+++ b/internal/trace/replay/replay.go
@@ -94,7 +94,7 @@
 		r.began, r.after = true, "start"
 		r.begin(e.At)
 	}
-	if e.Kind > record.View {
+	if e.Kind > record.View && e.Kind < record.Unlisted {
 		return nil
 	}
 	switch e.Kind {
@@ -103,7 +103,7 @@
 	case record.Candidate:
 		r.detail = true
 		fallthrough
-	case record.Dispatch, record.Throttle, record.Fail, record.Probe, record.Close, record.Forget, record.Tell, record.Wake:
+	case record.Dispatch, record.Throttle, record.Fail, record.Probe, record.Close, record.Forget, record.Tell, record.Wake, record.Watch:
 		r.want = append(r.want, r.asked(e))
 		return nil
 	case record.Host:
@@ -153,7 +153,7 @@
 			return fmt.Errorf("event %d: command group %d of %d", r.event, v[1], len(r.deploy.Groups))
 		}
 		r.taking = v[0]
-		c := r.module.Take(e.Texts[0], r.deploy.Groups[v[1]], v[2], e.Texts[1], v[3], v[4], nil, v[5] == 1)
+		c := r.module.Take(e.Texts[0], r.deploy.Groups[v[1]], v[2], e.Texts[1], v[3], v[4], v[5] == 1)
 		if r.taking = 0; !c.Over() {
 			r.commands[v[0]], r.numbers[c] = c, v[0]
 		}
@@ -169,6 +169,8 @@
 		n.Probed(v[1] == 1)
 	case record.Heard:
 		r.module.Heard(e.Texts[0])
+	case record.Unlisted:
+		r.module.Unlisted()
 	case record.Woke:
 		r.module.Woke()
 	case record.Told:
@@ -230,6 +232,8 @@
 			v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7], v[8])
 	case record.Tell:
 		return "tell " + e.Texts[0]
+	case record.Watch:
+		return "watch"
 	}
 	return fmt.Sprintf("%s %d", record.Schema[e.Kind].Name, v[0])
 }
@@ -259,6 +263,7 @@
 func (r *Replay) Fail(c *rules.Cmd)      { r.note("fail %d", r.number(c)) }
 func (r *Replay) Probe(n *rules.Node)    { r.note("probe %d", r.names[n]) }
 func (r *Replay) Close(n *rules.Node)    { r.note("close %d", r.names[n]) }
+func (r *Replay) Watch()                 { r.note("watch") }
 func (r *Replay) Tell(body string)       { r.note("tell %s", body) }
 func (r *Replay) Wake(after rules.Tenth) { r.note("wake %d", after) }
 
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -22,6 +22,9 @@
 	line   func(text []byte, anew bool) error // a list or its changes, owned by whoever is told
 	fault  func(error)
 
+	asks  chan struct{} // nil: it asks by itself, whenever a watch has ended
+	ended func()        // to whoever asks
+
 	mu      sync.Mutex
 	address string
 	fresh   bool               // nothing has come from this address yet, whose versions may be others
@@ -37,6 +40,17 @@
 	return &Watch{limits: l, room: room, address: address, rev: rev, line: line, fault: fault}
 }
 
+// OnRequest has it ask only when Ask is called, and tell ended whenever a watch was refused or is over. Called before Run.
+func (w *Watch) OnRequest(ended func()) { w.asks, w.ended = make(chan struct{}, 1), ended }
+
+// Ask opens a watch, unless one is open.
+func (w *Watch) Ask() {
+	select {
+	case w.asks <- struct{}{}:
+	default:
+	}
+}
+
 // Move follows another address from now on; the list is kept until that one speaks.
 func (w *Watch) Move(address string) {
 	w.mu.Lock()
@@ -51,7 +65,15 @@
 
 // Run watches until the context ends.
 func (w *Watch) Run(ctx context.Context) error {
+	moved := false
 	for wait := w.limits.Again; ctx.Err() == nil; wait = min(2*wait, w.limits.Quiet/8) {
+		if w.asks != nil && !moved {
+			select {
+			case <-w.asks:
+			case <-ctx.Done():
+				return nil
+			}
+		}
 		w.Started.Add(1)
 		watch, leave := context.WithCancel(ctx)
 		w.mu.Lock()
@@ -59,7 +81,7 @@
 		address, fresh := w.address, w.fresh
 		w.mu.Unlock()
 		told, err := w.follow(watch, address, fresh)
-		moved := watch.Err() != nil
+		moved = watch.Err() != nil
 		if ctx.Err() != nil {
 			leave()
 			break
@@ -67,7 +89,14 @@
 		if told || moved {
 			wait = w.limits.Again
 		}
-		if !moved {
+		if !moved && w.asks != nil {
+			select { // what was asked while it was open is over with it
+			case <-w.asks:
+			default:
+			}
+			w.fault(err)
+			w.ended()
+		} else if !moved {
 			w.fault(err)
 			select { // a move ends the wait, as it ends a watch
 			case <-watch.Done():
--- a/rules/door.go
+++ b/rules/door.go
@@ -84,13 +84,6 @@
 	votes          int   // for it
 }
 
-// Share is what one customer may ask of the deployment.
-type Share struct {
-	PerSecond float64
-
-	meter ring
-}
-
 // Deployment is what a deployment states at start.
 type Deployment struct {
 	Seed       uint32
@@ -108,8 +101,6 @@
 	Peers      bool    // routers may tell each other
 	PeerPrice  float64 // what a full message (256 bytes) a command takes off the service
 	ProbePrice float64 // what a probe a command takes off the service
-	ZonePrice  float64 // what crossing zones once a command takes off the service
-	OverShare  float64 // what a command over its customer's share is still worth
 
 	Comeback   Tenth // the longest wait that a client heeds; 0: none
 	FallFactor float64
@@ -120,7 +111,6 @@
 	AskWithin  Tenth // the list comes only to those who ask, and who have not for so long count as told; 0: it comes
 
 	Groups []*CmdGroup
-	Shares []*Share
 }
 
 // Caller is what the module asks of whoever runs it: the drill adapter, or a
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -253,8 +253,7 @@
 }
 
 // Take is the ordinary path of a command, up to its first dispatch.
-func (r *Router) Take(name string, g *CmdGroup, set int64, session string, timeout, since Tenth,
-	share *Share, again bool) *Cmd {
+func (r *Router) Take(name string, g *CmdGroup, set int64, session string, timeout, since Tenth, again bool) *Cmd {
 	c := &Cmd{Name: name, set: r.set(set), group: g, session: session, taken: r.now, target: r.now + g.Target,
 		timeout: timeout, benefit: g.Benefit, luck: r.chance()}
 	// First tries all have the same time. Another one is a repeat with all that is left to the client; its
@@ -270,12 +269,6 @@
 	if c.target <= r.now {
 		c.benefit *= g.LateShare
 	}
-	if share != nil {
-		share.meter.add(r.now, 1)
-		if n, _, _ := share.meter.total(r.now, 3); n > 3*share.PerSecond/float64(r.Routers) {
-			c.benefit *= r.OverShare
-		}
-	}
 	r.worth += (c.rank() - r.worth) / 64
 	r.credit = min(r.credit+r.spend/max(r.ProbePrice, r.spend), 16)
 	r.words = min(r.words+r.pay(), 128*float64(r.Routers))
