A host that is slow to connect is sent what its open connections carry

Ruled out: full connection tables, which refuse at once. To blame: ended took a connect time-out for a host that is down (dark, until a shallow probe found it up, then the same again) or at its limit, and then closed the idle connections that were the only ones that worked (tight, Close). Change: a host's open connections are counted (Node.conns: the most in use of late); after a connect time-out none is opened for two seconds, open ones go on, and none is closed.

--- a/internal/setup/deployment.go
+++ b/internal/setup/deployment.go
@@ -45,6 +45,8 @@
 		FallFactor: limits.MaybeNumber("overload_factor"), FallSpan: Down(limits.MaybeNumber("fall")),
 		ColdFrom: limits.MaybeNumber("cold_from"), ColdFor: Up(limits.MaybeNumber("cold")),
 		DrainAlone: limits.Flag("drain_binds_alone"),
+		Streams:    int(max(1, bounds.MaybeNumber("streams_per_conn"))),
+		IdleFor:    Down(bounds.MaybeNumber("conn_idle")), ConnectFor: Down(bounds.MaybeNumber("connect_timeout")),
 	}
 	switch mode := env.MaybeText("discovery"); mode {
 	case "", "pushed":
--- a/rules/door.go
+++ b/rules/door.go
@@ -102,6 +102,9 @@
 	PeerPrice  float64 // what a full message (256 bytes) a command takes off the service
 	ProbePrice float64 // what a probe a command takes off the service
 
+	Streams    int   // commands that one connection carries at a time
+	IdleFor    Tenth // after which an idle connection is closed
+	ConnectFor Tenth // the longest time that a connection may take to come up
 	Comeback   Tenth // the longest wait that a client heeds; 0: none
 	FallFactor float64
 	FallSpan   Tenth
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -65,6 +65,8 @@
 	listed, known, probing, left, dark bool    // left: silent or unreachable; dark: unreachable
 	asked                              bool    // by a read that waits for it
 	down                               bool    // it took no connection, and no probe tells when it is back
+	conns, peak                        int     // open connections, as far as known: the most in use of late
+	slowTo, peakAt                     Tenth   // until when none is opened; since when peak counts
 	size, cap, share, crowd, spare     float64 // crowd: mean part of the target taken; spare: work while cold
 	boot, spareAt, backoff, tightTo    Tenth   // boot: when it last started; 0: long ago
 	roleAt, pos, posAt, lag            Tenth   // it had applied all up to pos at posAt, and was lag behind
@@ -85,7 +87,7 @@
 	Sent, asks                    int   // its dispatches so far, and what was asked for it
 	SendBy                        Tenth // when the one that is out must be on its way; 0: whenever it can
 	benefit, luck                 float64
-	over, held, late              bool // late: out past its target
+	over, held, late, opens       bool // late: out past its target; opens: a connection comes up for it
 	blame                         int  // for errors and broken connections
 }
 
@@ -215,7 +217,7 @@
 // booted tells of a start; what is cold has little room, and begins with a part drawn by chance.
 func (n *Node) booted(at Tenth) {
 	if at > n.boot {
-		n.boot, n.cap, n.share, n.left, n.down, n.trialAt = at, 2, 1, false, false, 0
+		n.boot, n.cap, n.share, n.left, n.down, n.trialAt, n.slowTo, n.conns = at, 2, 1, false, false, 0, 0, 0
 		n.spare, n.spareAt = n.set.r.chance(), n.set.r.now
 	}
 }
@@ -402,9 +404,12 @@
 	case r.now >= c.target && c.group.LateShare == 0:
 		part /= 2 // it can earn nothing: what is spare will do
 	}
-	return float64(n.busy()) < n.cap*part
+	return float64(n.busy()) < n.cap*part && (r.now >= n.slowTo || n.carries(1))
 }
 
+// carries says whether the open connections have room for so many more commands.
+func (n *Node) carries(more int) bool { return len(n.out)+more <= n.conns*n.set.r.Streams }
+
 func (c *Cmd) lucky(share float64) bool { return share >= 1 || c.luck*c.set.r.worth <= share*c.rank() }
 
 func (n *Node) cold() bool { return n.boot != 0 && n.set.r.now < n.boot+n.set.r.ColdFor }
@@ -430,7 +435,9 @@
 	if n.left {
 		n.backoff, n.trialAt = min(2*n.backoff, 2*second), r.now+min(2*n.backoff, 2*second)
 	}
+	c.opens = !n.carries(1)
 	n.out, n.spare = append(n.out, c), n.spare-c.work()
+	n.peak = max(n.peak, len(n.out))
 	c.Node, c.sentAt, c.sentFor, c.Sent, c.held, c.late, c.SendBy = n, r.now, need, c.Sent+1, false, false, 0
 	if c.group.Need == Bounded && n != c.set.primary && !r.Guarded { // else a slow connection makes it stale
 		c.SendBy = n.pos + r.Zero + c.group.Bound
@@ -546,10 +553,21 @@
 	r, g := n.set.r, c.group
 	n.out = slices.DeleteFunc(n.out, func(o *Cmd) bool { return o == c })
 	switch {
+	case o == Unreached:
+	case c.opens:
+		n.conns++
+	case o == Reset:
+		n.conns = 0
+	}
+	if c.opens && o == Unreached && cost >= r.ConnectFor*9/10 { // down, cut off or slow to connect: what is open will do
+		n.slowTo = r.now + 2*second
+	}
+	switch {
 	case o == Unreached && n.quickAt+second < c.sentAt && n.since <= c.sentAt: // down or cut off: silent too
 		n.dark, n.down = r.Probes, r.Told
 		n.leave(second / 10)
 		return
+	case o == Unreached && r.now < n.slowTo: // it is up
 	case o == Unreached: // it is up, but takes no more connections
 		n.trialAt = max(n.trialAt, r.now+second/100) // lest a refused command spends all its dispatches at once
 		n.tight(5 * second)
@@ -618,6 +636,7 @@
 func (n *Node) tight(more Tenth) {
 	now := n.set.r.now
 	if n.tightTo = max(n.tightTo, now+more); now < n.tightTo && len(n.out) == 0 {
+		n.conns = 0
 		n.set.r.caller.Close(n)
 	}
 }
@@ -805,6 +824,9 @@
 		limit = Tenth(mean+unusual*math.Sqrt(max(0, sq/count-mean*mean))) + 2*r.Tick
 	}
 	for _, n := range r.nodes {
+		if r.now >= n.peakAt+r.IdleFor/2 {
+			n.conns, n.peak, n.peakAt = min(n.conns, (n.peak+r.Streams-1)/r.Streams), len(n.out), r.now
+		}
 		n.crowd, n.share = n.crowd+(late/2-n.crowd)/400, min(1, n.share*1.0035) // what is spared is tried again
 		if k := Tenth(len(n.out)); k > 0 && r.now-max(n.since, r.stoodTo) > limit*max(1, 4-k) {
 			n.leave(limit)
