--- a/rules/fake_test.go
+++ b/rules/fake_test.go
@@ -58,7 +58,8 @@
 func start(t *testing.T, hosts int, change func(*Deployment)) *fake {
 	f := &fake{t: t, at: 1000000, final: map[*Cmd]string{}}
 	l, o, fr, k, m := list, own, fresh, keyed, order
-	d := Deployment{Tick: 50, Routers: 1, Dispatches: 8, Probes: true, Reports: true, Comeback: 10000,
+	d := Deployment{Tick: 50, Routers: 1, Dispatches: 8, Probes: true, Reports: true, Comeback: 10000, Streams: 1,
+		IdleFor: 150000, ConnectFor: 2500,
 		FallFactor: 2, FallSpan: 10000, ColdFrom: 0.2, ColdFor: 150000, Groups: []*CmdGroup{&l, &o, &fr, &k, &m}}
 	if change != nil {
 		change(&d)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -136,6 +136,7 @@
 		g.latency, g.count = float64(g.Target)/3, 1
 		r.latency += g.latency / float64(len(r.Groups))
 	}
+	r.Streams = max(r.Streams, 1)
 	r.Tick, r.words = max(r.Tick, 10), r.chance()*float64(128*r.Routers)
 	if r.Peers { // a few tell all where hosts stand before there are commands to pay for it
 		r.credit = 4 * r.chance()
--- a/rules/shape_test.go
+++ b/rules/shape_test.go
@@ -107,3 +107,33 @@
 	f.never(len(first) < 6, "all ask at one time")
 	f.never(len(f.watches) > 0, "a list that comes by itself is asked for")
 }
+
+func TestAHostSlowToConnectKeepsItsOpenConnections(t *testing.T) {
+	f := start(t, 2, nil)
+	n := f.nodes[1]
+	for range 2 { // the first brings a connection up, the second uses it
+		f.answer(f.takeUntil(n), 300)
+		f.fresh()
+	}
+	c, d := f.takeUntil(n), f.takeUntil(n)
+	f.wait(100)
+	c.Ended(Answered, f.at-20, Replica, 100, true)
+	f.wait(2400)
+	d.Ended(Unreached, -1, Unknown, 2500, false) // no connection in all the time that there is
+	f.never(n.dark || len(f.closed) > 0, "a host that answered is taken for dead, or what is open to it is closed")
+	f.fresh()
+	sent := f.count(n)
+	e := f.takeUntil(n)
+	f.never(f.count(n) == sent, "an open connection is not used")
+	f.fresh()
+	for range 9 {
+		f.take(Bounded, Replayable, "", 0)
+	}
+	f.never(f.count(n) > sent+1, "one more connection is opened to a host that is slow to connect")
+	e.Ended(Answered, f.at-20, Replica, 100, true)
+	f.wait(20100)
+	for range 2 {
+		f.fresh()
+		f.takeUntil(n) // a new one is opened again
+	}
+}
