Settings of another shape can be watched beside those in force; wrong ones are named

Need: operators want to see, before they switch, where the settings of the new shape would decide otherwise. Change: next_settings in either file, checked like settings (and to have its classes). Before a command is taken, Router.Preview takes it twice, under the settings in force and under the others, by the module's own path and with the same chance, and takes both back (rules/preview.go; nothing is asked of the caller). Counted by kind: sent elsewhere, asked, held, sent, turned away, times to come back, hosts called gone, lists that came unasked. guards, wait, discovery, ask_within, streams_per_conn and drain_binds_alone are checked and named with status 2 when wrong. On loopback: settings watched and counted, a list on request asked for again after a fault, a list that calls all gone served through where only drains bind.

--- /dev/null
+++ b/cmd/ferrypitch/shape_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// counts asks the program for its counters until they are as wanted.
+func (s *stand) counts(wanted func(map[string]float64) bool) {
+	for {
+		s.cmd.Process.Signal(syscall.SIGUSR1)
+		line := s.logged(`"msg":"counts"`) // which gives up once nothing more is said
+		_, line, _ = strings.Cut(line, "{")
+		var got map[string]float64
+		json.Unmarshal([]byte("{"+line), &got)
+		if wanted(got) {
+			return
+		}
+		if got["taken"] > 5000 {
+			s.t.Fatal(line)
+		}
+		s.client().ask(look("list", "800", ""))
+	}
+}
+
+func TestSettingsThatAreWatchedAreCountedAndChangeNothing(t *testing.T) {
+	s := begin(t, 3, func(c map[string]any) {
+		b, _ := json.Marshal(c["settings"])
+		var next map[string]any
+		json.Unmarshal(b, &next)
+		next["discovery"] = "on_request"
+		within(next, "bounds")["retry_after"] = false
+		rules := within(next, "rules")
+		rules["ask_within"], rules["drain_binds_alone"] = 10000, true
+		next["family_info"].(map[string]any)["class_read"] = []string{"eventual", "causal", "mutate"}
+		c["next_settings"] = next
+	})
+	for _, h := range s.hosts[1:] {
+		h.behind(10_000_000_000) // past the bound: today each read asks one, then goes to the primary
+	}
+	c := s.client()
+	for range 10 {
+		if code, value, _ := c.ask(look("list", "800", "")); code != "" || value != "from a" {
+			t.Errorf("%s %q", code, value)
+		}
+	}
+	s.list(2, s.entry(2, "removed"))
+	s.counts(func(got map[string]float64) bool {
+		return got["next_compared"] >= 10 && got["next_sent"] >= 10 && got["next_gone"] == 1 && got["next_lists"] >= 1 &&
+			got["list_asks"] == 0 && got["answered"] == got["taken"]
+	})
+	if s.hosts[2].count() > 0 {
+		t.Error("a host that only the watched settings would use was sent to")
+	}
+}
+
+func TestAListOnRequestIsAskedForAgainAfterARefusal(t *testing.T) {
+	s := begin(t, 2, func(c map[string]any) {
+		within(c, "settings")["discovery"] = "on_request"
+		within(c, "settings", "rules")["ask_within"] = 400
+	})
+	s.list(2, s.entry(1, "draining"))
+	s.lines <- `{"rev":3,"all":false,"targets":[{"uid":"b"}]}` // a fault ends the watch
+	s.logged("the watch of the list ended")
+	if since := s.watched(); since != "2" {
+		t.Errorf("asked for what came after %s", since)
+	}
+	s.list(3, s.entry(1, "up"))
+	s.counts(func(got map[string]float64) bool { return got["list_asks"] == 2 && got["list_asks_failed"] == 1 })
+}
+
+func TestAListThatCallsAllGoneWhereOnlyADrainBindsServesOn(t *testing.T) {
+	s := begin(t, 2, func(c map[string]any) {
+		within(c, "settings", "rules")["drain_binds_alone"] = true
+	})
+	s.list(2, s.entry(0, "removed"), s.entry(1, "removed"))
+	s.lines <- `{"rev":3,"all":true,"targets":[]}`
+	s.logged(`"rev":3,`)
+	for range 5 {
+		if code, value, _ := s.client().ask(write("order", "3000")); code != "" || value != "from a" {
+			t.Errorf("%s %q", code, value)
+		}
+	}
+	s.list(4, s.entry(0, "draining"))
+	before := s.hosts[0].count()
+	for range 5 {
+		s.client().ask(write("order", "500"))
+	}
+	if s.hosts[0].count() != before {
+		t.Error("a host that drains was sent to")
+	}
+}
+
+// refused starts the program with a file that it can't take, and gives what it says and its status.
+func refused(t *testing.T, c map[string]any) (string, int) {
+	text, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "c.json")
+	os.WriteFile(path, text, 0o600)
+	cmd := exec.Command(binary)
+	cmd.Env = []string{"GW_CONFIG=" + path}
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+func TestASettingOfTheNewShapeThatIsWrongIsNamed(t *testing.T) {
+	for _, wrong := range []struct{ path, key, value, says string }{
+		{"settings", "discovery", `"sometimes"`, "settings.discovery: none of"},
+		{"settings", "discovery", `7`, "settings.discovery: not a text"},
+		{"settings", "discovery", `"on_request"`, "settings.rules.ask_within: not over 0"},
+		{"settings.rules", "ask_within", `-1`, "settings.rules.ask_within: less than 0"},
+		{"settings.rules", "drain_binds_alone", `"yes"`, "settings.rules.drain_binds_alone: not a bool"},
+		{"settings.family_info", "guards", `"perhaps"`, "settings.family_info.guards: none of"},
+		{"settings.family_info", "wait", `100`, "settings.family_info.wait: there is nothing to wait for"},
+		{"settings.family_info", "wait", `-5`, "settings.family_info.wait: less than 0"},
+		{"settings.bounds", "streams_per_conn", `-8`, "settings.bounds.streams_per_conn: less than 0"},
+		{"", "next_settings", `{"rules":{}}`, "next_settings"},
+		{"", "next_settings", `7`, "next_settings: not an object"},
+	} {
+		var c map[string]any
+		json.Unmarshal([]byte(configuration("127.0.0.1:1", "")), &c)
+		at := c
+		if wrong.path != "" {
+			at = within(c, strings.Split(wrong.path, ".")...)
+		}
+		at[wrong.key] = json.RawMessage(wrong.value)
+		out, code := refused(t, c)
+		if code != 2 || strings.Count(out, "\n") != 1 || !strings.Contains(out, wrong.says) {
+			t.Errorf("%s.%s = %s: status %d, %s", wrong.path, wrong.key, wrong.value, code, out)
+		}
+	}
+}
--- a/internal/routing/counts.go
+++ b/internal/routing/counts.go
@@ -36,5 +36,5 @@
 	for i := range c.Outcomes {
 		fields = append(fields, zap.Int64("outcome_"+rules.Outcome(i).String(), c.Outcomes[i].Load()))
 	}
-	return fields
+	return append(fields, r.shape.fields()...)
 }
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -77,11 +77,13 @@
 
 // listHost tells the module of a host, as the list has it.
 func (r *Router) listHost(h *host) {
+	r.shape.listed(h.Standing)
 	r.trace.Listed(h.node, h.Standing, h.Leader, h.Zone, h.Kind, h.Size, h.Boot)
 	h.node.Listed(h.Standing, h.Leader, h.Zone, h.Kind, h.Size, h.Boot)
 }
 
 func (r *Router) listDone(whole bool) {
+	r.shape.list()
 	r.trace.ListDone(whole)
 	r.rules.ListDone(whole)
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -32,6 +32,7 @@
 	tell  func(body string)
 	watch func()           // asks for the list, where it comes only on request
 	trace *record.Recorder // nil while nothing is captured
+	shape *watching        // nil where no settings are watched
 
 	rules  *rules.Router
 	hosts  map[string]*host
@@ -73,7 +74,7 @@
 	}
 	now := r.clock.Now()
 	trace.Now(now)
-	r.rules = rules.New(r, s.Deployment, now)
+	r.rules, r.shape = rules.New(r, s.Deployment, now), watch(s, now)
 	if !s.Known.Has("targets") {
 		return r, nil
 	}
@@ -353,6 +354,7 @@
 	r.cmds[id], r.slots[s] = c, c
 	r.Taken.Add(1)
 	timeout := now + rules.Tenth(time.Until(until)/clock.Tenth)
+	r.shape.command(r.rules, g, set, key, timeout, since, again)
 	r.trace.Take(id, r.groups[g], set, key, timeout, since, again)
 	c.handle = r.rules.Take(id, g, set, key, timeout, since, again)
 	r.trace.Taken(c.handle)
@@ -431,6 +433,7 @@
 
 func (r *Router) Throttle(handle *rules.Cmd, comeback rules.Tenth) {
 	r.trace.Throttle(handle, comeback)
+	r.shape.throttled(comeback)
 	if c := r.cmds[handle.Name]; c.slot != nil {
 		r.Throttled.Add(1)
 		c.slot.Throttle(comeback / 10)
--- /dev/null
+++ b/internal/routing/watching.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"ferrypitch/internal/setup"
+	"ferrypitch/rules"
+)
+
+// watching holds what comes against settings that are not in force yet, and counts by kind where they would have
+// decided otherwise. It decides nothing and sends nothing. A nil one does nothing.
+type watching struct {
+	shape      *rules.Shape
+	groups     map[*rules.CmdGroup]*rules.CmdGroup // as they would be
+	drainAlone bool
+	onRequest  bool
+
+	Compared              atomic.Int64 // commands
+	Elsewhere             atomic.Int64 // sent to another host
+	Asked, Held, Sent     atomic.Int64 // what was otherwise would have had a host asked first, been held, been sent
+	TurnedAway            atomic.Int64
+	Comeback, Gone, Lists atomic.Int64 // times to come back, hosts called gone, lists that came unasked
+}
+
+// watch readies the settings that a start names beside those in force.
+func watch(s *setup.Start, now rules.Tenth) *watching {
+	if s.Next == nil {
+		return nil
+	}
+	w := &watching{shape: rules.NewShape(s.Next.Deployment, now), groups: map[*rules.CmdGroup]*rules.CmdGroup{},
+		drainAlone: s.Next.Deployment.DrainAlone != s.Deployment.DrainAlone,
+		onRequest:  s.Next.Deployment.AskWithin > 0 && s.Deployment.AskWithin == 0}
+	for name, g := range s.Terms.Groups {
+		w.groups[g] = s.Next.Terms.Groups[name]
+	}
+	return w
+}
+
+// command is called before the module takes it.
+func (w *watching) command(r *rules.Router, g *rules.CmdGroup, set int64, session string, timeout, since rules.Tenth, again bool) {
+	if w == nil {
+		return
+	}
+	w.Compared.Add(1)
+	is, would, to, there := r.Preview(w.shape, g, w.groups[g], set, session, timeout, since, again)
+	switch {
+	case is == would && to == there:
+	case is == would:
+		w.Elsewhere.Add(1)
+	case would == rules.Asked:
+		w.Asked.Add(1)
+	case would == rules.Held:
+		w.Held.Add(1)
+	case would == rules.Sent:
+		w.Sent.Add(1)
+	default:
+		w.TurnedAway.Add(1)
+	}
+}
+
+// throttled is called with the time that a throttled command is given.
+func (w *watching) throttled(comeback rules.Tenth) {
+	if w != nil && (comeback > 0) != (w.shape.Comeback() > 0) {
+		w.Comeback.Add(1)
+	}
+}
+
+// listed is called for each entry of a list, list for each whole one and each change.
+func (w *watching) listed(standing rules.Standing) {
+	if w != nil && w.drainAlone && standing == rules.Gone {
+		w.Gone.Add(1)
+	}
+}
+
+func (w *watching) list() {
+	if w != nil && w.onRequest {
+		w.Lists.Add(1)
+	}
+}
+
+// fields are the counts for a line of the log.
+func (w *watching) fields() []zap.Field {
+	if w == nil {
+		return nil
+	}
+	return []zap.Field{zap.Int64("next_compared", w.Compared.Load()), zap.Int64("next_elsewhere", w.Elsewhere.Load()),
+		zap.Int64("next_asked", w.Asked.Load()), zap.Int64("next_held", w.Held.Load()), zap.Int64("next_sent", w.Sent.Load()),
+		zap.Int64("next_turned_away", w.TurnedAway.Load()), zap.Int64("next_comeback", w.Comeback.Load()),
+		zap.Int64("next_gone", w.Gone.Load()), zap.Int64("next_lists", w.Lists.Load())}
+}
--- a/internal/setup/deployment.go
+++ b/internal/setup/deployment.go
@@ -31,7 +31,10 @@
 		}
 		terms.Fields = append(terms.Fields, name)
 	}
-	how, guards := tele.MaybeText("how"), info.MaybeText("guards")
+	how, guards := tele.MaybeText("how"), info.one("guards", "none", "bounce", "await")
+	if info.atLeast("wait", 0) > 0 && guards != "await" {
+		info.fault("wait", "there is nothing to wait for, since guards is not await")
+	}
 	dep = rules.Deployment{
 		Seed: seed, Zero: Down(info.MaybeNumber("origin_time")),
 		Tick: Up(env.MaybeNumber("tick")), Routers: int(max(1, env.MaybeNumber("peers_total"))),
@@ -45,17 +48,14 @@
 		FallFactor: limits.MaybeNumber("overload_factor"), FallSpan: Down(limits.MaybeNumber("fall")),
 		ColdFrom: limits.MaybeNumber("cold_from"), ColdFor: Up(limits.MaybeNumber("cold")),
 		DrainAlone: limits.Flag("drain_binds_alone"),
-		Streams:    int(max(1, bounds.MaybeNumber("streams_per_conn"))),
-		IdleFor:    Down(bounds.MaybeNumber("conn_idle")), ConnectFor: Down(bounds.MaybeNumber("connect_timeout")),
+		Streams:    int(max(1, bounds.atLeast("streams_per_conn", 0))),
+		IdleFor:    Down(bounds.atLeast("conn_idle", 0)), ConnectFor: Down(bounds.atLeast("connect_timeout", 0)),
 	}
-	switch mode := env.MaybeText("discovery"); mode {
-	case "", "pushed":
-	case "on_request":
-		if dep.AskWithin = Down(limits.MaybeNumber("ask_within")); dep.AskWithin <= 0 {
+	within := Down(limits.atLeast("ask_within", 0))
+	if env.one("discovery", "pushed", "on_request") == "on_request" {
+		if dep.AskWithin = within; within == 0 {
 			limits.fault("ask_within", "not over 0, where the list comes only on request")
 		}
-	default:
-		env.fault("discovery", "neither pushed nor on_request: "+strconv.Quote(mode))
 	}
 	if bounds.Flag("retry_after") {
 		dep.Comeback = Down(bounds.MaybeNumber("max_retry_after"))
--- a/internal/setup/object.go
+++ b/internal/setup/object.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 
 	"ferrypitch/rules"
 )
@@ -106,6 +107,30 @@
 	return s
 }
 
+// atLeast is a number that may be left out, and is not under the floor.
+func (o Object) atLeast(field string, floor float64) float64 {
+	v := o.MaybeNumber(field)
+	if o.Has(field) && v < floor {
+		o.fault(field, "less than "+strconv.FormatFloat(floor, 'f', -1, 64))
+	}
+	return v
+}
+
+// one is one of some words; left out, it is the first.
+func (o Object) one(field string, words ...string) string {
+	if !o.Has(field) {
+		return words[0]
+	}
+	word := o.Text(field)
+	for _, w := range words {
+		if w == word {
+			return word
+		}
+	}
+	o.fault(field, "none of "+strings.Join(words, ", ")+": "+strconv.Quote(word))
+	return ""
+}
+
 func (o Object) Flag(field string) bool {
 	b, ok := o.fields[field].(bool)
 	if !ok && o.Has(field) {
--- a/internal/setup/operator.go
+++ b/internal/setup/operator.go
@@ -340,5 +340,9 @@
 // known is for the view.
 func (s *Start) AsForwarder() {
 	s.Deployment.Told, s.Deployment.Probes, s.Deployment.Peers, s.Deployment.AskWithin = true, false, false, 0
+	if s.Next != nil {
+		d := &s.Next.Deployment
+		d.Told, d.Probes, d.Peers, d.AskWithin = true, false, false, 0
+	}
 	s.Given, s.Known = s.Known, Object{}
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -21,6 +21,7 @@
 	Known, Given                                  Object // the last list, for the module and for views; Has("targets") is false without one
 	Deployment                                    rules.Deployment
 	Terms                                         Terms
+	Next                                          *Next // settings that are watched, not in force; nil: none
 	Limits                                        Limits
 
 	load      func(getenv func(string) string) (*Start, error) // reads and checks the same file once more
@@ -28,6 +29,12 @@
 	fields    map[string]any                                   // of the file
 }
 
+// Next is what settings that are not in force yet would make of a deployment.
+type Next struct {
+	Deployment rules.Deployment
+	Terms      Terms
+}
+
 // Limits holds all sizes, counts and times that the sockets keep to.
 type Limits struct {
 	Cores  int
@@ -106,6 +113,17 @@
 	}
 	s.Deployment, s.Terms = Deployment(top.Within("settings"), uint32(seed)^uint32(seed>>32))
 	s.Deployment.Zero = 0 // positions on sockets are Unix times
+	if top.Has("next_settings") {
+		s.Next = &Next{}
+		s.Next.Deployment, s.Next.Terms = Deployment(top.Within("next_settings"), uint32(seed)^uint32(seed>>32))
+		s.Next.Deployment.Zero = 0
+		s.Next.Deployment.Peers = s.Next.Deployment.Peers && s.PeerListen != "" && s.PeersAll != ""
+		for name := range s.Terms.Groups {
+			if s.Next.Terms.Groups[name] == nil {
+				panic(Fault("next_settings.classes: none of the name " + strconv.Quote(name)))
+			}
+		}
+	}
 	for _, p := range top.MaybeList("peers") {
 		peer, _ := p.(string)
 		s.Peers = append(s.Peers, peer)
