--- a/rules/shape_test.go
+++ b/rules/shape_test.go
@@ -8,6 +8,8 @@
 	for _, routers := range []int{2, 120} {
 		f := start(t, 2, func(d *Deployment) { d.Routers = routers })
 		n := f.nodes[1]
+		f.wait(20000) // long unheard of: what comes weighs more
+		f.fresh()
 		f.takeUntil(n)
 		f.wait(3000)
 		f.never(routers == 120 && n.share > 0.6, "a host that answers nothing in time is sent all that comes for it")
