--- a/cmd/ferrypitch/shape_test.go
+++ b/cmd/ferrypitch/shape_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"testing"
+
+	"ferrypitch/internal/protocol"
 )
 
 // counts asks the program for its counters until they are as wanted.
@@ -137,3 +139,51 @@
 		}
 	}
 }
+
+func TestRolesThatDisagreeAndAnswersThatLackAField(t *testing.T) {
+	s := begin(t, 3, nil)
+	for _, h := range s.hosts {
+		h.answer(func(b *box, q string) {
+			switch inserts := strings.Contains(q, "INSERT"); {
+			case inserts && !h.primary:
+				b.refuse("25006", "follower")
+			case h.primary: // neither position nor role
+				b.conn.Write(protocol.AppendReady(row("from " + h.name)))
+			default:
+				b.row("from "+h.name, "follower")
+			}
+		})
+	}
+	lie := func(i int, role string) string {
+		entry := s.entry(i, "up")
+		return strings.Replace(strings.Replace(entry, `"leader"`, `"?"`, 1), `"role":"`+s.hosts[i].role()+`"`, `"role":"`+role+`"`, 1)
+	}
+	c := s.client()
+	for rev, entries := range [][]string{
+		{lie(0, "follower"), lie(1, "follower"), lie(2, "leader")}, // not what answers and reports say
+		{lie(0, "follower"), lie(1, "follower"), lie(2, "follower")},
+	} {
+		s.list(rev+2, entries...)
+		for range 5 {
+			if code, value, _ := c.ask(write("order", "3000")); code != "" || value != "from a" {
+				t.Errorf("list %d: write: %s %q", rev+2, code, value)
+			}
+			if code, value, _ := c.ask(look("list", "800", "")); code != "" || !strings.HasPrefix(value, "from ") {
+				t.Errorf("list %d: read: %s %q", rev+2, code, value)
+			}
+		}
+	}
+}
+
+func TestAListCallThatIsNeverAnsweredIsMadeAgain(t *testing.T) {
+	s := begin(t, 1, func(c map[string]any) {
+		within(c, "settings")["discovery"] = "on_request"
+		within(c, "settings", "rules")["ask_within"] = 20000 // asked for within 5 s
+	})
+	s.silent = true
+	if code, value, _ := s.client().ask(write("order", "3000")); code != "" || value != "from a" {
+		t.Errorf("with no list since the start: %s %q", code, value)
+	}
+	s.watched() // the second call, once the first had no answer for as long as discovery may be quiet
+	s.counts(func(got map[string]float64) bool { return got["list_asks"] >= 2 && got["list_asks_failed"] >= 1 })
+}
