A watched command is taken once beside the real one; settings are made in one place

Change: Preview goes the path under the watched settings only, and what it gives is held against the command's own Course once it was taken. One function makes a deployment of a router's settings. Tests share refused and counted; no assertion is taken out.

--- a/cmd/ferrypitch/program_test.go
+++ b/cmd/ferrypitch/program_test.go
@@ -449,15 +449,20 @@
 			text = string(b)
 		}
 		os.WriteFile(path, []byte(text), 0o600)
-		cmd := exec.Command(binary)
-		cmd.Env = env
-		out, err := cmd.CombinedOutput()
-		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), name) {
-			t.Errorf("%s: %v, %s", name, err, out)
+		if out, status := refused(env); status == 0 || strings.Count(out, "\n") != 1 || !strings.Contains(out, name) {
+			t.Errorf("%s: status %d, %s", name, status, out)
 		}
 	}
 }
 
+// refused starts the program where it can't start, and gives what it says and its status.
+func refused(env []string) (string, int) {
+	cmd := exec.Command(binary)
+	cmd.Env = env
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
 func TestMoreClientsThanDescriptors(t *testing.T) {
 	s := begin(t, 1, func(c map[string]any) { within(c, "limits")["sockets"] = 64 })
 	var silent []*client
@@ -626,11 +631,8 @@
 	<-asked
 	leaves.conn.Close()
 	for got := map[string]float64{}; got["left"] != 1; { // a client that left is seen at some time
-		s.cmd.Process.Signal(syscall.SIGUSR1)
-		line := s.logged(`"msg":"counts"`)
-		_, line, _ = strings.Cut(line, "{")
-		json.Unmarshal([]byte("{"+line), &got)
-		if got["taken"] != 5 || got["answered"] != 3 || got["failed"] != 1 || got["refused"] != 1 ||
+		var line string
+		if got, line = s.counted(); got["taken"] != 5 || got["answered"] != 3 || got["failed"] != 1 || got["refused"] != 1 ||
 			got["out"]+got["left"] != 1 || got["hosts_held"] != 2 || got["clients_accepted"] != got["clients_open"]+
 			got["clients_left"]+got["clients_made_way"]+got["clients_torn"]+got["clients_slow"]+got["clients_wild"]+
 			got["clients_no_room"] {
@@ -639,6 +641,14 @@
 	}
 }
 
+// counted is what the program counts, and the line in which it says so.
+func (s *stand) counted() (got map[string]float64, line string) {
+	s.cmd.Process.Signal(syscall.SIGUSR1)
+	_, line, _ = strings.Cut(s.logged(`"msg":"counts"`), "{")
+	json.Unmarshal([]byte("{"+line), &got)
+	return got, line
+}
+
 // What follows are the stand-ins: hosts, discovery and a client.
 
 var binary string
--- a/cmd/ferrypitch/shape_test.go
+++ b/cmd/ferrypitch/shape_test.go
@@ -3,26 +3,16 @@
 import (
 	"encoding/json"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 
 	"ferrypitch/internal/protocol"
 )
 
-// counts asks the program for its counters until they are as wanted.
+// counts holds commands against the program until its counters are as wanted.
 func (s *stand) counts(wanted func(map[string]float64) bool) {
-	for {
-		s.cmd.Process.Signal(syscall.SIGUSR1)
-		line := s.logged(`"msg":"counts"`) // which gives up once nothing more is said
-		_, line, _ = strings.Cut(line, "{")
-		var got map[string]float64
-		json.Unmarshal([]byte("{"+line), &got)
-		if wanted(got) {
-			return
-		}
+	for got, line := s.counted(); !wanted(got); got, line = s.counted() {
 		if got["taken"] > 5000 {
 			s.t.Fatal(line)
 		}
@@ -61,11 +51,15 @@
 	}
 }
 
-func TestAListOnRequestIsAskedForAgainAfterARefusal(t *testing.T) {
-	s := begin(t, 2, func(c map[string]any) {
+func onRequest(ms int) func(map[string]any) {
+	return func(c map[string]any) {
 		within(c, "settings")["discovery"] = "on_request"
-		within(c, "settings", "rules")["ask_within"] = 400
-	})
+		within(c, "settings", "rules")["ask_within"] = ms
+	}
+}
+
+func TestAListOnRequestIsAskedForAgainAfterARefusal(t *testing.T) {
+	s := begin(t, 2, onRequest(400))
 	s.list(2, s.entry(1, "draining"))
 	s.lines <- `{"rev":3,"all":false,"targets":[{"uid":"b"}]}` // a fault ends the watch
 	s.logged("the watch of the list ended")
@@ -98,20 +92,6 @@
 	}
 }
 
-// refused starts the program with a file that it can't take, and gives what it says and its status.
-func refused(t *testing.T, c map[string]any) (string, int) {
-	text, err := json.Marshal(c)
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "c.json")
-	os.WriteFile(path, text, 0o600)
-	cmd := exec.Command(binary)
-	cmd.Env = []string{"GW_CONFIG=" + path}
-	out, _ := cmd.CombinedOutput()
-	return string(out), cmd.ProcessState.ExitCode()
-}
-
 func TestASettingOfTheNewShapeThatIsWrongIsNamed(t *testing.T) {
 	for _, wrong := range []struct{ path, key, value, says string }{
 		{"settings", "discovery", `"sometimes"`, "settings.discovery: none of"},
@@ -133,7 +113,10 @@
 			at = within(c, strings.Split(wrong.path, ".")...)
 		}
 		at[wrong.key] = json.RawMessage(wrong.value)
-		out, code := refused(t, c)
+		text, _ := json.Marshal(c)
+		path := filepath.Join(t.TempDir(), "c.json")
+		os.WriteFile(path, text, 0o600)
+		out, code := refused([]string{"GW_CONFIG=" + path})
 		if code != 2 || strings.Count(out, "\n") != 1 || !strings.Contains(out, wrong.says) {
 			t.Errorf("%s.%s = %s: status %d, %s", wrong.path, wrong.key, wrong.value, code, out)
 		}
@@ -176,10 +159,7 @@
 }
 
 func TestAListCallThatIsNeverAnsweredIsMadeAgain(t *testing.T) {
-	s := begin(t, 1, func(c map[string]any) {
-		within(c, "settings")["discovery"] = "on_request"
-		within(c, "settings", "rules")["ask_within"] = 20000 // asked for within 5 s
-	})
+	s := begin(t, 1, onRequest(20000)) // asked for within 5 s
 	s.silent = true
 	if code, value, _ := s.client().ask(write("order", "3000")); code != "" || value != "from a" {
 		t.Errorf("with no list since the start: %s %q", code, value)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -354,10 +354,11 @@
 	r.cmds[id], r.slots[s] = c, c
 	r.Taken.Add(1)
 	timeout := now + rules.Tenth(time.Until(until)/clock.Tenth)
-	r.shape.command(r.rules, g, set, key, timeout, since, again)
+	taken := r.shape.command(r.rules, g, set, key, timeout, since, again)
 	r.trace.Take(id, r.groups[g], set, key, timeout, since, again)
 	c.handle = r.rules.Take(id, g, set, key, timeout, since, again)
 	r.trace.Taken(c.handle)
+	taken(c.handle)
 	r.settle(c.handle)
 }
 
--- a/internal/routing/watching.go
+++ b/internal/routing/watching.go
@@ -38,14 +38,19 @@
 	return w
 }
 
-// command is called before the module takes it.
-func (w *watching) command(r *rules.Router, g *rules.CmdGroup, set int64, session string, timeout, since rules.Tenth, again bool) {
+// command is called before the module takes a command, and what it gives with the handle.
+func (w *watching) command(r *rules.Router, g *rules.CmdGroup, set int64, session string, timeout, since rules.Tenth,
+	again bool) (taken func(*rules.Cmd)) {
 	if w == nil {
-		return
+		return func(*rules.Cmd) {}
 	}
+	would, there := r.Preview(w.shape, w.groups[g], g, set, session, timeout, since, again)
+	return func(c *rules.Cmd) { w.compare(c, would, there) }
+}
+
+func (w *watching) compare(c *rules.Cmd, would rules.Course, there *rules.Node) {
 	w.Compared.Add(1)
-	is, would, to, there := r.Preview(w.shape, g, w.groups[g], set, session, timeout, since, again)
-	switch {
+	switch is, to := c.Course(); {
 	case is == would && to == there:
 	case is == would:
 		w.Elsewhere.Add(1)
--- a/internal/setup/object.go
+++ b/internal/setup/object.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -122,13 +123,10 @@
 		return words[0]
 	}
 	word := o.Text(field)
-	for _, w := range words {
-		if w == word {
-			return word
-		}
+	if !slices.Contains(words, word) {
+		o.fault(field, "none of "+strings.Join(words, ", ")+": "+strconv.Quote(word))
 	}
-	o.fault(field, "none of "+strings.Join(words, ", ")+": "+strconv.Quote(word))
-	return ""
+	return word
 }
 
 func (o Object) Flag(field string) bool {
--- a/internal/setup/operator.go
+++ b/internal/setup/operator.go
@@ -17,6 +17,7 @@
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 
 	"ferrypitch/internal/tier/link"
+	"ferrypitch/rules"
 )
 
 // Schema is the JSON schema of the operator's file.
@@ -339,9 +340,11 @@
 // AsForwarder has a router live by views alone: it probes nothing, talks to no peers, and what it was given as
 // known is for the view.
 func (s *Start) AsForwarder() {
-	s.Deployment.Told, s.Deployment.Probes, s.Deployment.Peers, s.Deployment.AskWithin = true, false, false, 0
+	all := []*rules.Deployment{&s.Deployment}
 	if s.Next != nil {
-		d := &s.Next.Deployment
+		all = append(all, &s.Next.Deployment)
+	}
+	for _, d := range all {
 		d.Told, d.Probes, d.Peers, d.AskWithin = true, false, false, 0
 	}
 	s.Given, s.Known = s.Known, Object{}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -111,13 +111,16 @@
 	if err != nil {
 		top.fault("seed", "not a number in hexadecimal digits")
 	}
-	s.Deployment, s.Terms = Deployment(top.Within("settings"), uint32(seed)^uint32(seed>>32))
-	s.Deployment.Zero = 0 // positions on sockets are Unix times
+	deployment := func(key string) (d rules.Deployment, t Terms) {
+		d, t = Deployment(top.Within(key), uint32(seed)^uint32(seed>>32))
+		d.Zero = 0 // positions on sockets are Unix times
+		d.Peers = d.Peers && s.PeerListen != "" && s.PeersAll != ""
+		return d, t
+	}
+	s.Deployment, s.Terms = deployment("settings")
 	if top.Has("next_settings") {
 		s.Next = &Next{}
-		s.Next.Deployment, s.Next.Terms = Deployment(top.Within("next_settings"), uint32(seed)^uint32(seed>>32))
-		s.Next.Deployment.Zero = 0
-		s.Next.Deployment.Peers = s.Next.Deployment.Peers && s.PeerListen != "" && s.PeersAll != ""
+		s.Next.Deployment, s.Next.Terms = deployment("next_settings")
 		for name := range s.Terms.Groups {
 			if s.Next.Terms.Groups[name] == nil {
 				panic(Fault("next_settings.classes: none of the name " + strconv.Quote(name)))
@@ -128,7 +131,7 @@
 		peer, _ := p.(string)
 		s.Peers = append(s.Peers, peer)
 	}
-	if s.Deployment.Peers = s.Deployment.Peers && s.PeerListen != "" && s.PeersAll != ""; s.Deployment.Peers {
+	if s.Deployment.Peers {
 		address(s.PeerListen, "peer_listen")
 		address(s.PeersAll, "peers_all")
 		for i, p := range s.Peers {
--- a/rules/preview.go
+++ b/rules/preview.go
@@ -18,67 +18,58 @@
 )
 
 // NewShape readies settings to be watched.
-func NewShape(d Deployment, now Tenth) *Shape {
-	return &Shape{New(&course{}, d, now)}
-}
+func NewShape(d Deployment, now Tenth) *Shape { return &Shape{New(silent{}, d, now)} }
 
 // Comeback is the time that a throttled command would be given.
 func (s *Shape) Comeback() Tenth { return s.as.Comeback }
 
-// Preview says how a command that comes now fares under the settings in force, and under others, g and other being
-// its group there. Both go the module's own path with the same chance; then all of it is taken back: nothing is asked
-// of the caller, and nothing that decides has changed.
-func (r *Router) Preview(s *Shape, g, other *CmdGroup, set int64, session string, timeout, since Tenth,
-	again bool) (is, would Course, to, wouldTo *Node) {
-	if r.sets[set] == nil {
-		return Held, Held, nil, nil
+// Course says how a command has fared in the call that took it.
+func (c *Cmd) Course() (Course, *Node) {
+	switch {
+	case c.Node != nil:
+		return Sent, c.Node
+	case c.over:
+		return TurnedAway, nil
+	case c.asks > 0:
+		return Asked, nil
 	}
-	seen := *other
-	seen.latency, seen.count, seen.given, seen.votes = g.latency, g.count, g.given, g.votes
-	is, to = r.dry(r, g, set, session, timeout, since, again)
-	would, wouldTo = r.dry(s.as, &seen, set, session, timeout, since, again)
-	return is, would, to, wouldTo
+	return Held, nil
 }
 
-// dry takes a command under the settings of another router and takes all of it back.
-func (r *Router) dry(as *Router, g *CmdGroup, set int64, session string, timeout, since Tenth, again bool) (Course, *Node) {
-	s, router, group := r.sets[set], *r, *g
-	replicas, members, held := *s, make([]Node, len(s.members)), s.held
+// Preview says how a command that is taken next would fare under other settings, g being its group there and like
+// the one in force. It goes the module's own path with the chance that the command itself will have; then all of
+// it is taken back: nothing is asked of the caller, and nothing that decides has changed.
+func (r *Router) Preview(as *Shape, g, like *CmdGroup, set int64, session string, timeout, since Tenth, again bool) (Course, *Node) {
+	s := r.sets[set]
+	if s == nil {
+		return Held, nil
+	}
+	router, replicas, members, group := *r, *s, make([]Node, len(s.members)), *g
 	for i, n := range s.members {
 		members[i] = *n
 	}
+	group.latency, group.count, group.given, group.votes = like.latency, like.count, like.given, like.votes
 	defer func() {
-		*r, *s, *g = router, replicas, group
+		*r, *s = router, replicas
 		for i, n := range s.members {
 			*n = members[i]
 		}
-		s.held = held
 	}()
-	var asked course
-	r.Deployment, r.quiet, r.asks, r.spend, r.caller = as.Deployment, as.quiet, as.asks, as.spend, &asked
+	r.Deployment, r.quiet, r.asks, r.spend, r.caller = as.as.Deployment, as.as.quiet, as.as.asks, as.as.spend, silent{}
 	r.Routers, r.Zero = router.Routers, router.Zero
-	s.held = slices.Clone(held)
-	c := r.Take("", g, set, session, timeout, since, again)
-	switch {
-	case c.Node != nil:
-		return Sent, c.Node
-	case c.over:
-		return TurnedAway, nil
-	case asked.probed:
-		return Asked, nil
-	}
-	return Held, nil
+	s.held = slices.Clone(s.held)
+	return r.Take("", &group, set, session, timeout, since, again).Course()
 }
 
-// course is the caller of a command that is not really there.
-type course struct{ probed bool }
+// silent is the caller of a command that is not really there.
+type silent struct{}
 
-func (*course) Dispatch(*Cmd, *Node, Tenth) {}
-func (*course) Throttle(*Cmd, Tenth)        {}
-func (*course) Fail(*Cmd)                   {}
-func (c *course) Probe(*Node)               { c.probed = true }
-func (*course) Close(*Node)                 {}
-func (*course) Forget(*Node)                {}
-func (*course) Watch()                      {}
-func (*course) Tell(string)                 {}
-func (*course) Wake(Tenth)                  {}
+func (silent) Dispatch(*Cmd, *Node, Tenth) {}
+func (silent) Throttle(*Cmd, Tenth)        {}
+func (silent) Fail(*Cmd)                   {}
+func (silent) Probe(*Node)                 {}
+func (silent) Close(*Node)                 {}
+func (silent) Forget(*Node)                {}
+func (silent) Watch()                      {}
+func (silent) Tell(string)                 {}
+func (silent) Wake(Tenth)                  {}
--- a/rules/preview_test.go
+++ b/rules/preview_test.go
@@ -19,14 +19,15 @@
 		next.Groups, next.Guarded, next.Comeback = groups, true, 0
 		shape := NewShape(next, f.at)
 		for i := range 300 {
-			g := f.r.Groups[[]int{0, 1, 4}[i%3]]
+			which := []int{0, 1, 4}[i%3]
+			g, would, there := f.r.Groups[which], Held, (*Node)(nil)
 			if watch {
-				is, would, to, there := f.r.Preview(shape, g, groups[[]int{0, 1, 4}[i%3]], 1, "s", f.at+g.Timeout, 900, false)
-				if is != would || to != there {
-					apart++
-				}
+				would, there = f.r.Preview(shape, groups[which], g, 1, "s", f.at+g.Timeout, 900, false)
 			}
 			c := f.r.Take(fmt.Sprint(i), g, 1, "s", f.at+g.Timeout, 900, false)
+			if is, to := c.Course(); is != would || to != there {
+				apart++
+			}
 			if c.Node != nil && i%5 > 0 {
 				f.answer(c, Tenth(200+i%7*100))
 			} else {
