The replica to ask is chosen by the same draw as the one to read from

Change: least takes what a replica has to fulfil, and both use it; the set names the replica that was asked.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -51,7 +51,8 @@
 	held    []*Cmd  // worthiest first
 	next    int     // the member to ask next for the primary
 	lookAt  Tenth   // when to ask it
-	askedTo Tenth   // until when reads wait for what a replica was asked
+	asked   *Node   // the replica that was asked where it stands, for reads
+	askedTo Tenth   // until when they wait for it
 }
 
 // Node is a database host.
@@ -63,7 +64,6 @@
 	role                               Role
 	out                                []*Cmd
 	listed, known, probing, left, dark bool    // left: silent or unreachable; dark: unreachable
-	asked                              bool    // by a read that waits for it
 	down                               bool    // it took no connection, and no probe tells when it is back
 	conns, peak                        int     // open connections, as far as known: the most in use of late
 	slowTo, peakAt                     Tenth   // until when none is opened; since when peak counts
@@ -299,7 +299,7 @@
 	}
 	best, fresh := (*Node)(nil), c.group.Need == Fresh
 	if !fresh {
-		if best = s.least(c, need); best != nil && !c.lucky(best.share) {
+		if best = s.least(c, func(n *Node) bool { return n.reached(need) }); best != nil && !c.lucky(best.share) {
 			return false // what crowded hosts shed must not fall on the others
 		}
 		if best != nil && p != nil && r.chance() < spillShare && p.open(c, 0.5) && p.crowd < 1.3*best.crowd &&
@@ -324,22 +324,19 @@
 	if !r.asks || r.now < s.askedTo {
 		return r.asks
 	}
-	best, least := (*Node)(nil), 0.0
-	for _, n := range s.members {
-		if n == s.primary || n.probing || n.left || n == c.asked || n.reached(need) || !n.open(c, 1) || !c.lucky(n.share) {
-			continue
-		}
-		if l := n.load() / n.share * math.Pow(-math.Log(1-r.chance()), 0.99); best == nil || l < least {
-			best, least = n, l
-		}
+	n := (*Node)(nil)
+	if c.asks < 2 && r.credit >= 1 {
+		n = s.least(c, func(n *Node) bool {
+			return !n.probing && !n.left && n != c.asked && !n.reached(need) && c.lucky(n.share)
+		})
 	}
-	if best == nil || c.asks >= 2 || r.credit < 1 {
+	if n == nil {
 		return false
 	}
 	c.asks++
 	r.credit--
-	best.asked, c.asked, s.askedTo = true, best, r.now+c.group.Target/16
-	r.probeAt(best)
+	c.asked, s.asked, s.askedTo = n, n, r.now+c.group.Target/16
+	r.probeAt(n)
 	return true
 }
 
@@ -359,12 +356,12 @@
 	return false
 }
 
-// least is the least loaded of the replicas at or past need. The more routers there are, the more chance
+// least is the least loaded of the replicas that will do. The more routers there are, the more chance
 // decides, in proportion, so that all do not move to one host at once.
-func (s *Set) least(c *Cmd, need Tenth) (best *Node) {
+func (s *Set) least(c *Cmd, will func(*Node) bool) (best *Node) {
 	blind, least := 1.01-1/float64(s.r.Routers), 0.0
 	for _, n := range s.members {
-		if n == s.primary || !n.reached(need) || slices.Contains(c.tried, n) || !n.open(c, 1) {
+		if n == s.primary || !will(n) || slices.Contains(c.tried, n) || !n.open(c, 1) {
 			continue
 		}
 		if l := n.load() / n.share * math.Pow(-math.Log(1-s.r.chance()), blind); best == nil || l < least {
@@ -405,11 +402,11 @@
 	case r.now >= c.target && c.group.LateShare == 0:
 		part /= 2 // it can earn nothing: what is spare will do
 	}
-	return float64(n.busy()) < n.cap*part && (r.now >= n.slowTo || n.carries(1))
+	return float64(n.busy()) < n.cap*part && (r.now >= n.slowTo || n.carries())
 }
 
-// carries says whether the open connections have room for so many more commands.
-func (n *Node) carries(more int) bool { return len(n.out)+more <= n.conns*n.set.r.Streams }
+// carries says whether the open connections have room for one more command.
+func (n *Node) carries() bool { return len(n.out) < n.conns*n.set.r.Streams }
 
 func (c *Cmd) lucky(share float64) bool { return share >= 1 || c.luck*c.set.r.worth <= share*c.rank() }
 
@@ -436,7 +433,7 @@
 	if n.left {
 		n.backoff, n.trialAt = min(2*n.backoff, 2*second), r.now+min(2*n.backoff, 2*second)
 	}
-	c.opens = !n.carries(1)
+	c.opens = !n.carries()
 	n.out, n.spare = append(n.out, c), n.spare-c.work()
 	n.peak = max(n.peak, len(n.out))
 	c.Node, c.sentAt, c.sentFor, c.Sent, c.held, c.late, c.SendBy = n, r.now, need, c.Sent+1, false, false, 0
@@ -760,9 +757,9 @@
 	if ok {
 		n.tell(mum)
 	}
-	if n.asked {
-		n.asked, n.set.askedTo = false, 0
-		n.set.serve()
+	if s := n.set; s.asked == n {
+		s.asked, s.askedTo = nil, 0
+		s.serve()
 	}
 }
 
