--- /dev/null
+++ b/cmd/anvil/run.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+
+	"ferrypitch/internal/forge"
+	"ferrypitch/internal/nameplate"
+)
+
+// run serves until it is told to end.
+type run struct{}
+
+func (*run) Name() string     { return "run" }
+func (*run) Synopsis() string { return "serve the control plane" }
+func (*run) Usage() string {
+	return "anvil run\n  serves as the settings file of $" + nameplate.Variable + " says\n"
+}
+func (*run) SetFlags(_ *flag.FlagSet) {}
+
+func (*run) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	plate, err := nameplate.Read()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "anvil:", trace.UserMessage(err))
+		return subcommands.ExitUsageError
+	}
+	log := hclog.New(&hclog.LoggerOptions{Name: "anvil", Level: hclog.Info, Output: os.Stderr})
+	signals, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := forge.Run(plate, signals, reload, log); err != nil {
+		fmt.Fprintln(os.Stderr, "anvil:", trace.UserMessage(err))
+		if trace.IsBadParameter(err) {
+			return subcommands.ExitUsageError
+		}
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/drawer/drawer.go
@@ -0,0 +1,267 @@
+// Package drawer (where a workshop keeps what must not be lost) holds a member's part of the ordered log on disk, in
+// buntdb. What is acknowledged was synced; a file that can't be read whole is put aside, and its member starts as a
+// stranger.
+//
+//	Open -> Restored       Store(writes) returns when they are on disk
+package drawer
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/gravitational/trace"
+	"github.com/tidwall/buntdb"
+
+	"ferrypitch/internal/ratchet"
+	"ferrypitch/internal/store"
+)
+
+// Drawer is an open file. Its calls are made by one goroutine.
+type Drawer struct {
+	db   *buntdb.DB
+	path string
+	last uint64 // the last entry that is held
+	size int64  // of the file after it was last made small
+}
+
+// Identity is who a member is, for as long as its disk lives.
+type Identity struct {
+	ID       ratchet.ID
+	Founders []ratchet.ID // the first members, of one that was there at the first start
+}
+
+const (
+	keyIdentity = "identity"
+	keyMeta     = "meta"
+	keySnapshot = "snapshot"
+	prefixEntry = "n"
+)
+
+func entryKey(i uint64) string { return fmt.Sprintf("%s%016x", prefixEntry, i) }
+
+// Open opens or makes the file in a folder. fresh makes the identity of a member that has none.
+func Open(folder string, fresh func() Identity) (d *Drawer, id Identity, kept ratchet.Restored, err error) {
+	path := filepath.Join(folder, "ratchet.db")
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, id, kept, trace.ConvertSystemError(err)
+	}
+	d = &Drawer{path: path}
+	if err := salvage(path); err != nil {
+		return nil, id, kept, err
+	}
+	if err = d.open(); err == nil {
+		id, kept, err = d.read()
+	}
+	if err != nil || id.ID == "" {
+		if d.db != nil {
+			d.db.Close()
+		}
+		if _, bad := os.Stat(path); bad == nil { // what can't be read whole counts for nothing
+			if bad := os.Rename(path, path+".broken"); bad != nil {
+				return nil, id, kept, trace.ConvertSystemError(bad)
+			}
+		}
+		if err := d.open(); err != nil {
+			return nil, id, kept, err
+		}
+		id, kept = fresh(), ratchet.Restored{}
+		err := d.db.Update(func(tx *buntdb.Tx) error { return put(tx, keyIdentity, id) })
+		if err != nil {
+			return nil, id, kept, trace.Wrap(err)
+		}
+		if err := (store.Disk{}).SyncFolder(folder); err != nil {
+			return nil, id, kept, trace.ConvertSystemError(err)
+		}
+	}
+	return d, id, kept, nil
+}
+
+func (d *Drawer) open() error {
+	db, err := buntdb.Open(d.path)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.db = db
+	return trace.Wrap(db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Always, AutoShrinkDisabled: true}))
+}
+
+// Close closes the file.
+func (d *Drawer) Close() error { return d.db.Close() }
+
+func put(tx *buntdb.Tx, key string, v any) error {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(v); err != nil {
+		return err
+	}
+	_, _, err := tx.Set(key, seal(b.Bytes()), nil)
+	return err
+}
+
+func get(tx *buntdb.Tx, key string, v any) (bool, error) {
+	text, err := tx.Get(key, true)
+	if err == buntdb.ErrNotFound {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	body, err := unseal(text)
+	if err != nil {
+		return false, fmt.Errorf("%s: %w", key, err)
+	}
+	return true, gob.NewDecoder(bytes.NewReader(body)).Decode(v)
+}
+
+func (d *Drawer) read() (id Identity, kept ratchet.Restored, err error) {
+	err = d.db.View(func(tx *buntdb.Tx) error {
+		if _, err := get(tx, keyIdentity, &id); err != nil {
+			return err
+		}
+		if _, err := get(tx, keyMeta, &kept.Meta); err != nil {
+			return err
+		}
+		_, err := get(tx, keySnapshot, &kept.Snapshot)
+		return err
+	})
+	next, view := kept.Snapshot.Index+1, kept.Snapshot.View
+	for more := err == nil; more; {
+		var e ratchet.Entry
+		if err = d.db.View(func(tx *buntdb.Tx) error {
+			var err error
+			more, err = get(tx, entryKey(next), &e)
+			return err
+		}); err != nil || !more || e.View < view {
+			break
+		}
+		kept.Entries, next, view = append(kept.Entries, e), next+1, e.View
+	}
+	if err == nil { // what lies behind a gap is of a change that was torn
+		d.last = next - 1
+		err = d.drop(func(i uint64) bool { return i >= next || i <= kept.Snapshot.Index })
+	}
+	return id, kept, err
+}
+
+// Store puts writes on disk in their order. A change of buntdb's may be torn between any two of its keys, in any order,
+// so what takes entries away is a change of its own: torn, it leaves a gap, and what is behind a gap counts for nothing.
+func (d *Drawer) Store(writes []ratchet.Write) error {
+	var sets []func(*buntdb.Tx) error
+	flush := func() error {
+		if len(sets) == 0 {
+			return nil
+		}
+		todo := sets
+		sets = nil
+		return d.db.Update(func(tx *buntdb.Tx) error {
+			for _, do := range todo {
+				if err := do(tx); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	set := func(key string, v any) {
+		sets = append(sets, func(tx *buntdb.Tx) error { return put(tx, key, v) })
+	}
+	for _, w := range writes {
+		if w.Meta != nil {
+			set(keyMeta, *w.Meta)
+		}
+		if w.Snapshot != nil {
+			set(keySnapshot, *w.Snapshot)
+			if err := flush(); err != nil {
+				return trace.Wrap(err)
+			}
+			if err := d.drop(func(i uint64) bool { return i <= w.Keep }); err != nil {
+				return trace.Wrap(err)
+			}
+			d.last = max(d.last, w.Snapshot.Index)
+		}
+		if w.From > 0 && w.From <= d.last {
+			if err := flush(); err != nil {
+				return trace.Wrap(err)
+			}
+			if err := d.drop(func(i uint64) bool { return i >= w.From }); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+		for i, e := range w.Entries {
+			set(entryKey(w.From+uint64(i)), e)
+		}
+		if w.From > 0 {
+			d.last = w.From + uint64(len(w.Entries)) - 1
+		}
+	}
+	return trace.Wrap(flush())
+}
+
+// drop takes entries away.
+func (d *Drawer) drop(which func(uint64) bool) error {
+	var keys []string
+	err := d.db.View(func(tx *buntdb.Tx) error {
+		return tx.AscendGreaterOrEqual("", prefixEntry, func(key, _ string) bool {
+			if len(key) == 17 && key[:1] == prefixEntry {
+				if i, err := strconv.ParseUint(key[1:], 16, 64); err == nil && which(i) {
+					keys = append(keys, key)
+				}
+			}
+			return true
+		})
+	})
+	if err != nil || len(keys) == 0 {
+		return err
+	}
+	return d.db.Update(func(tx *buntdb.Tx) error {
+		for _, key := range keys {
+			if _, err := tx.Delete(key); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Shrink makes the file small once it has grown to a multiple of what it holds and past least bytes: a copy is written
+// beside it, synced, renamed over it, and its folder synced. At each moment the file is whole under its name.
+func (d *Drawer) Shrink(least int64) error {
+	info, err := os.Stat(d.path)
+	if err != nil || info.Size() < least || info.Size() < 3*d.size {
+		return trace.ConvertSystemError(err)
+	}
+	beside := d.path + ".new"
+	f, err := os.OpenFile(beside, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	err = d.db.Save(f)
+	if err == nil {
+		err = f.Sync()
+	}
+	if bad := f.Close(); err == nil {
+		err = bad
+	}
+	if err == nil {
+		err = os.Rename(beside, d.path)
+	}
+	if err != nil {
+		os.Remove(beside)
+		return trace.Wrap(err)
+	}
+	if err := (store.Disk{}).SyncFolder(filepath.Dir(d.path)); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	old := d.db
+	if err := d.open(); err != nil {
+		return err
+	}
+	old.Close()
+	if info, err = os.Stat(d.path); err == nil {
+		d.size = info.Size()
+	}
+	return trace.ConvertSystemError(err)
+}
--- /dev/null
+++ b/internal/forge/calls.go
@@ -0,0 +1,168 @@
+package forge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/belt"
+	"ferrypitch/internal/rack"
+)
+
+// call is one of an operator or a host, here or passed on by another member.
+type call struct {
+	method, path, base string
+	body               []byte
+}
+
+// Call is declared beside its handler. Handlers run in the owner's goroutine and answer once.
+type Call struct {
+	Method, Path string // a path that ends in / is followed by an id
+	Most         int64  // bytes of the body
+	Within       time.Duration
+	Handle       func(f *Forge, id string, c call, answer func(status int, body []byte))
+}
+
+var calls = []Call{replace, amend, read, heartbeat, leave, status}
+
+func find(method, path string) (Call, string, bool) {
+	for _, c := range calls {
+		if c.Method != method {
+			continue
+		}
+		if id, ok := strings.CutPrefix(path, c.Path); ok && (id == "") == !strings.HasSuffix(c.Path, "/") {
+			return c, id, true
+		}
+	}
+	return Call{}, "", false
+}
+
+// serve takes calls over HTTP.
+func (f *Forge) serve(l net.Listener) error {
+	s := &http.Server{Handler: http.HandlerFunc(f.http), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 15 * time.Second,
+		WriteTimeout: 15 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10}
+	stop := context.AfterFunc(f.ctx, func() { s.Close() })
+	defer stop()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (f *Forge) http(w http.ResponseWriter, r *http.Request) {
+	f.Calls.Add(1)
+	c, _, ok := find(r.Method, r.URL.Path)
+	if !ok {
+		http.Error(w, "no such call", http.StatusNotFound)
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, c.Most+1))
+	if err != nil {
+		http.Error(w, "the body did not come whole", http.StatusBadRequest)
+		return
+	}
+	if int64(len(body)) > c.Most {
+		http.Error(w, "the body is longer than "+strconv.FormatInt(c.Most, 10)+" bytes", http.StatusRequestEntityTooLarge)
+		return
+	}
+	type answer struct {
+		status int
+		body   []byte
+	}
+	done := make(chan answer, 1)
+	in := call{r.Method, r.URL.Path, r.Header.Get("X-Base-Version"), body}
+	if !f.queue.Put(arbor.Commands, func() {
+		f.handle(in, true, func(status int, body []byte) {
+			select {
+			case done <- answer{status, body}:
+			default:
+			}
+		})
+	}) {
+		http.Error(w, "this member ends", http.StatusServiceUnavailable)
+		return
+	}
+	timer := time.NewTimer(c.Within)
+	defer timer.Stop()
+	select {
+	case a := <-done:
+		if a.status >= 400 {
+			f.Refusals.Add(1)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(a.status)
+		w.Write(a.body)
+	case <-timer.C:
+		http.Error(w, "no clear answer in time", http.StatusServiceUnavailable)
+	case <-f.ctx.Done():
+	}
+}
+
+// handle answers a call if this member leads, and else passes it on to the one that does, once.
+func (f *Forge) handle(in call, pass bool, answer func(int, []byte)) {
+	c, id, ok := find(in.method, in.path)
+	leader := f.core.Leader()
+	switch {
+	case !ok:
+		answer(http.StatusNotFound, fault(errors.New("no such call")))
+	case f.leads && f.core.Holds(f.clock.Now()) || c.Path == status.Path:
+		c.Handle(f, id, in, answer)
+	case pass && leader != "" && leader != f.id:
+		f.Passed.Add(1)
+		f.serial++
+		serial := f.serial
+		f.passed[serial] = func(a belt.Answer) { answer(a.Status, a.Body) }
+		f.mesh.Send(f.plate.Link(leader.Address()), &belt.Frame{Ask: &belt.Ask{From: f.plate.Link(f.plate.Ip), Serial: serial,
+			Method: in.method, Path: in.path, Base: in.base, Body: in.body}})
+		time.AfterFunc(c.Within, func() {
+			f.queue.Put(arbor.Outcomes, func() { delete(f.passed, serial) })
+		})
+	default:
+		answer(http.StatusServiceUnavailable, fault(errors.New("no member leads")))
+	}
+}
+
+func fault(err error) []byte {
+	b, _ := json.Marshal(map[string]string{"error": err.Error()})
+	return append(b, '\n')
+}
+
+// control is where a member takes calls: all have alike ports.
+func (f *Forge) control(ip string) string {
+	_, port, _ := net.SplitHostPort(f.plate.Listen.Control)
+	return net.JoinHostPort(ip, port)
+}
+
+// statusOf is the answer's status for why a change was not made.
+func statusOf(err error) int {
+	switch {
+	case err == nil:
+		return http.StatusOK
+	case errors.Is(err, rack.ErrOther):
+		return http.StatusPreconditionFailed
+	case errors.Is(err, rack.ErrInvalid):
+		return http.StatusBadRequest
+	case errors.Is(err, rack.ErrUnknown):
+		return http.StatusNotFound
+	}
+	return http.StatusServiceUnavailable
+}
+
+var status = Call{Method: http.MethodGet, Path: "/Member.Status", Most: 0, Within: time.Second,
+	Handle: func(f *Forge, _ string, _ call, answer func(int, []byte)) {
+		now := f.clock.Now()
+		routers := 0
+		if f.jaw != nil {
+			routers = f.jaw.Live(now)
+		}
+		b, _ := json.Marshal(map[string]any{"standing": f.core.Standing(now), "version": f.state.Gen, "hosts": len(f.state.Hosts),
+			"leads": f.state.Leads, "routers": routers, "beats": f.Beats.Load(), "proposals": f.Proposals.Load()})
+		answer(http.StatusOK, append(b, '\n'))
+	}}
--- /dev/null
+++ b/internal/forge/forge.go
@@ -0,0 +1,404 @@
+package forge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/belt"
+	"ferrypitch/internal/drawer"
+	"ferrypitch/internal/hoist"
+	"ferrypitch/internal/nameplate"
+	"ferrypitch/internal/rack"
+	"ferrypitch/internal/ratchet"
+	"ferrypitch/internal/vise"
+)
+
+// Forge is one member.
+type Forge struct {
+	plate *nameplate.Plate
+	log   hclog.Logger
+	clock arbor.Steady
+	queue *arbor.Queue
+	ctx   context.Context
+	tasks *errgroup.Group
+
+	id      ratchet.ID
+	core    *ratchet.Core
+	drawer  *drawer.Drawer
+	disk    chan []ratchet.Write
+	state   *rack.State
+	jaw     *vise.Jaw
+	hoist   *hoist.Hoist
+	leads   bool // this member has begun to act as the one that leads
+	mesh    *belt.Mesh
+	tongs   *tongs
+	routers map[*router]struct{}
+	waiting map[uint64]waiter // proposals, by index
+	passed  map[uint64]func(belt.Answer)
+	serial  uint64
+	seqs    map[string]int64 // the newest call of each host
+	ending  bool
+
+	Counts
+}
+
+// Counts are what a member did.
+type Counts struct {
+	Calls, Refusals, Beats, Passed, Proposals, Leases, LeasesRefused, Questions, Promotions, Views, DiskFaults atomic.Int64
+}
+
+type waiter struct {
+	view uint64
+	done func(error)
+}
+
+var errUnclear = errors.New("the view changed; whether it was taken is not known here")
+
+// Run lives until a signal to stop.
+func Run(plate *nameplate.Plate, signals, reload <-chan os.Signal, log hclog.Logger) error {
+	if plate.Listen.Control == "" {
+		return trace.BadParameter("Listen.Control: missing; this program serves the control plane")
+	}
+	if plate.DataDir == "" {
+		return trace.BadParameter("DataDir: missing; this program keeps state on disk")
+	}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	tasks, ctx := errgroup.WithContext(ctx)
+	f := &Forge{plate: plate, log: log, clock: arbor.NewSteady(), queue: arbor.NewQueue(512), ctx: ctx, tasks: tasks,
+		disk: make(chan []ratchet.Write, 1024), routers: map[*router]struct{}{}, waiting: map[uint64]waiter{},
+		passed: map[uint64]func(belt.Answer){}, seqs: map[string]int64{}}
+	if err := f.restore(); err != nil {
+		return err
+	}
+	defer f.drawer.Close()
+	f.mesh = belt.NewMesh(ctx, plate.Ip)
+	f.tongs = newTongs(f)
+	wait, err := belt.Listen(ctx, plate.Link(plate.Ip), f.accept)
+	if err != nil {
+		return trace.Wrap(err, "PortRange")
+	}
+	listener, err := net.Listen("tcp", plate.Listen.Control)
+	if err != nil {
+		return trace.Wrap(err, "Listen.Control")
+	}
+	tasks.Go(func() error { f.write(); return nil })
+	tasks.Go(func() error { return f.serve(listener) })
+	tasks.Go(func() error { return f.own() })
+	log.Info("started", "member", f.id, "members", f.core.Members(), "index", f.core.Last(), "view", f.core.View())
+	f.attend(signals, reload)
+	end()
+	err = tasks.Wait()
+	wait()
+	f.mesh.Wait()
+	log.Info("ended", "calls", f.Calls.Load(), "beats", f.Beats.Load(), "proposals", f.Proposals.Load())
+	return err
+}
+
+// restore opens the disk and starts the log from what it holds.
+func (f *Forge) restore() error {
+	p := f.plate
+	self := ratchet.ID(p.Ip)
+	var founders []ratchet.ID
+	for _, ip := range p.Seeds() {
+		founders = append(founders, ratchet.ID(ip))
+	}
+	slices.Sort(founders)
+	d, id, kept, err := drawer.Open(p.DataDir, func() drawer.Identity {
+		if p.Bootstrap && slices.Contains(founders, self) {
+			return drawer.Identity{ID: self, Founders: founders}
+		}
+		return drawer.Identity{ID: ratchet.ID(fmt.Sprintf("%s+%08x", p.Ip, rand.Uint32()))}
+	})
+	if err != nil {
+		return err
+	}
+	f.drawer, f.id = d, id.ID
+	f.core = ratchet.New(id.ID, ratchet.Usual(p.FaultBudget.Machines), kept, id.Founders, rand.Float64, f.clock.Now())
+	f.state, err = rack.Restore(kept.Snapshot.State)
+	return err
+}
+
+// own is the goroutine that owns all state.
+func (f *Forge) own() error {
+	defer f.queue.Close()
+	const tick = 50 * time.Millisecond
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-f.ctx.Done():
+			return nil
+		case <-f.queue.Ready:
+		case <-timer.C:
+			f.carry(f.core.Tick(f.clock.Now()))
+			f.tend()
+			if f.leads && f.hoist.Active(f.state) {
+				timer.Reset(tick / 3)
+			} else {
+				timer.Reset(tick)
+			}
+		}
+		for {
+			do := f.queue.Take(arbor.Lists)
+			if do == nil {
+				do = f.queue.Take(arbor.Outcomes)
+			}
+			if do == nil {
+				do = f.queue.Take(arbor.Commands)
+			}
+			if do == nil {
+				break
+			}
+			do()
+		}
+	}
+}
+
+// carry carries out what the log asks for.
+func (f *Forge) carry(o ratchet.Out) {
+	if len(o.Writes) > 0 {
+		f.disk <- o.Writes
+	}
+	for _, m := range o.Messages {
+		m := m
+		if m.To != "" {
+			f.mesh.Send(f.plate.Link(m.To.Address()), &belt.Frame{Core: &m})
+			continue
+		}
+		for _, ip := range f.known() {
+			f.mesh.Send(f.plate.Link(ip), &belt.Frame{Core: &m})
+		}
+	}
+	if len(o.Delivered) > 0 {
+		f.deliver(o.Delivered)
+	}
+	f.lead()
+}
+
+// known are the addresses of members and seeds, without this one's.
+func (f *Forge) known() (all []string) {
+	for _, m := range f.core.Members() {
+		all = append(all, m.Address())
+	}
+	all = append(all, f.plate.Seeds()...)
+	slices.Sort(all)
+	return slices.DeleteFunc(slices.Compact(all), func(ip string) bool { return ip == f.plate.Ip })
+}
+
+func (f *Forge) members() (all []string) {
+	for _, m := range f.core.Members() {
+		all = append(all, m.Address())
+	}
+	return all
+}
+
+// lead begins and ends acting as the member that leads.
+func (f *Forge) lead() {
+	now := f.clock.Now()
+	switch holds := f.core.Holds(now); {
+	case holds && !f.leads:
+		f.leads = true
+		f.Views.Add(1)
+		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.plate.BeatMs, now)
+		f.hoist.Log = func(service, what, host string) { f.log.Info(what, "service", service, "host", host) }
+		f.log.Info("leads", "view", f.core.View(), "members", f.core.Members())
+	case !f.core.IsLeader() && f.leads:
+		f.leads = false
+		f.log.Info("leads no more", "view", f.core.View())
+		for r := range f.routers {
+			r.close()
+		}
+		clear(f.routers)
+		for _, w := range f.waiting {
+			w.done(errUnclear)
+		}
+		clear(f.waiting)
+	}
+}
+
+func (f *Forge) deliver(all []ratchet.Delivery) {
+	news := &belt.News{Members: f.members()}
+	for _, d := range all {
+		if d.Snapshot != nil {
+			s, err := rack.Restore(d.Snapshot.State)
+			if err != nil {
+				f.log.Error("a snapshot can't be read", "error", err)
+				continue
+			}
+			s.Index = d.Index
+			f.state = s
+			news.Snapshot, news.Entries, news.Index = d.Snapshot.State, nil, d.Index
+			continue
+		}
+		var err error
+		if len(d.Body) > 0 {
+			var c rack.Change
+			if c, err = rack.Decode(d.Body); err == nil {
+				err = f.state.Apply(d.Index, c)
+				f.note(c)
+			} else {
+				f.log.Error("a change can't be read", "index", d.Index, "error", err)
+			}
+		}
+		f.state.Index = max(f.state.Index, d.Index)
+		news.Entries, news.Index = append(news.Entries, d.Body), d.Index
+		if w, ok := f.waiting[d.Index]; ok {
+			delete(f.waiting, d.Index)
+			if w.view != d.View {
+				err = errUnclear
+			}
+			w.done(err)
+		}
+	}
+	for r := range f.routers {
+		r.news(f, news)
+	}
+	if standing := f.core.Standing(0); f.state.Index-standing.Base > 400 {
+		f.carry(f.core.Compact(f.state.Index, f.state.Snapshot(), 200, f.clock.Now()))
+	}
+}
+
+// note tells fail-over and hosts' accounts of a change.
+func (f *Forge) note(c rack.Change) {
+	switch {
+	case c.Leave != "":
+		delete(f.seqs, c.Leave)
+		if f.leads {
+			f.hoist.Forget(c.Leave)
+		}
+	case !f.leads:
+	case c.Recall != nil:
+		f.hoist.Applied(c.Recall.Service)
+	case c.Named != nil:
+		f.hoist.Applied(c.Named.Service)
+	case c.Lead != nil:
+		f.log.Info("a service is led", "service", c.Lead.Service, "host", c.Lead.Host, "term", c.Lead.Term)
+		f.hoist.Applied(c.Lead.Service)
+	}
+}
+
+// propose puts a change in the log; done is told once it is delivered, or that this is not known.
+func (f *Forge) propose(c rack.Change, done func(error)) {
+	index, out := f.core.Propose(rack.Encode(c), f.clock.Now())
+	if index == 0 {
+		done(errUnclear)
+		return
+	}
+	f.Proposals.Add(1)
+	f.waiting[index] = waiter{f.core.View(), done}
+	f.carry(out)
+}
+
+// tend has fail-over look at all services.
+func (f *Forge) tend() {
+	now := f.clock.Now()
+	if !f.leads || !f.core.Holds(now) {
+		return
+	}
+	do := f.hoist.Tick(f.state, func(index uint64) bool { return f.jaw.Clear(index, now) }, now)
+	for _, c := range do.Propose {
+		f.propose(c, func(error) {})
+	}
+	for _, q := range do.Questions {
+		f.Questions.Add(1)
+		f.tongs.ask(q)
+	}
+	for _, p := range do.Promote {
+		f.Promotions.Add(1)
+		f.promote(p)
+	}
+}
+
+// write is the goroutine that waits for the disk. What is queued meanwhile is stored with one sync.
+func (f *Forge) write() {
+	for {
+		select {
+		case <-f.ctx.Done():
+			return
+		case writes := <-f.disk:
+			for more := true; more; {
+				select {
+				case w := <-f.disk:
+					writes = append(writes, w...)
+				default:
+					more = false
+				}
+			}
+			for {
+				err := f.drawer.Store(writes)
+				if err == nil {
+					break
+				}
+				f.DiskFaults.Add(1)
+				f.log.Error("the disk refuses a write; it is tried again", "error", err)
+				select {
+				case <-f.ctx.Done():
+					return
+				case <-time.After(200 * time.Millisecond):
+				}
+			}
+			seq := writes[len(writes)-1].Seq
+			f.queue.Put(arbor.Outcomes, func() { f.carry(f.core.Saved(seq, f.clock.Now())) })
+			if err := f.drawer.Shrink(8 << 20); err != nil {
+				f.log.Error("the file can't be made small", "error", err)
+			}
+		}
+	}
+}
+
+// attend waits for signals.
+func (f *Forge) attend(signals, reload <-chan os.Signal) {
+	for {
+		select {
+		case <-f.ctx.Done():
+			return
+		case <-reload:
+			f.queue.Put(arbor.Lists, f.reread)
+		case <-signals:
+			handed := make(chan struct{})
+			f.queue.Put(arbor.Lists, func() {
+				f.ending = true
+				if f.core.IsLeader() {
+					f.log.Info("hands its view over")
+					f.carry(f.core.Cede(f.clock.Now()))
+				}
+				close(handed)
+			})
+			<-handed
+			for range 30 { // until another leads, and what is under way is answered
+				time.Sleep(50 * time.Millisecond)
+				over := make(chan bool, 1)
+				f.queue.Put(arbor.Lists, func() { over <- !f.core.IsLeader() && len(f.passed) == 0 })
+				if <-over {
+					time.Sleep(100 * time.Millisecond)
+					return
+				}
+			}
+			return
+		}
+	}
+}
+
+// reread takes the settings in anew. Addresses of this machine stay as they were at its start.
+func (f *Forge) reread() {
+	p, err := nameplate.Read()
+	if err != nil {
+		f.log.Error("the settings are not taken", "error", err)
+		return
+	}
+	f.plate.SeedPeers, f.plate.Provider, f.plate.FaultBudget = p.SeedPeers, p.Provider, p.FaultBudget
+	f.log.Info("settings read again", "seeds", p.SeedPeers)
+}
--- /dev/null
+++ b/internal/forge/hosts.go
@@ -0,0 +1,98 @@
+package forge
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"ferrypitch/internal/rack"
+)
+
+// The hosts' calls.
+
+// Beat is what a host tells of itself.
+type Beat struct {
+	Service, Address, Zone, Generation string
+	Capacity                           float64
+	State                              string
+	ColdLeftMs                         float64
+	DbRole                             string
+	CallSeq                            int64
+}
+
+const mostHosts = 4096
+
+func (b *Beat) check(id string) error {
+	host, _, err := net.SplitHostPort(b.Address)
+	switch {
+	case id == "" || len(id) > 128 || strings.ContainsAny(id, " \r\n/"):
+		return fmt.Errorf("the id %.140q", id)
+	case b.Service == "" || len(b.Service) > 128 || strings.ContainsAny(b.Service, " \r\n"):
+		return fmt.Errorf("Service: %.140q", b.Service)
+	case err != nil || net.ParseIP(host) == nil:
+		return fmt.Errorf("Address: %.140q is no address and port", b.Address)
+	case b.State != "serving" && b.State != "draining":
+		return fmt.Errorf("State: %.40q", b.State)
+	case len(b.Zone) > 128 || len(b.Generation) > 128:
+		return errors.New("Zone, Generation: too long")
+	}
+	return nil
+}
+
+var heartbeat = Call{Method: http.MethodPost, Path: "/Instances.Heartbeat/", Most: 64 << 10, Within: 950 * time.Millisecond,
+	Handle: func(f *Forge, id string, c call, answer func(int, []byte)) {
+		var b Beat
+		if err := json.Unmarshal(c.body, &b); err != nil {
+			answer(http.StatusBadRequest, fault(err))
+			return
+		}
+		if err := b.check(id); err != nil {
+			answer(http.StatusBadRequest, fault(err))
+			return
+		}
+		f.Beats.Add(1)
+		taken := func(err error) {
+			if err != nil && !errors.Is(err, rack.ErrUnknown) { // one that has left may say so once more
+				answer(statusOf(err), fault(err))
+				return
+			}
+			body, _ := json.Marshal(map[string]string{"BeatTarget": f.control(f.plate.Ip)})
+			answer(http.StatusOK, body)
+		}
+		was, known := f.state.Hosts[id]
+		if seq, ok := f.seqs[id]; ok && b.CallSeq < seq && known {
+			taken(nil) // it came late
+			return
+		}
+		f.seqs[id] = b.CallSeq
+		f.hoist.Beat(id, b.DbRole == "leader", f.clock.Now())
+		f.tend()
+		h := rack.Host{ID: id, Service: b.Service, Address: b.Address, Zone: b.Zone, Generation: b.Generation,
+			Capacity: int64(b.Capacity), Draining: b.State == "draining", Since: was.Since}
+		if known && was.Draining {
+			h.Draining = true
+		}
+		switch {
+		case known && h == was:
+			taken(nil)
+		case !known && len(f.state.Hosts) >= mostHosts:
+			answer(http.StatusTooManyRequests, fault(errors.New("as many hosts as are held are here")))
+		default:
+			f.log.Info("a host", "id", id, "service", h.Service, "address", h.Address, "zone", h.Zone, "draining", h.Draining)
+			f.propose(rack.Change{Enter: &h}, taken)
+		}
+	}}
+
+var leave = Call{Method: http.MethodPost, Path: "/Instances.Leave/", Most: 64 << 10, Within: 950 * time.Millisecond,
+	Handle: func(f *Forge, id string, _ call, answer func(int, []byte)) {
+		if _, known := f.state.Hosts[id]; !known {
+			answer(http.StatusOK, []byte("{}\n"))
+			return
+		}
+		f.log.Info("a host leaves", "id", id)
+		f.propose(rack.Change{Leave: id}, func(err error) { f.answer(err, answer) })
+	}}
--- /dev/null
+++ b/internal/forge/tongs.go
@@ -0,0 +1,252 @@
+package forge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/belt"
+	"ferrypitch/internal/hoist"
+	"ferrypitch/internal/scribe"
+)
+
+// tongs (they reach into the fire) ask hosts, each question on a connection that is kept for a short while.
+type tongs struct {
+	f    *Forge
+	mu   sync.Mutex
+	open map[string]*held
+}
+
+type held struct {
+	conn net.Conn
+	in   []byte
+	used time.Time
+}
+
+const (
+	within = 500 * time.Millisecond
+	keep   = 3 * time.Second
+)
+
+func newTongs(f *Forge) *tongs { return &tongs{f: f, open: map[string]*held{}} }
+
+func (t *tongs) take(host string) *held {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.open[host]
+	delete(t.open, host)
+	return h
+}
+
+func (t *tongs) put(host string, h *held) {
+	h.used = time.Now()
+	t.mu.Lock()
+	old := t.open[host]
+	t.open[host] = h
+	t.mu.Unlock()
+	if old != nil {
+		old.conn.Close()
+	}
+	time.AfterFunc(keep, func() {
+		t.mu.Lock()
+		is := t.open[host] == h && time.Since(h.used) >= keep
+		if is {
+			delete(t.open, host)
+		}
+		t.mu.Unlock()
+		if is {
+			h.conn.Close()
+		}
+	})
+}
+
+// ask asks from a goroutine of its own and tells the owner how it ended.
+func (t *tongs) ask(q hoist.Question) {
+	f := t.f
+	host, known := f.state.Hosts[q.Host]
+	if !known {
+		f.queue.Put(arbor.Outcomes, func() { f.replied(hoist.Reply{Serial: q.Serial, Refused: true}) })
+		return
+	}
+	text := q.Verb.Text()
+	if q.Verb == hoist.Pause || q.Verb == hoist.StepDown {
+		text += " " + strconv.FormatUint(q.Term, 10)
+	}
+	f.tasks.Go(func() error {
+		r := hoist.Reply{Serial: q.Serial}
+		h := t.take(q.Host)
+		a, err := t.answer(&h, host.Service, host.Address, q.Host, text)
+		var code *codeError
+		switch {
+		case errors.As(err, &code):
+			r.Code = code.code
+			r.Silent = true
+		case err != nil:
+			r.Refused = errors.Is(err, syscall.ECONNREFUSED)
+			r.Silent = !r.Refused
+		case a.Code != "":
+			r.Code = a.Code
+		default:
+			if r.Status, err = scribe.ReadStatus(a.Row); err != nil {
+				r.Code = scribe.Failed
+			}
+		}
+		if err == nil && h != nil {
+			t.put(q.Host, h)
+		} else if h != nil {
+			h.conn.Close()
+		}
+		f.queue.Put(arbor.Outcomes, func() { f.replied(r) })
+		return nil
+	})
+}
+
+func (f *Forge) replied(r hoist.Reply) {
+	if f.leads {
+		f.hoist.Replied(r, f.clock.Now())
+		f.tend()
+	}
+}
+
+type codeError struct{ code scribe.Code }
+
+func (e *codeError) Error() string { return string(e.code) }
+
+// answer asks on a connection that is kept, or on a new one where that has ended.
+func (t *tongs) answer(h **held, service, address, id, text string) (scribe.Answer, error) {
+	until := time.Now().Add(within)
+	if *h != nil {
+		(*h).conn.SetDeadline(until)
+		_, err := (*h).conn.Write(scribe.AppendQuery(nil, "-", text))
+		if err == nil {
+			var a scribe.Answer
+			if a, err = (*h).next(); err == nil {
+				return a, nil
+			}
+		}
+		(*h).conn.Close()
+		*h = nil
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			return scribe.Answer{}, err
+		}
+	}
+	conn, err := belt.Dial(t.f.ctx, t.f.plate.Ip, address, time.Until(until))
+	if err != nil {
+		return scribe.Answer{}, err
+	}
+	n := &held{conn: conn}
+	conn.SetDeadline(until)
+	if _, err = conn.Write(scribe.AppendConnect(nil, service, "anvil", id)); err == nil {
+		var a scribe.Answer
+		if a, err = n.next(); err == nil && a.Code != "" {
+			err = &codeError{a.Code}
+		}
+	}
+	if err == nil {
+		_, err = conn.Write(scribe.AppendQuery(nil, "-", text))
+	}
+	var a scribe.Answer
+	if err == nil {
+		a, err = n.next()
+	}
+	if err != nil {
+		conn.Close()
+		return a, err
+	}
+	*h = n
+	return a, nil
+}
+
+// next reads one answer.
+func (h *held) next() (a scribe.Answer, err error) {
+	at := 0
+	for {
+		line, n, err := scribe.Line(h.in, at)
+		if err != nil {
+			return a, err
+		}
+		if n == 0 {
+			at = len(h.in)
+			var b [1024]byte
+			k, err := h.conn.Read(b[:])
+			if k == 0 && err != nil {
+				if a.Ended() && a.Code != "" { // of CONNECT: an error and a close
+					return a, nil
+				}
+				return a, err
+			}
+			h.in = append(h.in, b[:k]...)
+			continue
+		}
+		raw := h.in[:n]
+		whole, err := a.Take(line, raw)
+		h.in, at = h.in[n:], 0
+		if err != nil || whole {
+			return a, err
+		}
+	}
+}
+
+// promote calls the platform, from a goroutine of its own.
+func (f *Forge) promote(p hoist.Promotion) {
+	address := f.plate.Provider.Address
+	f.log.Info("a host is named to the platform", "service", p.Service, "host", p.Host, "fence", p.Fence)
+	f.tasks.Go(func() error {
+		o := f.call(address, p)
+		f.queue.Put(arbor.Outcomes, func() {
+			if f.leads {
+				f.hoist.Called(p.Service, p.Host, o, f.clock.Now())
+				f.tend()
+			}
+		})
+		return nil
+	})
+}
+
+func (f *Forge) call(address string, p hoist.Promotion) hoist.Outcome {
+	ctx, end := context.WithTimeout(f.ctx, 900*time.Millisecond)
+	defer end()
+	body, _ := json.Marshal(map[string]string{"Service": p.Service, "Id": p.Host})
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/promotion", address), bytes.NewReader(body))
+	if err != nil {
+		return hoist.Later
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("X-Duty-Holder", p.Holder)
+	r.Header.Set("X-Fence-Token", strconv.FormatUint(p.Fence, 10))
+	dialed := false
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, to string) (net.Conn, error) {
+		c, err := belt.Dial(ctx, f.plate.Ip, to, 600*time.Millisecond)
+		dialed = err == nil
+		return c, err
+	}}}
+	answer, err := client.Do(r)
+	if err != nil {
+		f.log.Info("the platform gave no clear answer", "error", err)
+		if !dialed {
+			return hoist.Later
+		}
+		return hoist.Unclear
+	}
+	answer.Body.Close()
+	f.log.Info("the platform answers", "status", answer.StatusCode, "host", p.Host)
+	switch {
+	case answer.StatusCode < 300:
+		return hoist.Done
+	case answer.StatusCode == http.StatusConflict:
+		return hoist.Rejected
+	case answer.StatusCode == http.StatusTooManyRequests || answer.StatusCode == http.StatusServiceUnavailable:
+		return hoist.Later
+	}
+	return hoist.Unclear
+}
--- /dev/null
+++ b/internal/gauge/gauge.go
@@ -0,0 +1,100 @@
+// Package gauge (it tells whether a piece is as large as it must be) holds what a service's primary was known to have at
+// which moment, and from that says which position a read must see, and how new a host is that stands at a position.
+//
+// A sample is the position in the answer to a question that was sent while the router might take that host for the
+// primary. All that was acknowledged before the question was sent is at or before that position, whenever the answer
+// comes and whatever became of the host meanwhile: a successor can't have been granted to anybody before.
+//
+// Pure: moments are the decision module's, in tenths of a millisecond.
+package gauge
+
+import (
+	"ferrypitch/internal/scribe"
+	"ferrypitch/rules"
+)
+
+// Margin is taken off every bound, in tenths: for the way to the host.
+const Margin = 2000
+
+const (
+	most   = 160
+	spaced = 200 // tenths between samples that are kept
+)
+
+type sample struct {
+	at  rules.Tenth
+	pos scribe.Position
+}
+
+// Gauge is of one service. The zero value knows nothing.
+type Gauge struct{ samples []sample }
+
+// Add takes in the primary's position in the answer to a question sent at a moment.
+func (g *Gauge) Add(sentAt rules.Tenth, pos scribe.Position) {
+	if !pos.Known() {
+		return
+	}
+	n := len(g.samples)
+	if n > 0 {
+		if last := g.samples[n-1]; sentAt <= last.at || pos.Before(last.pos) {
+			return // an older question, or an answer overtaken by a newer one
+		}
+		if n > 1 && sentAt < g.samples[n-2].at+spaced {
+			g.samples[n-1] = sample{sentAt, pos}
+			return
+		}
+	}
+	if n == most {
+		copy(g.samples, g.samples[1:])
+		g.samples = g.samples[:n-1]
+	}
+	g.samples = append(g.samples, sample{sentAt, pos})
+}
+
+// Clear forgets all, for another primary: positions that only the old one had are nowhere any more.
+func (g *Gauge) Clear() { g.samples = g.samples[:0] }
+
+// Floor is a position that holds all that was acknowledged before a moment; ok false where none is known.
+func (g *Gauge) Floor(moment rules.Tenth) (pos scribe.Position, ok bool) {
+	for _, s := range g.samples { // the oldest that will do asks least of a replica
+		if s.at >= moment {
+			return s.pos, true
+		}
+	}
+	return scribe.Position{}, false
+}
+
+// Newest is the moment of the last sample, and its position.
+func (g *Gauge) Newest() (rules.Tenth, scribe.Position) {
+	if len(g.samples) == 0 {
+		return -1, scribe.Position{}
+	}
+	s := g.samples[len(g.samples)-1]
+	return s.at, s.pos
+}
+
+// Moment says up to when a host has all that was acknowledged, if it stands at a position; -1: not known.
+func (g *Gauge) Moment(pos scribe.Position) rules.Tenth {
+	for i := len(g.samples) - 1; i >= 0; i-- {
+		if !pos.Before(g.samples[i].pos) {
+			return g.samples[i].at
+		}
+	}
+	return -1
+}
+
+// Fence is what a read must see that may lack what was acknowledged less than bound ago, and must see a session's own
+// token; ok false where no floor is known: then only the primary will do.
+func (g *Gauge) Fence(now, bound rules.Tenth, token scribe.Position) (scribe.Position, bool) {
+	floor, ok := g.Floor(now - bound + Margin)
+	if floor.Before(token) {
+		floor = token
+	}
+	return floor, ok
+}
+
+// Fresh says that floors for a bound will be known for a while, so that a read may be sent to a replica.
+func (g *Gauge) Fresh(now, bound rules.Tenth) bool {
+	at, _ := g.Newest()
+	return at >= 0 && at >= now-bound+2*Margin
+}
--- /dev/null
+++ b/internal/headstock/calls.go
@@ -0,0 +1,491 @@
+package headstock
+
+import (
+	"strconv"
+	"time"
+
+	"ferrypitch/internal/chuck"
+	"ferrypitch/internal/scribe"
+	"ferrypitch/rules"
+)
+
+// call is a client's statement on its way.
+type call struct {
+	session *session
+	request scribe.Request
+	step    chuck.Step
+	route   *route
+	group   *rules.CmdGroup
+	at      time.Time // when it was read
+	until   time.Time // when its answer is due
+	timer   timer
+	name    string // what the module calls it; empty where a transaction's connection is its place
+	handle  *rules.Cmd
+	host    *host
+	conn    *hostConn
+	sent    bool // some of it may be with the host
+	maybe   bool // some dispatch of it may have run
+	sentAt  rules.Tenth
+	lead    uint64 // under which it was sent as to the primary; 0: not so
+	over    bool   // this dispatch has ended
+	done    bool   // its client has its answer, or is gone
+	ready   bool   // its connection is the session's
+	said    []byte // a host's last answer that is the command's own fault
+}
+
+func number(n uint64) string { return strconv.FormatUint(n, 36) }
+
+// statement takes one of a session's statements.
+func (h *Headstock) statement(s *session, m message) {
+	if m.err != nil {
+		h.answer(s, scribe.AppendError(nil, scribe.Malformed, "no statement of the wire"))
+		return
+	}
+	step := s.Take(m.request)
+	switch step.Do {
+	case chuck.Here, chuck.End:
+		h.answer(s, step.Reply)
+		return
+	}
+	h.Taken.Add(1)
+	c := &call{session: s, request: m.request, step: step, at: m.at}
+	if step.Do == chuck.Pinned {
+		c.route = s.route
+		h.pinned(c)
+		return
+	}
+	c.route = h.routes[s.database]
+	if c.route == nil {
+		if h.inTouch() {
+			h.NoDB.Add(1)
+			h.final(s, scribe.AppendError(nil, scribe.NoDB, "no such database any more"))
+		} else {
+			h.refuse(c, scribe.Retry, "no configuration that is known to be in force", 500)
+		}
+		return
+	}
+	c.until = m.at.Add(c.route.deadline)
+	s.call = c
+	h.place(c)
+}
+
+// place brings a statement to the module.
+func (h *Headstock) place(c *call) {
+	now := h.moment()
+	r := c.route
+	c.group = r.read
+	since := rules.Tenth(0)
+	switch {
+	case c.step.Writes:
+		c.group = r.write
+	case r.bound > 0 && r.service.gauge.Fresh(now, r.bound):
+		if r.owned {
+			since = r.bound
+		}
+	default:
+		c.group = r.fresh // no floor is known, or none is allowed
+	}
+	timeout := now + rules.Tenth(time.Until(c.until)/(100*time.Microsecond))
+	h.serial++
+	c.name = number(h.serial)
+	h.calls[c.name] = c
+	handle := h.module.Take(c.name, c.group, r.service.set, c.session.key, timeout, since, false)
+	c.handle = handle
+	h.settle(c)
+}
+
+// settle forgets a call for which nothing more will come from the module.
+func (h *Headstock) settle(c *call) {
+	if c.handle != nil && c.handle.Over() {
+		delete(h.calls, c.name)
+	}
+}
+
+// Dispatch sends a call to a host; the module asks for it.
+func (h *Headstock) Dispatch(handle *rules.Cmd, n *rules.Node, timeout rules.Tenth) {
+	c := h.calls[handle.Name]
+	c.handle = handle
+	c.host, c.conn, c.sent, c.over, c.ready = h.nodes[n], nil, false, false, false
+	until := c.until
+	if at := time.Now().Add(time.Duration(timeout) * 100 * time.Microsecond); timeout > 0 && at.Before(until) {
+		until = at
+	}
+	h.Dispatched.Add(1)
+	c.timer = h.due.Add(until, func() { h.expire(c) })
+	c.host.take(c)
+}
+
+// run puts a call on a connection: first what makes that the session's, then the statement.
+func (h *Headstock) run(k *hostConn, c *call) {
+	k.call, c.conn = c, k
+	texts := k.fixture.Prepare(&c.session.Session, c.request)
+	if len(texts) == 0 {
+		h.send(k, c)
+		return
+	}
+	h.Setups.Add(int64(len(texts)))
+	var b []byte
+	for _, t := range texts {
+		b = scribe.AppendQuery(b, "-", t)
+	}
+	k.setup += len(texts)
+	if _, ok := k.out.write(b); !ok {
+		h.later = append(h.later, func() { h.broken(k) })
+	}
+}
+
+// send writes a call's statement, if what was decided for it still holds at this moment.
+func (h *Headstock) send(k *hostConn, c *call) {
+	now := h.moment()
+	s, n := c.session, k.host
+	c.ready = true
+	var b []byte
+	switch {
+	case c.step.Do == chuck.Pinned:
+		if s.lead != 0 && !n.service.holds(s.lead, h) {
+			h.later = append(h.later, func() { h.lapsed(c) })
+			return
+		}
+		b = scribe.AppendQuery(nil, c.request.ID, c.step.Text)
+		c.lead = s.lead
+	default:
+		c.lead = n.service.asLead(n, h)
+		if c.lead != 0 {
+			b = scribe.AppendQuery(nil, c.request.ID, c.step.Text)
+			break
+		}
+		floor, ok := n.service.gauge.Fence(now, c.route.bound, c.token())
+		if c.group != c.route.read || c.route.bound == 0 || !ok {
+			h.Lapsed.Add(1)
+			k.call = nil
+			h.outcomeLater(c, rules.Moot)
+			h.free(k)
+			return
+		}
+		b = scribe.AppendFenced(nil, c.request.ID, floor, c.step.Text)
+	}
+	c.sentAt, c.sent = now, true
+	if n, ok := k.out.write(b); !ok {
+		c.sent = n == len(b) // never whole, so it never ran
+		h.later = append(h.later, func() { h.broken(k) })
+	}
+}
+
+// token is what a session's own reads must see, where its route promises that.
+func (c *call) token() scribe.Position {
+	if c.route.owned {
+		return c.session.Token
+	}
+	return scribe.Position{}
+}
+
+// pinned sends a statement to the connection of its transaction.
+func (h *Headstock) pinned(c *call) {
+	s := c.session
+	k := s.pin
+	if k == nil || k.closed {
+		s.Drop()
+		h.answer(s, scribe.AppendError(nil, scribe.Aborted, "the transaction's connection is gone"))
+		return
+	}
+	s.call = c
+	c.until = c.at.Add(c.route.deadline)
+	c.host = k.host
+	c.timer = h.due.Add(c.until, func() { h.expire(c) })
+	h.run(k, c)
+}
+
+// lapsed ends a statement of a transaction whose primary may be none any more.
+func (h *Headstock) lapsed(c *call) {
+	h.Lapsed.Add(1)
+	k := c.conn
+	k.call, k.session = nil, nil
+	h.close(k)
+	h.outcome(c, rules.Moot)
+}
+
+// arrived takes in an answer of a host.
+func (h *Headstock) arrived(k *hostConn, a *scribe.Answer, at time.Time) {
+	if k.closed {
+		return
+	}
+	c := k.call
+	if k.setup > 0 {
+		k.setup--
+		if a.Code != "" && !(k.roll && a.State == 'I') {
+			h.SetupFaults.Add(1)
+			h.broken(k) // whether it is the session's is not known
+			return
+		}
+		if k.setup > 0 {
+			return
+		}
+		if k.roll {
+			k.roll = false
+			h.free(k)
+			return
+		}
+		if c != nil && !c.ready {
+			h.send(k, c)
+		}
+		return
+	}
+	if c == nil || !c.sent || !a.Ended() {
+		h.Stray.Add(1)
+		h.broken(k)
+		return
+	}
+	h.answered(k, c, a, at)
+}
+
+// answered brings a host's answer to a call.
+func (h *Headstock) answered(k *hostConn, c *call, a *scribe.Answer, at time.Time) {
+	now := h.moment()
+	s, n := c.session, k.host
+	c.over = true
+	h.due.Remove(c.timer)
+	k.call = nil
+	moment, role := n.position(a.Position, c.sentAt, c.lead)
+	// What was acknowledged under a lead that was taken back since is not among what was looked at for the next.
+	effect := c.step.Writes && !c.step.Begins || c.step.Commit && s.Wrote
+	if c.lead != 0 && effect && a.Code == "" && !n.service.same(c.lead) {
+		h.TakenBack.Add(1)
+		if c.step.Do == chuck.Pinned && !c.step.Commit {
+			k.session = nil
+			h.close(k)
+			s.dropped(c)
+			h.reply(c, scribe.AppendError(nil, scribe.Aborted, "the primary was replaced"))
+			return
+		}
+		if k.session = nil; s.pin == k {
+			s.pin = nil
+		}
+		h.close(k)
+		s.Answered(c.step, &scribe.Answer{State: 'I', Code: scribe.InDoubt})
+		if c.name != "" {
+			c.maybe = true
+			c.handle.Ended(rules.TimedOut, -1, rules.Unknown, 0, true)
+			h.settle(c)
+		}
+		h.reply(c, scribe.AppendError(nil, scribe.InDoubt, "the primary was replaced"))
+		return
+	}
+	if c.step.Do == chuck.Pinned {
+		if s.Answered(c.step, a) && !c.done {
+			k.session = s
+		} else {
+			s.pin, k.session = nil, nil
+			if a.State == 'I' {
+				h.free(k)
+			} else {
+				h.roll(k)
+			}
+		}
+		s.last = a.Position
+		h.reply(c, a.Lines)
+		return
+	}
+	o := outcomeOf(a.Code)
+	if a.Code == "" && c.step.Begins && a.State != 'T' || a.Code == "" && !c.step.Begins && (a.State != 'I' || !a.Stamp) {
+		h.Stray.Add(1) // an answer that is none of a statement like it
+		h.close(k)
+		h.outcome(c, rules.Reset)
+		return
+	}
+	if !c.done && (o == rules.Answered || o == rules.Errored || a.Code == scribe.Unknown || a.Code == scribe.Malformed) {
+		c.said = a.Lines
+	}
+	if o == rules.Answered {
+		s.last = a.Position
+		if s.Answered(c.step, a) {
+			if c.done { // its client is gone
+				s.Leave()
+				h.roll(k)
+			} else {
+				k.session, s.pin, s.route, s.lead = s, k, c.route, c.lead
+				if c.step.Reads && c.route.bound > 0 && c.group == c.route.read {
+					s.lead = 0 // its fence holds for all of it
+				}
+			}
+		} else {
+			h.free(k)
+		}
+		h.reply(c, a.Lines)
+	} else if a.State == 'I' {
+		h.free(k)
+	} else {
+		h.roll(k)
+	}
+	took := now - c.sentAt
+	h.Outcomes[o].Add(1)
+	if moment < 0 {
+		role = rules.Unknown
+	}
+	c.handle.Ended(o, moment, role, took, c.done)
+	h.settle(c)
+}
+
+// outcomeOf is what a host's code means to the module.
+func outcomeOf(code scribe.Code) rules.Outcome {
+	switch code {
+	case "":
+		return rules.Answered
+	case scribe.Lagging, scribe.ReadOnly:
+		return rules.Missed
+	case scribe.Retry, scribe.Overload:
+		return rules.Full
+	case scribe.WrongNode:
+		return rules.Unreached
+	}
+	return rules.Errored
+}
+
+// outcome ends a dispatch that brought no answer.
+func (h *Headstock) outcome(c *call, o rules.Outcome) {
+	if c.over {
+		return
+	}
+	c.over = true
+	h.due.Remove(c.timer)
+	if c.host != nil {
+		for i, w := range c.host.waiting {
+			if w == c {
+				c.host.waiting = append(c.host.waiting[:i], c.host.waiting[i+1:]...)
+				break
+			}
+		}
+	}
+	h.moment()
+	h.Outcomes[o].Add(1)
+	s := c.session
+	if c.step.Do == chuck.Pinned {
+		s.pin = nil
+		if c.step.Commit && c.sent {
+			s.Leave()
+			if s.ReadOnly {
+				h.reply(c, scribe.AppendError(nil, scribe.Aborted, "no answer; nothing was to be kept"))
+				return
+			}
+			h.reply(c, scribe.AppendError(nil, scribe.InDoubt, "no answer to COMMIT"))
+			return
+		}
+		if c.step.Ends {
+			s.Leave()
+			if c.step.Commit {
+				h.reply(c, scribe.AppendError(nil, scribe.Aborted, "the transaction was rolled back"))
+			} else {
+				h.reply(c, scribe.AppendDone(nil))
+			}
+			return
+		}
+		s.Drop()
+		h.reply(c, scribe.AppendError(nil, scribe.Aborted, "the transaction was rolled back"))
+		return
+	}
+	if c.sent && c.step.Writes && !c.step.Begins && o != rules.Moot {
+		c.maybe = true
+	}
+	if !c.sent && o == rules.Reset {
+		o = rules.Unreached
+	}
+	c.handle.Ended(o, -1, rules.Unknown, h.now-c.sentAtOr(h.now), c.done)
+	h.settle(c)
+}
+
+func (c *call) sentAtOr(now rules.Tenth) rules.Tenth {
+	if c.sentAt > 0 {
+		return c.sentAt
+	}
+	return now
+}
+
+// outcomeLater is outcome for where the module may be calling.
+func (h *Headstock) outcomeLater(c *call, o rules.Outcome) {
+	h.later = append(h.later, func() { h.outcome(c, o) })
+}
+
+// expire ends a dispatch whose time is over.
+func (h *Headstock) expire(c *call) {
+	if c.over {
+		return
+	}
+	k := c.conn
+	o := rules.Moot
+	if k != nil {
+		k.call, k.session = nil, nil
+		h.close(k)
+		if o = rules.TimedOut; !c.sent {
+			o = rules.Unreached
+		}
+		if c.lead != 0 {
+			k.host.suspect(false)
+		}
+	} else if c.host != nil && c.host.opening > 0 && len(c.host.all) == 0 {
+		o = rules.Unreached
+		c.host.suspect(false)
+	}
+	h.outcome(c, o)
+}
+
+// abandon takes in that a call's client is gone. What is out ends as it does; its connection is used again.
+func (h *Headstock) abandon(c *call) {
+	if c.done {
+		return
+	}
+	c.done = true
+	c.session.call = nil
+	h.Gone.Add(1)
+	if c.name != "" {
+		c.handle.Left()
+		if c.conn == nil && !c.over && c.handle.Node != nil {
+			h.outcome(c, rules.Moot)
+			return
+		}
+		h.settle(c)
+	}
+}
+
+// reply gives a call its final answer, and its session goes on.
+func (h *Headstock) reply(c *call, lines []byte) {
+	if c.done {
+		return
+	}
+	c.done = true
+	s := c.session
+	s.call = nil
+	h.answer(s, lines)
+	h.next(s)
+}
+
+// Throttle is the final answer of a call that has not run, or whose running harms nobody.
+func (h *Headstock) Throttle(handle *rules.Cmd, comeback rules.Tenth) {
+	c := h.calls[handle.Name]
+	h.Throttled.Add(1)
+	if c.said != nil && !c.step.Writes {
+		h.later = append(h.later, func() { h.reply(c, c.said) })
+		return
+	}
+	h.later = append(h.later, func() { h.refuse(c, scribe.Retry, "no host can serve it in time", int64(comeback/10)) })
+}
+
+// Fail is the final answer of a call that may have run.
+func (h *Headstock) Fail(handle *rules.Cmd) {
+	c := h.calls[handle.Name]
+	h.Failed.Add(1)
+	h.later = append(h.later, func() {
+		switch {
+		case c.said != nil:
+			h.reply(c, c.said)
+		case c.maybe:
+			h.reply(c, scribe.AppendError(nil, scribe.InDoubt, "no answer from the primary"))
+		default:
+			h.refuse(c, scribe.Retry, "it was not sent", 100)
+		}
+	})
+}
+
+// refuse answers a call of which nothing is kept, with the milliseconds after which to come again.
+func (h *Headstock) refuse(c *call, code scribe.Code, why string, after int64) {
+	h.Refused.Add(1)
+	h.reply(c, scribe.AppendError(nil, code, why+"; "+strconv.FormatInt(max(after, 1), 10)))
+}
--- /dev/null
+++ b/internal/headstock/headstock.go
@@ -0,0 +1,372 @@
+package headstock
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/belt"
+	"ferrypitch/internal/gauge"
+	"ferrypitch/internal/jig"
+	"ferrypitch/internal/nameplate"
+	"ferrypitch/internal/rack"
+	"ferrypitch/internal/vise"
+	"ferrypitch/rules"
+)
+
+const (
+	connectFor = 1500 * time.Millisecond
+	idleFor    = 45 * time.Second
+	pulse      = 50 * time.Millisecond
+)
+
+type timer = *arbor.Timer[func()]
+
+// Headstock is one router.
+type Headstock struct {
+	plate *nameplate.Plate
+	log   hclog.Logger
+	clock arbor.Steady
+	queue *arbor.Queue
+	ctx   context.Context
+	tasks sync.WaitGroup
+	life  uint64
+
+	module     *rules.Router
+	now        rules.Tenth
+	wakeAt     time.Time
+	due        arbor.Timers[func()]
+	later      []func() // what the module asked for, once it has returned
+	state      *rack.State
+	screw      vise.Screw
+	routers    int
+	hosts      map[string]*host
+	nodes      map[*rules.Node]*host
+	services   map[string]*service
+	routes     map[string]*route
+	calls      map[string]*call
+	sessions   map[*session]struct{}
+	serial     uint64
+	plan       *jig.Plan
+	leaving    bool // SIGTERM has come
+	past       bool // the platform knows: sessions end as soon as they rest
+	trimAt     time.Time
+	handedBack bool // a lead was, since it was last told how far the log was applied
+
+	link           *link
+	ready          atomic.Bool
+	listenerClosed chan struct{}
+
+	Counts
+}
+
+// Counts are of what a router did.
+type Counts struct {
+	Accepted, Torn, NoDB, Taken, Dispatched, Refused, Throttled, Failed, Gone   atomic.Int64
+	Opened, Broken, ConnsRefused, Setups, SetupFaults, Stray, Lapsed, TakenBack atomic.Int64
+	Suspects, Renewals, Leases, Links, Versions                                 atomic.Int64
+	Outcomes                                                                    [rules.Missed + 1]atomic.Int64
+}
+
+// service is a set of hosts with one primary.
+type service struct {
+	name  string
+	set   int64
+	gauge gauge.Gauge
+	lead  rack.Lead
+	conns int // the most at each host, of all routers
+}
+
+// route is one of the configuration in force.
+type route struct {
+	jig.Route
+	service            *service
+	deadline           time.Duration
+	bound              rules.Tenth // 0: a read must see all
+	owned              bool
+	read, fresh, write *rules.CmdGroup
+}
+
+// asLead gives the lead under which a host may be treated as the primary at this moment; 0: it may not.
+func (s *service) asLead(n *host, h *Headstock) uint64 {
+	if s.lead.Host != n.ID || s.lead.Moving || !h.screw.Tight(h.clock.Now()) {
+		return 0
+	}
+	return s.lead.At
+}
+
+// same says that a lead has not been taken back.
+func (s *service) same(lead uint64) bool { return s.lead.At == lead && !s.lead.Moving }
+
+// holds says that a lead may be acted on at this moment.
+func (s *service) holds(lead uint64, h *Headstock) bool {
+	return s.same(lead) && h.screw.Tight(h.clock.Now())
+}
+
+// inTouch says that the configuration held is known to be in force.
+func (h *Headstock) inTouch() bool { return h.plan != nil && h.screw.Tight(h.clock.Now()) }
+
+// share is how many connections this router may have to a host.
+func (h *Headstock) share(n *host) int {
+	return max(1, (n.service.conns-2)/(h.routers+1))
+}
+
+// Run lives until a signal to stop.
+func Run(plate *nameplate.Plate, signals, reload <-chan os.Signal, log hclog.Logger) error {
+	if plate.Listen.Front == "" {
+		return trace.BadParameter("Listen.Front: missing; this program serves clients")
+	}
+	if plate.Listen.Readiness == "" {
+		return trace.BadParameter("Listen.Readiness: missing; the platform asks there")
+	}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	h := &Headstock{plate: plate, log: log, clock: arbor.NewSteady(), queue: arbor.NewQueue(2048), ctx: ctx, life: rand.Uint64() | 1,
+		state: &rack.State{}, routers: 12, hosts: map[string]*host{}, nodes: map[*rules.Node]*host{}, services: map[string]*service{},
+		routes: map[string]*route{}, calls: map[string]*call{}, sessions: map[*session]struct{}{}, listenerClosed: make(chan struct{})}
+	h.module = rules.New(h, rules.Deployment{Seed: rand.Uint32(), Tick: 50, Routers: 1, Zone: plate.Zone, Dispatches: 3, Guarded: true,
+		Kept: true, Probes: true, Led: true, Streams: 1, IdleFor: rules.Tenth(idleFor / (100 * time.Microsecond)),
+		ConnectFor: rules.Tenth(connectFor / (100 * time.Microsecond)), Comeback: 2000, FallFactor: 1e6, ColdFrom: 1, ProbePrice: 0.01}, h.moment())
+	h.link = &link{h: h, out: make(chan *belt.Frame, 256)}
+	lc := net.ListenConfig{KeepAlive: 15 * time.Second}
+	front, err := lc.Listen(ctx, "tcp", plate.Listen.Front)
+	if err != nil {
+		return trace.Wrap(err, "Listen.Front")
+	}
+	readiness, err := net.Listen("tcp", plate.Listen.Readiness)
+	if err != nil {
+		return trace.Wrap(err, "Listen.Readiness")
+	}
+	probe := &http.Server{Handler: http.HandlerFunc(h.readiness), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 20 * time.Second,
+		MaxHeaderBytes: 8 << 10}
+	context.AfterFunc(ctx, func() { probe.Close(); front.Close() })
+	h.tasks.Go(func() { probe.Serve(readiness) })
+	h.tasks.Go(func() { h.accept(front) })
+	h.tasks.Go(h.link.run)
+	owner := make(chan struct{})
+	go func() { h.own(); close(owner) }()
+	log.Info("started", "node", plate.Node, "front", plate.Listen.Front)
+	h.attend(signals, reload, front)
+	end()
+	<-owner
+	for s := range h.sessions {
+		s.conn.Close()
+	}
+	for _, n := range h.hosts {
+		for k := range n.all {
+			k.conn.Close()
+		}
+	}
+	done := make(chan struct{})
+	go func() { h.tasks.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(300 * time.Millisecond):
+	}
+	log.Info("ended", "taken", h.Taken.Load(), "refused", h.Refused.Load(), "failed", h.Failed.Load(), "opened", h.Opened.Load())
+	return nil
+}
+
+// readiness answers the platform.
+func (h *Headstock) readiness(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/readiness" {
+		http.NotFound(w, r)
+		return
+	}
+	if !h.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// moment tells the module the time.
+func (h *Headstock) moment() rules.Tenth {
+	h.now = rules.Tenth(arbor.Begin)*10 + rules.Tenth(h.clock.Since()/(100*time.Microsecond))
+	if h.module != nil {
+		h.module.Clock(h.now)
+	}
+	return h.now
+}
+
+// own is the goroutine that owns all state.
+func (h *Headstock) own() {
+	defer h.queue.Close()
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-h.queue.Ready:
+		case <-t.C:
+		}
+		for h.step() {
+		}
+		next := time.Now().Add(pulse)
+		if first := h.due.First(); first != nil && first.Until.Before(next) {
+			next = first.Until
+		}
+		if !h.wakeAt.IsZero() && h.wakeAt.Before(next) {
+			next = h.wakeAt
+		}
+		t.Reset(max(0, time.Until(next)))
+	}
+}
+
+// step does what comes first of all that is due.
+func (h *Headstock) step() bool {
+	defer h.after()
+	for r := arbor.Lists; r <= arbor.Outcomes; r++ {
+		if do := h.queue.Take(r); do != nil {
+			do()
+			return true
+		}
+	}
+	now := time.Now()
+	if first := h.due.First(); first != nil && !now.Before(first.Until) {
+		h.due.Remove(first)
+		first.What()
+		return true
+	}
+	if !h.wakeAt.IsZero() && !now.Before(h.wakeAt) {
+		h.wakeAt = time.Time{}
+		h.moment()
+		if h.module.Woke(); h.wakeAt.IsZero() {
+			h.Wake(50)
+		}
+		return true
+	}
+	if now.After(h.trimAt) {
+		h.trimAt = now.Add(pulse)
+		h.rounds(now)
+	}
+	if do := h.queue.Take(arbor.Commands); do != nil {
+		do()
+		return true
+	}
+	return false
+}
+
+// after does what the module asked for in the call that has ended.
+func (h *Headstock) after() {
+	for len(h.later) > 0 {
+		do := h.later[0]
+		h.later = h.later[1:]
+		do()
+	}
+	h.later = nil
+}
+
+// rounds are what is looked at now and then.
+func (h *Headstock) rounds(now time.Time) {
+	ready := h.inTouch() && !h.leaving && len(h.hosts) > 0
+	if ready != h.ready.Load() {
+		h.ready.Store(ready)
+		h.log.Info("ready", "is", ready)
+	}
+	for _, n := range h.hosts {
+		n.trim(now)
+	}
+	if h.plan == nil || h.plan.Limits.TxnIdleMs <= 0 {
+		return
+	}
+	rest := nameplate.Duration(h.plan.Limits.TxnIdleMs)
+	for s := range h.sessions {
+		if s.At() != 'I' && s.call == nil && s.pin != nil && now.Sub(s.restAt) > rest {
+			k := s.pin
+			s.pin = nil
+			s.Drop()
+			h.roll(k)
+		}
+	}
+}
+
+// Probe has the module learn whether a host is there, and where it stands: a connection is opened, or one is there.
+func (h *Headstock) Probe(n *rules.Node) {
+	k := h.nodes[n]
+	if k.opening == 0 {
+		k.open()
+	}
+	k.probing = true
+}
+
+// Close closes a host's idle connections.
+func (h *Headstock) Close(n *rules.Node) {
+	for _, k := range slices.Clone(h.nodes[n].idle) {
+		h.close(k)
+	}
+}
+
+// Forget drops a host that left.
+func (h *Headstock) Forget(n *rules.Node) {
+	if k := h.nodes[n]; k != nil {
+		k.retire()
+		delete(h.nodes, n)
+		if h.hosts[k.ID] == k {
+			delete(h.hosts, k.ID)
+		}
+	}
+}
+
+// Watch and Tell are of the deployments that have a list on request and routers that tell each other.
+func (h *Headstock) Watch()      {}
+func (h *Headstock) Tell(string) {}
+
+// Wake has the module called.
+func (h *Headstock) Wake(after rules.Tenth) {
+	if at := time.Now().Add(time.Duration(after) * 100 * time.Microsecond); h.wakeAt.IsZero() || at.Before(h.wakeAt) {
+		h.wakeAt = at
+	}
+}
+
+// attend waits for signals. After the one to stop, the platform is told that this router is not ready, and sends
+// clients for two more looks; what they bring is served; transactions have half of the grace in which to end.
+func (h *Headstock) attend(signals, reload <-chan os.Signal, front net.Listener) {
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-reload:
+			p, err := nameplate.Read()
+			if err != nil {
+				h.log.Error("the settings are not taken", "error", err)
+				continue
+			}
+			h.queue.Put(arbor.Lists, func() { h.plate.SeedPeers, h.plate.Bounds = p.SeedPeers, p.Bounds })
+			h.log.Info("settings read again", "seeds", p.SeedPeers)
+		case <-signals:
+			h.log.Info("ends")
+			grace := nameplate.Duration(h.plate.Bounds.GraceS * 1000)
+			began := time.Now()
+			h.queue.Put(arbor.Lists, func() { h.leaving = true; h.rounds(time.Now()) })
+			for {
+				time.Sleep(100 * time.Millisecond)
+				left := make(chan int, 1)
+				h.queue.Put(arbor.Lists, func() {
+					if time.Since(began) > min(2500*time.Millisecond, grace/2) {
+						h.past = true
+						for s := range h.sessions {
+							if s.call == nil && s.At() == 'I' {
+								h.end(s)
+							}
+						}
+					}
+					left <- len(h.sessions)
+				})
+				n := <-left
+				if spent := time.Since(began); spent > grace*3/4 || n == 0 && spent > min(2500*time.Millisecond, grace/2) {
+					return
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/headstock/hosts.go
@@ -0,0 +1,295 @@
+package headstock
+
+import (
+	"errors"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/belt"
+	"ferrypitch/internal/chuck"
+	"ferrypitch/internal/rack"
+	"ferrypitch/internal/scribe"
+	"ferrypitch/rules"
+)
+
+// host is a database host, and this router's connections to it.
+type host struct {
+	rack.Host
+	h        *Headstock
+	node     *rules.Node
+	service  *service
+	idle     []*hostConn // the most recently used last
+	all      map[*hostConn]struct{}
+	opening  int
+	waiting  []*call
+	gone     bool
+	told     int64 // when it was last told to be suspect
+	probing  bool  // the module waits for word of it
+	listed   bool
+	standing rules.Standing
+}
+
+// hostConn is a connection. All but its socket belongs to the owner.
+type hostConn struct {
+	host    *host
+	out     *outlet
+	conn    net.Conn
+	fixture chuck.Fixture
+	call    *call    // whose statement is out, or is being made ready
+	session *session // whose transaction is open on it
+	setup   int      // statements of the router's own that are not answered yet
+	roll    bool     // an ABORT of the router's own is out
+	closed  bool
+	since   time.Time // idle since
+	opened  rules.Tenth
+}
+
+// take finds a connection for a call, or has one opened, or has the call wait.
+func (n *host) take(c *call) {
+	if k := n.pick(c.session); k != nil {
+		n.h.run(k, c)
+		return
+	}
+	n.waiting = append(n.waiting, c)
+	if len(n.all)+n.opening < n.h.share(n) && n.opening < len(n.waiting) {
+		n.open()
+	}
+}
+
+// pick takes an idle connection out, first one that has the session's values, then one that has none.
+func (n *host) pick(s *session) *hostConn {
+	best := -1
+	for i := len(n.idle) - 1; i >= 0; i-- {
+		k := n.idle[i]
+		if k.fixture.Fits(&s.Session) {
+			best = i
+			break
+		}
+		if best < 0 || k.fixture.Sum == "" {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	k := n.idle[best]
+	n.idle = slices.Delete(n.idle, best, best+1)
+	return k
+}
+
+// open dials, and says CONNECT with the id that is expected there: addresses are used again.
+func (n *host) open() {
+	h := n.h
+	n.opening++
+	h.Opened.Add(1)
+	asked := h.moment()
+	address, service, id := n.Address, n.Service, n.ID
+	lead := n.service.asLead(n, h)
+	h.tasks.Go(func() {
+		conn, err := belt.Dial(h.ctx, h.plate.Ip, address, connectFor)
+		k := &hostConn{host: n, conn: conn, opened: asked}
+		var a scribe.Answer
+		in := &lines{conn: conn}
+		if err == nil {
+			conn.SetDeadline(time.Now().Add(connectFor))
+			if _, err = conn.Write(scribe.AppendConnect(nil, service, "lathe", id)); err == nil {
+				a, err = gather(in)
+			}
+			conn.SetDeadline(time.Time{})
+		}
+		if conn != nil {
+			k.out = newOutlet(conn)
+		}
+		up := err == nil && a.Code == ""
+		if !h.queue.Put(arbor.Outcomes, func() { n.opened(k, a, err, lead) }) || !up {
+			if conn != nil {
+				conn.Close()
+			}
+			return
+		}
+		k.read(in)
+	})
+}
+
+// gather reads one answer.
+func gather(in *lines) (a scribe.Answer, err error) {
+	for {
+		line, raw, err := in.next(scribe.Line)
+		if err != nil {
+			if a.Ended() && a.Code != "" { // of CONNECT: an error and a close
+				return a, nil
+			}
+			return a, err
+		}
+		whole, err := a.Take(line, raw)
+		if err != nil || whole {
+			return a, err
+		}
+	}
+}
+
+// read is a connection's reading goroutine.
+func (k *hostConn) read(in *lines) {
+	h := k.host.h
+	for {
+		a, err := gather(in)
+		at := time.Now()
+		h.queue.Put(arbor.Outcomes, func() {
+			if err == nil {
+				h.arrived(k, &a, at)
+			}
+			if err != nil {
+				h.broken(k)
+			}
+		})
+		if err != nil {
+			k.conn.Close()
+			return
+		}
+	}
+}
+
+// opened takes in how an opening ended. lead is what lead it was begun under.
+func (n *host) opened(k *hostConn, a scribe.Answer, err error, lead uint64) {
+	h := n.h
+	n.opening--
+	h.moment()
+	if n.probing {
+		n.probing = false
+		defer func() { n.node.Probed(err == nil && a.Code == "") }()
+	}
+	if err != nil || a.Code != "" {
+		h.Broken.Add(1)
+		o, refused := rules.Unreached, errors.Is(err, syscall.ECONNREFUSED) || a.Code == scribe.WrongNode
+		if a.Code == scribe.Overload || a.Code == scribe.Retry {
+			o = rules.Full
+			h.ConnsRefused.Add(1)
+		} else {
+			n.suspect(refused)
+		}
+		if len(n.all) == 0 || o != rules.Full { // what waits would wait for nothing
+			for _, c := range slices.Clone(n.waiting) {
+				h.outcome(c, o)
+			}
+		}
+		return
+	}
+	if n.gone {
+		k.closed = true
+		k.conn.Close()
+		return
+	}
+	n.all[k] = struct{}{}
+	n.position(a.Position, k.opened, lead)
+	h.free(k)
+}
+
+// suspect tells the control plane that a primary can't be reached, not too often.
+func (n *host) suspect(refused bool) {
+	if now := n.h.clock.Now(); n.service.lead.Host == n.ID && now > n.told+150 {
+		n.told = now
+		n.h.Suspects.Add(1)
+		n.h.say(&belt.Frame{Suspect: &belt.Suspect{Service: n.Service, Host: n.ID, Refused: refused}})
+	}
+}
+
+// position takes in where a host stands. As the primary's it is a sample only if it was asked under the lead that still
+// holds; asked is when.
+func (n *host) position(pos scribe.Position, asked rules.Tenth, lead uint64) (moment rules.Tenth, role rules.Role) {
+	s := n.service
+	if lead != 0 && lead == s.lead.At && s.lead.Host == n.ID {
+		s.gauge.Add(asked, pos)
+		return asked, rules.Primary
+	}
+	return s.gauge.Moment(pos), rules.Replica
+}
+
+// free makes a connection idle, or gives it to a call that waits.
+func (h *Headstock) free(k *hostConn) {
+	n := k.host
+	k.call, k.session = nil, nil
+	if n.gone || k.closed {
+		h.close(k)
+		return
+	}
+	for len(n.waiting) > 0 {
+		c := n.waiting[0]
+		n.waiting = n.waiting[1:]
+		if c.over {
+			continue
+		}
+		h.run(k, c)
+		return
+	}
+	k.since = time.Now()
+	n.idle = append(n.idle, k)
+}
+
+// close ends a connection; what it had open the host rolls back.
+func (h *Headstock) close(k *hostConn) {
+	n := k.host
+	if !k.closed {
+		k.closed = true
+		k.conn.Close()
+	}
+	delete(n.all, k)
+	if i := slices.Index(n.idle, k); i >= 0 {
+		n.idle = slices.Delete(n.idle, i, i+1)
+	}
+	n.refill()
+}
+
+// refill opens connections for what waits.
+func (n *host) refill() {
+	for !n.gone && n.opening < len(n.waiting) && len(n.all)+n.opening < n.h.share(n) {
+		n.open()
+	}
+}
+
+// broken takes in that a connection has ended.
+func (h *Headstock) broken(k *hostConn) {
+	if k.closed {
+		h.close(k)
+		return
+	}
+	c, s := k.call, k.session
+	k.call, k.session = nil, nil
+	n := k.host
+	lost := n.service.lead.Host == n.ID
+	h.close(k)
+	h.moment()
+	if lost {
+		n.suspect(false)
+	}
+	if s != nil {
+		s.dropped(c)
+	}
+	if c != nil && !c.over {
+		if c.sent {
+			h.outcome(c, rules.Reset)
+		} else {
+			h.outcome(c, rules.Unreached)
+		}
+	}
+}
+
+// retire closes all of a host that left, or that is another by now.
+func (n *host) retire() {
+	n.gone = true
+	for _, k := range slices.Clone(n.idle) {
+		n.h.close(k)
+	}
+	for _, c := range slices.Clone(n.waiting) {
+		n.h.outcome(c, rules.Moot)
+	}
+}
+
+// trim gives back connections that a host is to spare: over this router's share, or idle for long.
+func (n *host) trim(now time.Time) {
+	for len(n.idle) > 0 && (len(n.all)+n.opening > n.h.share(n) || now.Sub(n.idle[0].since) > idleFor) {
+		n.h.close(n.idle[0])
+	}
+}
--- /dev/null
+++ b/internal/headstock/news.go
@@ -0,0 +1,423 @@
+package headstock
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/belt"
+	"ferrypitch/internal/jig"
+	"ferrypitch/internal/rack"
+	"ferrypitch/rules"
+)
+
+// link follows the control plane: it finds the member that leads, follows its log, and renews the lease.
+type link struct {
+	h       *Headstock
+	out     chan *belt.Frame
+	members []string // addresses, as last told
+	next    string   // where to go next; empty: in turn
+	turn    int
+}
+
+const (
+	renewEvery = 400 * time.Millisecond
+	deaf       = 1200 * time.Millisecond // a member that says nothing for so long is left
+)
+
+// say sends a frame to the member that leads, if there is one.
+func (h *Headstock) say(f *belt.Frame) {
+	select {
+	case h.link.out <- f:
+	default:
+	}
+}
+
+// run goes from member to member until the end.
+func (l *link) run() {
+	for l.h.ctx.Err() == nil {
+		to := l.choose()
+		if to == "" || !l.follow(to) {
+			select {
+			case <-l.h.ctx.Done():
+			case <-time.After(60 * time.Millisecond):
+			}
+		}
+	}
+}
+
+func (l *link) choose() string {
+	if to := l.next; to != "" {
+		l.next = ""
+		return to
+	}
+	all := slices.Clone(l.members)
+	for _, ip := range l.h.seeds() {
+		if !slices.Contains(all, ip) {
+			all = append(all, ip)
+		}
+	}
+	if len(all) == 0 {
+		return ""
+	}
+	l.turn++
+	return all[l.turn%len(all)]
+}
+
+// seeds are the addresses that the settings name.
+func (h *Headstock) seeds() []string {
+	got := make(chan []string, 1)
+	if !h.queue.Put(arbor.Lists, func() { got <- h.plate.Seeds() }) {
+		return nil
+	}
+	select {
+	case all := <-got:
+		return all
+	case <-h.queue.Ended:
+		return nil
+	}
+}
+
+// follow lives on one member's word; it says whether that led.
+func (l *link) follow(ip string) bool {
+	h := l.h
+	ctx, end := context.WithCancel(h.ctx)
+	defer end()
+	socket, err := belt.Dial(ctx, h.plate.Ip, h.plate.Link(ip), 400*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	c := belt.Wrap(socket)
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	from := make(chan uint64, 1)
+	if !h.queue.Put(arbor.Lists, func() { from <- h.state.Index }) {
+		return false
+	}
+	var index uint64
+	select {
+	case index = <-from:
+	case <-h.queue.Ended:
+		return false
+	}
+	if c.Send(&belt.Frame{Hello: &belt.Hello{Node: h.plate.Node, Life: h.life, Zone: h.plate.Zone, From: index}}, time.Second) != nil {
+		return false
+	}
+	f, err := c.Receive(time.Second)
+	if err != nil || f.Welcome == nil {
+		return false
+	}
+	if len(f.Welcome.Members) > 0 {
+		l.members = f.Welcome.Members
+	}
+	if !f.Welcome.Leads {
+		if f.Welcome.Leader != ip {
+			l.next = f.Welcome.Leader
+		}
+		return false
+	}
+	h.Links.Add(1)
+	asked := &asks{at: map[uint64]int64{}}
+	renewed := make(chan struct{})
+	go func() {
+		defer close(renewed)
+		l.renew(ctx, c, asked)
+	}()
+	for {
+		f, err := c.Receive(deaf)
+		if err != nil {
+			break
+		}
+		switch {
+		case f.News != nil:
+			l.members = f.News.Members
+			h.queue.Put(arbor.Lists, func() {
+				h.news(f.News)
+				h.nudge()
+			})
+		case f.Lease != nil:
+			if len(f.Lease.Members) > 0 {
+				l.members = f.Lease.Members
+			}
+			if !f.Lease.Granted {
+				end()
+				<-renewed
+				return false
+			}
+			at := asked.take(f.Lease.Serial)
+			h.queue.Put(arbor.Lists, func() { h.leased(f.Lease, at) })
+		}
+	}
+	end()
+	<-renewed
+	l.next = ""
+	return true
+}
+
+// renew asks for leases, and sends what there is to say, until ctx ends. A lease counts from before it was asked for.
+func (l *link) renew(ctx context.Context, c *belt.Conn, asked *asks) {
+	h := l.h
+	t := time.NewTicker(renewEvery)
+	defer t.Stop()
+	serial := uint64(0)
+	for {
+		serial++
+		filled := make(chan *belt.Renew, 1)
+		if !h.queue.Put(arbor.Lists, func() {
+			filled <- &belt.Renew{Serial: serial, Applied: h.state.Index, Sessions: len(h.sessions)}
+		}) {
+			return
+		}
+		var r *belt.Renew
+		select {
+		case r = <-filled:
+		case <-h.queue.Ended:
+			return
+		}
+		asked.put(serial, h.clock.Now())
+		h.Renewals.Add(1)
+		if c.Send(&belt.Frame{Renew: r}, time.Second) != nil {
+			c.Close()
+			return
+		}
+		for again := false; !again; {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+				again = true
+			case f := <-l.out:
+				if f == nil { // what was applied is to be told at once
+					again = true
+				} else if c.Send(f, time.Second) != nil {
+					c.Close()
+					return
+				}
+			}
+		}
+	}
+}
+
+// nudge has what was applied told at once, where a lead was taken back: another waits for it.
+func (h *Headstock) nudge() {
+	if h.handedBack {
+		h.handedBack = false
+		h.say(nil)
+	}
+}
+
+// leased takes in a lease; askedAt is when it was asked for.
+func (h *Headstock) leased(l *belt.Lease, askedAt int64) {
+	if askedAt == 0 || l.Index > h.state.Index { // the log of that moment is not here yet
+		return
+	}
+	h.Leases.Add(1)
+	h.screw.Granted(askedAt)
+	if l.Routers > 0 {
+		h.routers = l.Routers
+	}
+}
+
+// news takes in changes, in their order.
+func (h *Headstock) news(n *belt.News) {
+	switch {
+	case n.Snapshot != nil:
+		s, err := rack.Restore(n.Snapshot)
+		if err != nil {
+			h.log.Error("a snapshot can't be read", "error", err)
+			return
+		}
+		if s.Index = max(s.Index, n.Index); s.Index < h.state.Index {
+			return // never back
+		}
+		h.state = s
+	default:
+		first := n.Index - uint64(len(n.Entries)) + 1
+		if first > h.state.Index+1 {
+			return // a gap; the lease that follows does not count, and the link is made anew
+		}
+		for i, body := range n.Entries {
+			index := first + uint64(i)
+			if index <= h.state.Index {
+				continue
+			}
+			if len(body) > 0 {
+				if c, err := rack.Decode(body); err == nil {
+					h.state.Apply(index, c) // what it refuses all refuse
+				}
+			}
+			h.state.Index = index
+		}
+	}
+	h.settleState()
+}
+
+// settleState works out the difference between what the state wants and what is.
+func (h *Headstock) settleState() {
+	h.moment()
+	h.settleServices()
+	h.settleHosts()
+	h.settleLeads()
+	h.settleRoutes()
+}
+
+func (h *Headstock) service(name string) *service {
+	s := h.services[name]
+	if s == nil {
+		s = &service{name: name, set: int64(len(h.services) + 1), conns: 32}
+		h.services[name] = s
+	}
+	return s
+}
+
+func (h *Headstock) settleServices() {
+	if p := h.state.Plan(); p != nil {
+		for _, s := range p.Services {
+			if s.MaxConns > 0 {
+				h.service(s.Name).conns = int(s.MaxConns)
+			}
+		}
+	}
+}
+
+func (h *Headstock) settleHosts() {
+	changed := false
+	for id, want := range h.state.Hosts {
+		n := h.hosts[id]
+		if n != nil && (n.Address != want.Address || n.Service != want.Service) {
+			n.node.Listed(rules.Gone, false, n.Zone, "", 1, 0)
+			n.retire()
+			n = nil
+		}
+		if n == nil {
+			s := h.service(want.Service)
+			n = &host{Host: want, h: h, service: s, all: map[*hostConn]struct{}{}}
+			n.node = h.module.Host(id, s.set)
+			h.hosts[id], h.nodes[n.node] = n, n
+		}
+		n.Host = want
+		standing := rules.In
+		if want.Draining && h.state.Leads[want.Service].Host != id { // one that leads goes on until another does
+			standing = rules.Draining
+		}
+		if n.standing != standing || !n.listed {
+			n.standing, n.listed, changed = standing, true, true
+			n.node.Listed(standing, false, want.Zone, "", float64(max(1, want.Capacity)), 0)
+		}
+	}
+	for id, n := range h.hosts {
+		if _, ok := h.state.Hosts[id]; !ok && n.standing != rules.Gone {
+			n.standing, changed = rules.Gone, true
+			n.node.Listed(rules.Gone, false, n.Zone, "", 1, 0)
+			n.retire()
+		}
+	}
+	if changed {
+		h.module.ListDone(false)
+	}
+}
+
+func (h *Headstock) settleLeads() {
+	for name, want := range h.state.Leads {
+		s := h.service(name)
+		was := s.lead
+		if was == want {
+			continue
+		}
+		s.lead = want
+		if was.Host == want.Host && was.At == want.At && was.Moving == want.Moving {
+			continue
+		}
+		if old := h.hosts[was.Host]; old != nil && (want.Moving || want.Host != was.Host) {
+			old.node.Leads(false)
+			h.handBack(s, old)
+		}
+		if want.Moving {
+			h.handedBack = true
+			continue
+		}
+		s.gauge.Clear()
+		if n := h.hosts[want.Host]; n != nil {
+			n.node.Leads(true)
+			h.log.Info("a service is led", "service", name, "host", want.Host, "term", want.Term)
+		}
+	}
+}
+
+// handBack ends what is out at a host as to the primary: what it answers from now on is not among what is looked at
+// when another takes its place.
+func (h *Headstock) handBack(s *service, n *host) {
+	for k := range n.all {
+		c, owner := k.call, k.session
+		switch {
+		case owner != nil && owner.lead != 0:
+			k.call, k.session = nil, nil
+			owner.pin = nil
+			h.close(k)
+			if c != nil {
+				h.outcome(c, rules.Reset)
+			} else {
+				owner.dropped(nil)
+			}
+		case c != nil && c.sent && c.lead != 0 && c.step.Writes:
+			k.call = nil
+			h.close(k)
+			h.outcome(c, rules.Reset)
+		}
+	}
+}
+
+func (h *Headstock) settleRoutes() {
+	p := h.state.Plan()
+	if p == nil || p == h.plan {
+		return
+	}
+	h.plan = p
+	h.Versions.Add(1)
+	h.log.Info("a configuration is in force here", "version", p.Generation, "routes", len(p.Routes))
+	routes := make(map[string]*route, len(p.Routes))
+	for _, r := range p.Routes {
+		was := h.routes[r.Host]
+		if was != nil && was.Route == r {
+			routes[r.Host] = was
+			continue
+		}
+		routes[r.Host] = h.route(r)
+	}
+	h.routes = routes
+	for s := range h.sessions { // one whose database is no more ends as soon as it rests
+		if s.call == nil && s.At() == 'I' && h.routes[s.database] == nil {
+			h.end(s)
+		}
+	}
+}
+
+// route readies a route: the module's groups of its reads and writes.
+func (h *Headstock) route(r jig.Route) *route {
+	tenths := func(ms float64) rules.Tenth { return rules.Tenth(ms * 10) }
+	k := &route{Route: r, service: h.service(r.Service), deadline: time.Duration(r.DeadlineMs * float64(time.Millisecond)),
+		owned: r.Kind == jig.Owned}
+	if r.Kind != jig.Leader {
+		k.bound = tenths(r.StalenessMs)
+	}
+	group := func(need rules.Need, effect rules.Effect) *rules.CmdGroup {
+		target := tenths(r.TargetMs)
+		if target <= 0 {
+			target = tenths(r.DeadlineMs / 4)
+		}
+		return h.module.Group(&rules.CmdGroup{Effect: effect, Need: need, Bound: k.bound, Target: target, Timeout: tenths(r.DeadlineMs),
+			Benefit: 1 / (1 + max(0, r.Priority)), LateShare: 0.5})
+	}
+	k.fresh, k.write = group(rules.Fresh, rules.Replayable), group(rules.Write, rules.Mutating)
+	switch {
+	case k.bound == 0:
+		k.read = k.fresh
+	case k.owned:
+		k.read = group(rules.Session, rules.Replayable)
+	default:
+		k.read = group(rules.Bounded, rules.Replayable)
+	}
+	return k
+}
--- /dev/null
+++ b/internal/headstock/outlet.go
@@ -0,0 +1,139 @@
+package headstock
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	mostBacklog = 4 << 20
+	stuck       = 10 * time.Second // a peer that takes nothing for so long is left
+)
+
+// outlet writes to a socket without ever holding up who writes: what the socket does not take at once is sent on by a
+// goroutine of its own.
+type outlet struct {
+	conn net.Conn
+	raw  syscall.RawConn
+
+	mu      sync.Mutex
+	backlog []byte
+	sending bool
+	broken  bool
+}
+
+func newOutlet(c net.Conn) *outlet {
+	o := &outlet{conn: c}
+	if s, ok := c.(syscall.Conn); ok {
+		o.raw, _ = s.SyscallConn()
+	}
+	return o
+}
+
+// write says how many bytes went out at once, and whether the rest will be tried.
+func (o *outlet) write(b []byte) (n int, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.broken {
+		return 0, false
+	}
+	if !o.sending && o.raw != nil {
+		var err error
+		ended := o.raw.Write(func(fd uintptr) bool {
+			for {
+				n, err = syscall.Write(int(fd), b)
+				if err != syscall.EINTR {
+					return true
+				}
+			}
+		})
+		n = max(n, 0)
+		if ended != nil || err != nil && err != syscall.EAGAIN {
+			o.broken = true
+			return n, false
+		}
+		if n == len(b) {
+			return n, true
+		}
+	}
+	if len(o.backlog)+len(b)-n > mostBacklog {
+		o.broken = true
+		o.conn.Close()
+		return n, false
+	}
+	o.backlog = append(o.backlog, b[n:]...)
+	if !o.sending {
+		o.sending = true
+		go o.drain() // ends with the backlog, or the socket
+	}
+	return n, true
+}
+
+func (o *outlet) drain() {
+	for {
+		o.mu.Lock()
+		b := o.backlog
+		o.backlog = nil
+		if len(b) == 0 {
+			o.sending = false
+			o.mu.Unlock()
+			return
+		}
+		o.mu.Unlock()
+		o.conn.SetWriteDeadline(time.Now().Add(stuck))
+		if _, err := o.conn.Write(b); err != nil {
+			o.mu.Lock()
+			o.broken, o.sending = true, false
+			o.mu.Unlock()
+			o.conn.Close()
+			return
+		}
+		o.conn.SetWriteDeadline(time.Time{})
+	}
+}
+
+// idle says that nothing waits to be sent.
+func (o *outlet) idle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.sending
+}
+
+// lines reads lines of the wire from a socket.
+type lines struct {
+	conn net.Conn
+	in   []byte
+	from int
+	one  [2048]byte
+}
+
+// next gives a line without and with its end; both hold until the next call.
+func (l *lines) next(cut func(b []byte, at int) ([]byte, int, error)) (line, raw []byte, err error) {
+	at := 0
+	for {
+		b := l.in[l.from:]
+		line, n, err := cut(b, at)
+		if err != nil {
+			return nil, nil, err
+		}
+		if n > 0 {
+			l.from += n
+			return line, b[:n], nil
+		}
+		at = len(b)
+		if l.from > 0 {
+			l.in = append(l.in[:0], b...)
+			l.from = 0
+		}
+		if len(l.in) == 0 && cap(l.in) > 16<<10 {
+			l.in = nil
+		}
+		k, err := l.conn.Read(l.one[:])
+		if k == 0 && err != nil {
+			return nil, nil, err
+		}
+		l.in = append(l.in, l.one[:k]...)
+	}
+}
--- /dev/null
+++ b/internal/headstock/sessions.go
@@ -0,0 +1,260 @@
+package headstock
+
+import (
+	"net"
+	"time"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/chuck"
+	"ferrypitch/internal/scribe"
+)
+
+const (
+	mostAhead  = 16 // messages that a client may send before the first is answered
+	connectIn  = 10 * time.Second
+	firstWords = 64 << 10
+)
+
+// session is a client's connection. All but its socket belongs to the owner.
+type session struct {
+	chuck.Session
+	h        *Headstock
+	conn     net.Conn
+	out      *outlet
+	key      string // what the module calls it
+	database string
+	ahead    []message
+	call     *call     // what is being answered
+	pin      *hostConn // of its transaction
+	lead     uint64    // under which its transaction began, where it needs the primary
+	restAt   time.Time // since when its transaction rests
+	closed   bool
+	ending   bool // nothing more is read from it
+	parted   bool // its reader has ended; what it brought is answered first
+	last     scribe.Position
+	route    *route // of its transaction
+}
+
+type message struct {
+	request scribe.Request
+	err     error
+	at      time.Time
+}
+
+// accept serves clients until the listener ends.
+func (h *Headstock) accept(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if h.ctx.Err() != nil {
+			if err == nil {
+				c.Close()
+			}
+			return nil
+		}
+		if err != nil {
+			select {
+			case <-h.ctx.Done():
+				return nil
+			case <-h.listenerClosed:
+				<-h.ctx.Done()
+				return nil
+			case <-time.After(20 * time.Millisecond):
+			}
+			continue
+		}
+		h.Accepted.Add(1)
+		h.tasks.Go(func() { h.client(c) })
+	}
+}
+
+// client is a session's reading goroutine.
+func (h *Headstock) client(c net.Conn) {
+	s := &session{h: h, conn: c, out: newOutlet(c)}
+	in := &lines{conn: c}
+	c.SetReadDeadline(time.Now().Add(connectIn))
+	line, _, err := in.next(scribe.Line)
+	var hello scribe.Request
+	if err == nil {
+		hello, err = scribe.ReadRequest(line)
+	}
+	if err != nil || hello.Kind != scribe.Connect {
+		h.Torn.Add(1)
+		if err != nil && len(line) == 0 {
+			c.Close()
+			return
+		}
+		s.part(scribe.AppendError(nil, scribe.Malformed, "CONNECT with a database and a word for who comes first"))
+		return
+	}
+	c.SetReadDeadline(time.Time{})
+	if !h.queue.Put(arbor.Commands, func() { h.begin(s, hello.Name) }) {
+		c.Close()
+		return
+	}
+	for {
+		line, _, err := in.next(scribe.Line)
+		if err != nil {
+			break
+		}
+		at := time.Now()
+		r, bad := scribe.ReadRequest(line)
+		if bad == nil && r.Kind == scribe.Bye {
+			break
+		}
+		if bad != nil && r.ID == "" || bad == nil && r.Kind == scribe.Connect {
+			h.Torn.Add(1)
+			h.queue.Put(arbor.Commands, func() {
+				h.final(s, scribe.AppendError(nil, scribe.Malformed, "not a message of the wire"))
+			})
+			break
+		}
+		if !h.queue.Put(arbor.Commands, func() { h.message(s, message{r, bad, at}) }) {
+			break
+		}
+	}
+	if !h.queue.Put(arbor.Commands, func() { h.left(s) }) {
+		c.Close()
+	}
+}
+
+// part tells why a connection ends and closes it, so that the word is read: over unread bytes a close would reset.
+func (s *session) part(last []byte) {
+	s.out.write(last)
+	if half, ok := s.conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+	s.conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	var drop [2048]byte
+	for {
+		if _, err := s.conn.Read(drop[:]); err != nil {
+			break
+		}
+	}
+	s.conn.Close()
+}
+
+// final says a last word to a session and lets its reader end it.
+func (h *Headstock) final(s *session, word []byte) {
+	if s.closed {
+		return
+	}
+	s.out.write(word)
+	if half, ok := s.conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+	s.conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	s.closed = true
+}
+
+// begin greets a session, if its database is one of a route.
+func (h *Headstock) begin(s *session, database string) {
+	s.database = database
+	h.serial++
+	s.key = number(h.serial)
+	if h.routes[database] == nil {
+		if !h.inTouch() {
+			h.final(s, scribe.AppendError(nil, scribe.Retry, "this router has no configuration that is known to be in force; 500"))
+			return
+		}
+		h.NoDB.Add(1)
+		h.final(s, scribe.AppendError(nil, scribe.NoDB, "no such database"))
+		return
+	}
+	h.sessions[s] = struct{}{}
+	s.out.write(scribe.AppendIdle(nil, 'I', scribe.Position{}))
+}
+
+// message takes in a statement; those of one session are answered in order.
+func (h *Headstock) message(s *session, m message) {
+	if s.closed {
+		return
+	}
+	if len(s.ahead) >= mostAhead {
+		h.Torn.Add(1)
+		h.final(s, scribe.AppendError(nil, scribe.Malformed, "too many messages before an answer"))
+		return
+	}
+	s.ahead = append(s.ahead, m)
+	if s.call == nil {
+		h.next(s)
+	}
+}
+
+// next takes a session's messages on until one has to be waited for.
+func (h *Headstock) next(s *session) {
+	for s.call == nil && len(s.ahead) > 0 && !s.closed {
+		m := s.ahead[0]
+		if s.ahead = s.ahead[1:]; len(s.ahead) == 0 {
+			s.ahead = nil
+		}
+		h.statement(s, m)
+	}
+	if s.call == nil {
+		s.restAt = time.Now()
+		switch {
+		case s.parted:
+			h.left(s)
+		case h.leaving && s.At() == 'I' && len(h.sessions) > 0 && h.past:
+			h.end(s)
+		}
+	}
+}
+
+// answer gives a session an answer and its IDLE.
+func (h *Headstock) answer(s *session, lines []byte) {
+	if s.closed {
+		return
+	}
+	b := append(make([]byte, 0, len(lines)+32), lines...)
+	if _, ok := s.out.write(scribe.AppendIdle(b, s.At(), s.last)); !ok {
+		s.conn.Close() // its reader notices
+	}
+}
+
+// end has a session that is at I with nothing asked end: no more is read from it, and what was read is answered first.
+func (h *Headstock) end(s *session) {
+	if !s.closed && !s.ending {
+		s.ending = true
+		s.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// left takes in that nothing more comes from a client: it is gone, or is to end.
+func (h *Headstock) left(s *session) {
+	if s.ending && !s.closed && (s.call != nil || len(s.ahead) > 0) {
+		s.parted = true
+		return
+	}
+	s.closed = true
+	s.conn.Close()
+	delete(h.sessions, s)
+	s.ahead = nil
+	if c := s.call; c != nil {
+		h.abandon(c)
+	}
+	if k := s.pin; k != nil && k.call == nil {
+		s.pin = nil
+		h.roll(k)
+	}
+}
+
+// roll has a connection's transaction rolled back, so that it serves on.
+func (h *Headstock) roll(k *hostConn) {
+	k.session = nil
+	if k.closed {
+		return
+	}
+	k.roll = true
+	k.setup++
+	if _, ok := k.out.write(scribe.AppendQuery(nil, "-", "ABORT")); !ok {
+		h.close(k)
+	}
+}
+
+// dropped notes that the connection of a session's transaction is gone; c is what was out on it.
+func (s *session) dropped(c *call) {
+	s.pin = nil
+	if s.At() != 'I' {
+		s.Drop()
+	}
+}
--- /dev/null
+++ b/internal/hoist/hoist.go
@@ -0,0 +1,554 @@
+// Package hoist (it lifts a load into the place of another) decides on fail-over: when a service's primary is given up,
+// which replica takes its place, and in which order all that is said. It acts for the member that leads the control
+// plane's view, and goes on where another left off by what the ordered log says.
+//
+//	state, beats, suspicions, rows, platform's answers  ->  Tick  ->  proposals, questions to hosts, promotions
+//
+// A lead that is lost: Recall in the log; every router has applied it or its lease is over; all replicas are PAUSEd and
+// say what they received; the one that has most is named, promoted and seen to lead; Lead in the log.
+// A lead that is handed over: the successor is named; the other replicas are PAUSEd, so that nothing is acknowledged
+// that it has not received; it is promoted while the old primary goes on; once it leads, Recall, STEPDOWN and Lead.
+//
+// Pure: the caller brings time in milliseconds.
+package hoist
+
+import (
+	"slices"
+
+	"ferrypitch/internal/rack"
+	"ferrypitch/internal/scribe"
+)
+
+// Times in milliseconds.
+const (
+	patience = 500  // a question to a host has so long
+	twice    = 80   // between two questions to a host that is suspected
+	again    = 250  // between questions while a move goes on
+	quick    = 90   // between looks at a host that is about to lead
+	believed = 3000 // a suspicion counts for so long
+	renew    = 700  // between calls to the platform that got no clear answer
+	settles  = 5000 // a host that was promoted has so long before another is looked for
+)
+
+// Verb is a question to a host.
+type Verb uint8
+
+// Verbs.
+const (
+	Stat Verb = iota + 1
+	Pause
+	Resume
+	StepDown
+)
+
+var words = [...]string{Stat: "STAT", Pause: "PAUSE", Resume: "RESUME", StepDown: "STEPDOWN"}
+
+// Text is how a host is asked.
+func (v Verb) Text() string { return words[v] }
+
+// Question is one to a host.
+type Question struct {
+	Service, Host string
+	Verb          Verb
+	Term          uint64 // of PAUSE and STEPDOWN
+	Serial        uint64
+}
+
+// Reply is how a question ended.
+type Reply struct {
+	Serial  uint64
+	Refused bool // nothing listens there
+	Silent  bool // no answer in time, or one that broke off
+	Code    scribe.Code
+	Status  scribe.Status
+}
+
+// Promotion is a call to the platform.
+type Promotion struct {
+	Service, Host, Holder string
+	Fence                 uint64
+}
+
+// Outcome is how a promotion's call ended.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Done     Outcome = iota
+	Rejected         // an older fence, or a host that is not running
+	Unclear          // it may have been carried out
+	Later            // it was not
+)
+
+// Todo is what a Tick asks for.
+type Todo struct {
+	Propose   []rack.Change
+	Questions []Question
+	Promote   []Promotion
+}
+
+// Counts are of steps, for counters.
+type Counts struct {
+	Suspected, Cleared, Lost, Planned, Promoted, Cancelled, Waiting int64
+}
+
+type told struct {
+	reply Reply
+	verb  Verb
+	at    int64
+	sent  int64
+}
+
+type asked struct {
+	question Question
+	at       int64
+}
+
+type service struct {
+	name      string
+	suspect   map[string]int64 // by router: when it last could not reach the primary
+	of        string           // which primary the suspicions are of
+	questions map[string]*asked
+	rows      map[string]told
+	strikes   int // questions in a row that the primary did not answer
+	struckAt  int64
+	proposed  int64 // when a change was proposed that has not come yet
+	calling   bool
+	calledAt  int64
+	called    string
+	callEnded int64
+	paused    map[string]bool
+	resumed   bool
+	started   int64
+	rejected  map[string]int64
+	why       string
+}
+
+// Beat is what a host last said of itself.
+type Beat struct {
+	At     int64
+	Leader bool
+}
+
+// Hoist is the state of one member that leads. It lives as long as its view.
+type Hoist struct {
+	self     string
+	beatMs   int64
+	serial   uint64
+	services map[string]*service
+	beats    map[string]Beat
+	since    int64
+	Counts   Counts
+	Log      func(service, what, host string)
+}
+
+// New starts a member that leads from now on. beatMs is how often hosts beat.
+func New(self string, beatMs, now int64) *Hoist {
+	return &Hoist{self: self, beatMs: max(beatMs, 100), services: map[string]*service{}, beats: map[string]Beat{}, since: now,
+		Log: func(string, string, string) {}}
+}
+
+func (h *Hoist) service(name string) *service {
+	s := h.services[name]
+	if s == nil {
+		s = &service{name: name, suspect: map[string]int64{}, questions: map[string]*asked{}, rows: map[string]told{},
+			paused: map[string]bool{}, rejected: map[string]int64{}}
+		h.services[name] = s
+	}
+	return s
+}
+
+// Beat takes in a host's beat.
+func (h *Hoist) Beat(host string, leader bool, now int64) { h.beats[host] = Beat{now, leader} }
+
+// Beaten is a host's last beat.
+func (h *Hoist) Beaten(host string) Beat { return h.beats[host] }
+
+// Forget drops a host that left.
+func (h *Hoist) Forget(host string) { delete(h.beats, host) }
+
+// Suspect takes in a router's word that it can't reach a service's primary; now is when it came.
+func (h *Hoist) Suspect(router, name, host string, now int64) {
+	s := h.service(name)
+	if s.of != host {
+		s.of, s.strikes = host, 0
+		clear(s.suspect)
+	}
+	if len(s.suspect) == 0 {
+		h.Counts.Suspected++
+	}
+	s.suspect[router] = now
+}
+
+// Replied takes in how a question ended.
+func (h *Hoist) Replied(r Reply, now int64) {
+	for _, s := range h.services {
+		for host, a := range s.questions {
+			if a.question.Serial != r.Serial {
+				continue
+			}
+			delete(s.questions, host)
+			s.rows[host] = told{r, a.question.Verb, now, a.at}
+			return
+		}
+	}
+}
+
+// Called takes in how a promotion's call ended.
+func (h *Hoist) Called(name, host string, o Outcome, now int64) {
+	s := h.service(name)
+	s.calling, s.callEnded = false, now
+	switch o {
+	case Done:
+		h.Counts.Promoted++
+	case Rejected:
+		s.called = ""
+		s.rejected[host] = now
+	case Later:
+		s.called = ""
+	case Unclear: // it is called again, sooner than one that was told yes
+		s.callEnded = now - settles + 2*renew
+	}
+}
+
+// ask asks a host, unless a question to it is out, or one like it was asked less than a while ago.
+func (h *Hoist) ask(do *Todo, s *service, host string, v Verb, term uint64, every, now int64) {
+	if a := s.questions[host]; a != nil {
+		if now < a.at+2*patience {
+			return
+		}
+		delete(s.questions, host)
+	}
+	if r, ok := s.rows[host]; ok && r.verb == v && now < r.sent+every {
+		return
+	}
+	h.serial++
+	q := Question{s.name, host, v, term, h.serial}
+	s.questions[host] = &asked{q, now}
+	do.Questions = append(do.Questions, q)
+}
+
+func (s *service) propose(do *Todo, c rack.Change, now int64) {
+	if s.proposed == 0 || now > s.proposed+1000 {
+		s.proposed = now
+		do.Propose = append(do.Propose, c)
+	}
+}
+
+// Tick goes over all services. clear says whether no router acts any more on what the log said before an index.
+func (h *Hoist) Tick(state *rack.State, clear func(index uint64) bool, now int64) (do Todo) {
+	names := map[string]bool{}
+	for _, host := range state.Hosts {
+		names[host.Service] = true
+	}
+	for name := range state.Leads {
+		names[name] = true
+	}
+	sorted := make([]string, 0, len(names))
+	for name := range names {
+		sorted = append(sorted, name)
+	}
+	slices.Sort(sorted)
+	for _, name := range sorted {
+		h.tend(&do, state, h.service(name), clear, now)
+	}
+	return do
+}
+
+// Applied tells that a change has come, so that what was proposed is no longer awaited.
+func (h *Hoist) Applied(name string) { h.service(name).proposed = 0 }
+
+func (h *Hoist) tend(do *Todo, state *rack.State, s *service, clear func(uint64) bool, now int64) {
+	lead, known := state.Leads[s.name]
+	members := state.Members(s.name)
+	switch {
+	case !known:
+		h.first(do, s, members, now)
+	case lead.Moving:
+		h.move(do, state, s, lead, members, clear, now)
+	case lead.To != "":
+		h.handOver(do, state, s, lead, members, now)
+	default:
+		h.watch(do, state, s, lead, members, now)
+	}
+}
+
+// first finds who leads a service that none was ever known to lead: a host says so, and is asked for its term.
+func (h *Hoist) first(do *Todo, s *service, members []string, now int64) {
+	best, term := "", uint64(0)
+	for _, m := range members {
+		if !h.beats[m].Leader {
+			continue
+		}
+		if r, ok := s.rows[m]; ok && now < r.at+2*patience && !r.reply.Silent && !r.reply.Refused && r.reply.Status.Leader {
+			if r.reply.Status.Term > term || best == "" {
+				best, term = m, r.reply.Status.Term
+			}
+			continue
+		}
+		h.ask(do, s, m, Stat, 0, again, now)
+	}
+	if best != "" {
+		s.propose(do, rack.Change{Lead: &rack.NewLead{Service: s.name, Host: best, Term: term}}, now)
+	}
+}
+
+// watch looks after a service that is led: is its primary there, and does it stay?
+func (h *Hoist) watch(do *Todo, state *rack.State, s *service, lead rack.Lead, members []string, now int64) {
+	primary, there := state.Hosts[lead.Host]
+	s.settle()
+	if !there || h.lost(do, s, lead, now) {
+		h.Counts.Lost++
+		s.why = "lost"
+		s.propose(do, rack.Change{Recall: &rack.Recall{Service: s.name, Holder: h.self}}, now)
+		return
+	}
+	if primary.Draining {
+		if to := h.successor(state, s, lead, members, now); to != "" {
+			h.Counts.Planned++
+			s.why = "drains"
+			s.propose(do, rack.Change{Named: &rack.Named{Service: s.name, Host: to, Holder: h.self}}, now)
+		}
+	}
+}
+
+// settle forgets a move that is over.
+func (s *service) settle() {
+	s.called, s.calling, s.resumed, s.started = "", false, false, 0
+	clear(s.paused)
+	clear(s.rejected)
+}
+
+// lost says whether a primary is given up. Routers that can't reach it, or beats that stopped, have it asked; it is
+// lost once it gave no answer twice in a row.
+func (h *Hoist) lost(do *Todo, s *service, lead rack.Lead, now int64) bool {
+	if s.of != lead.Host {
+		s.of, s.strikes = lead.Host, 0
+		clear(s.suspect)
+	}
+	for router, at := range s.suspect {
+		if now > at+believed {
+			delete(s.suspect, router)
+		}
+	}
+	since := max(h.beats[lead.Host].At, h.since)
+	if len(s.suspect) == 0 && now < since+2*h.beatMs+patience {
+		s.strikes = 0
+		return false
+	}
+	if r, ok := s.rows[lead.Host]; ok && r.verb == Stat && r.at > s.struckAt && r.sent >= s.struckAt {
+		s.struckAt = r.at
+		switch {
+		case !r.reply.Refused && !r.reply.Silent:
+			s.strikes = 0
+			h.Counts.Cleared++
+			clear(s.suspect)
+			if len(s.suspect) == 0 && r.reply.Status.Term == lead.Term && !r.reply.Status.Leader && r.reply.Code == "" {
+				return true // it leads no more
+			}
+			h.beats[lead.Host] = Beat{now, h.beats[lead.Host].Leader}
+			return false
+		default:
+			s.strikes++
+		}
+	}
+	if s.strikes >= 2 {
+		s.strikes = 0
+		return true
+	}
+	h.ask(do, s, lead.Host, Stat, 0, twice, now)
+	return false
+}
+
+// successor is the replica that takes over from a primary that leaves: one that stays, beats, and stands in order of id.
+func (h *Hoist) successor(state *rack.State, s *service, lead rack.Lead, members []string, now int64) string {
+	best := ""
+	for _, m := range members {
+		host := state.Hosts[m]
+		if m == lead.Host || host.Draining || now > h.beats[m].At+2*h.beatMs+patience || now < s.rejected[m]+2*patience && s.rejected[m] > 0 {
+			continue
+		}
+		if best == "" || host.Zone == state.Hosts[lead.Host].Zone && state.Hosts[best].Zone != host.Zone {
+			best = m
+		}
+	}
+	return best
+}
+
+// answered gives a host's row if it is of this verb and no older than a while.
+func (s *service) answered(host string, v Verb, since int64) (scribe.Status, bool) {
+	r, ok := s.rows[host]
+	if !ok || r.verb != v || r.sent < since || r.reply.Refused || r.reply.Silent || r.reply.Code != "" {
+		return scribe.Status{}, false
+	}
+	return r.reply.Status, true
+}
+
+// handOver carries out a planned move up to the moment at which the successor leads.
+func (h *Hoist) handOver(do *Todo, state *rack.State, s *service, lead rack.Lead, members []string, now int64) {
+	if s.started == 0 {
+		s.started = now
+		h.Log(s.name, "a lead is handed over", lead.To)
+	}
+	recall := rack.Change{Recall: &rack.Recall{Service: s.name, Holder: h.self}}
+	to, there := state.Hosts[lead.To]
+	if h.lost(do, s, lead, now) || !there {
+		s.propose(do, recall, now) // what follows finds out where it had come to
+		return
+	}
+	if lead.Holder != h.self {
+		s.propose(do, rack.Change{Named: &rack.Named{Service: s.name, Host: lead.To, Holder: h.self}}, now)
+		return
+	}
+	if st, ok := s.answered(lead.To, Stat, s.started); ok && st.Leader && st.Term > lead.Term || h.beats[lead.To].Leader && h.beats[lead.To].At >= s.started {
+		s.propose(do, recall, now)
+		return
+	}
+	if s.called == "" && now > s.started+2*settles || to.Draining {
+		s.propose(do, recall, now)
+		return
+	}
+	if s.called != "" {
+		if now > s.callEnded+again && !s.calling {
+			h.ask(do, s, lead.To, Stat, 0, again, now)
+		}
+		if !s.calling && now > s.callEnded+settles {
+			s.propose(do, recall, now)
+		}
+		return
+	}
+	// Nothing is acknowledged that the successor has not received, from here on.
+	ready, most := true, scribe.Position{}
+	for _, m := range members {
+		if m == lead.Host || m == lead.To {
+			continue
+		}
+		st, ok := s.answered(m, Pause, s.started)
+		if !ok {
+			h.ask(do, s, m, Pause, lead.Term+1, again, now)
+			r := s.rows[m]
+			ready = ready && r.verb == Pause && r.sent >= s.started && r.reply.Refused // it is not running, so it receives nothing
+			continue
+		}
+		if s.paused[m] = true; most.Before(st.Received) {
+			most = st.Received
+		}
+	}
+	if !ready {
+		return
+	}
+	st, ok := s.answered(lead.To, Stat, s.started)
+	if !ok || st.Received.Before(most) {
+		h.ask(do, s, lead.To, Stat, 0, 30, now)
+		return
+	}
+	h.call(do, s, lead, lead.To, now)
+}
+
+func (h *Hoist) call(do *Todo, s *service, lead rack.Lead, host string, now int64) {
+	if s.calling || s.calledAt > 0 && now < s.calledAt+renew && s.called == host {
+		return
+	}
+	s.calling, s.called, s.calledAt = true, host, now
+	do.Promote = append(do.Promote, Promotion{s.name, host, h.self, lead.Fence})
+}
+
+// move carries out a move whose lead was taken back.
+func (h *Hoist) move(do *Todo, state *rack.State, s *service, lead rack.Lead, members []string, clear func(uint64) bool, now int64) {
+	if lead.Holder != h.self {
+		s.propose(do, rack.Change{Recall: &rack.Recall{Service: s.name, Holder: h.self}}, now)
+		return
+	}
+	if s.started == 0 {
+		s.started = now
+		h.Log(s.name, "a lead is taken back", lead.Host)
+	}
+	term := lead.Term + 1
+	for _, r := range s.rows {
+		if r.sent >= s.started {
+			term = max(term, r.reply.Status.Term+1)
+		}
+	}
+	// One that was named may lead by now.
+	if lead.To != "" {
+		if st, ok := s.answered(lead.To, Stat, s.started-2*settles); ok && st.Leader && st.Term > lead.Term {
+			if lead.Host != lead.To { // it need not answer
+				h.ask(do, s, lead.Host, StepDown, st.Term, again, now)
+			}
+			if clear(lead.At) {
+				h.Log(s.name, "leads", lead.To)
+				s.propose(do, rack.Change{Lead: &rack.NewLead{Service: s.name, Host: lead.To, Term: st.Term}}, now)
+			}
+			return
+		}
+		if s.called == "" || !s.calling {
+			h.ask(do, s, lead.To, Stat, 0, quick, now)
+		}
+		if s.called == lead.To && (s.calling || now < s.callEnded+settles) {
+			return
+		}
+		if s.called == "" && lead.To != "" { // an earlier holder may have called; it is looked at before others are
+			r, ok := s.rows[lead.To]
+			if _, there := state.Hosts[lead.To]; there && (!ok || r.sent < s.started || now < s.started+2*patience) {
+				return
+			}
+		}
+	}
+	if !clear(lead.At) {
+		return
+	}
+	// The old primary, where it can be reached, leads no more after this, and its log lacks nothing.
+	h.ask(do, s, lead.Host, StepDown, term, again, now)
+	old, oldKnown := s.answered(lead.Host, StepDown, s.started)
+	if oldKnown && old.Leader {
+		oldKnown = false
+	}
+	complete, best, most := true, "", scribe.Position{}
+	consider := func(m string, at scribe.Position) {
+		if state.Hosts[m].Draining || s.rejected[m] > 0 && now < s.rejected[m]+2*patience {
+			return
+		}
+		if best == "" || most.Before(at) {
+			best, most = m, at
+		}
+	}
+	for _, m := range members {
+		if m == lead.Host {
+			continue
+		}
+		st, ok := s.answered(m, Pause, s.started)
+		if !ok {
+			h.ask(do, s, m, Pause, term, again, now)
+			complete = false
+			continue
+		}
+		s.paused[m] = true
+		consider(m, st.Received)
+	}
+	if oldKnown {
+		if _, there := state.Hosts[lead.Host]; there {
+			consider(lead.Host, old.Received)
+		}
+		complete = complete || best != "" && !most.Before(old.Received)
+	}
+	if !complete || best == "" {
+		h.Counts.Waiting++
+		return
+	}
+	if best != lead.To {
+		s.propose(do, rack.Change{Named: &rack.Named{Service: s.name, Host: best, Holder: h.self}}, now)
+		return
+	}
+	h.call(do, s, lead, best, now)
+}
+
+// Active says whether any service is on the move or looked into.
+func (h *Hoist) Active(state *rack.State) bool {
+	for name, s := range h.services {
+		l := state.Leads[name]
+		if l.Moving || l.To != "" || len(s.suspect) > 0 || len(s.questions) > 0 || s.strikes > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rack/rack.go
@@ -0,0 +1,316 @@
+// Package rack (where tools hang, each in its place) is the state that the ordered log builds: the configuration, the
+// hosts, and who leads each service. Every member of the control plane and every router applies the same changes in
+// the same order, so all hold the same.
+//
+//	Change -> Encode -> log -> Decode -> State.Apply -> Result
+//
+// Pure: no socket, no clock; the same changes give the same state.
+package rack
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"slices"
+
+	"github.com/zeebo/blake3"
+
+	"ferrypitch/internal/jig"
+)
+
+// Host is a database host as it told of itself.
+type Host struct {
+	ID, Service, Address, Zone string
+	Generation                 string
+	Capacity                   int64
+	Draining                   bool
+	Since                      uint64 // the change that brought it
+}
+
+// Lead is who leads a service. While Moving is set nobody may be sent what only a primary can do.
+type Lead struct {
+	Host   string
+	Term   uint64
+	Moving bool
+	Fence  uint64 // rises with each holder of the duty
+	Holder string // the member that carries a move out
+	At     uint64 // the change that set Moving, or the lead
+	To     string // who was named to the platform last, in this move; it may have been promoted
+}
+
+// Digest names a configuration that was taken.
+type Digest struct {
+	Base, Generation int64
+	Sum              [16]byte
+}
+
+// State is what all changes up to Index have made. The zero value is the state before the first.
+type State struct {
+	Index  uint64
+	Config []byte // as Config.Read gives it; empty: none
+	Gen    int64
+	Taken  []Digest // the newest last
+	Hosts  map[string]Host
+	Leads  map[string]Lead
+	Gone   []string // ids of hosts that left, the newest last
+
+	plan *jig.Plan
+}
+
+// Most remembered of configurations taken, and of hosts that left.
+const (
+	remembered = 128
+)
+
+// Change is one entry; one of its fields is set.
+type Change struct {
+	Configure *Configure
+	Enter     *Host
+	Drain     string
+	Leave     string
+	Recall    *Recall
+	Named     *Named
+	Lead      *NewLead
+}
+
+// Configure is an operator's configuration: a whole one, or an amendment.
+type Configure struct {
+	Base  int64
+	Amend bool
+	Body  []byte
+}
+
+// Recall takes the lead of a service back: whoever had it sends nothing more that only a primary can do.
+type Recall struct{ Service, Holder string }
+
+// Named notes which host is named to the platform, before it is. Where the service is not yet recalled, the host that
+// leads goes on.
+type Named struct{ Service, Host, Holder string }
+
+// NewLead gives a service a primary.
+type NewLead struct {
+	Service, Host string
+	Term          uint64
+}
+
+// Kinds of refusals.
+var (
+	ErrOther   = errors.New("another version is in place")
+	ErrInvalid = errors.New("not valid")
+	ErrUnknown = errors.New("not known")
+)
+
+// Encode is a change as the log holds it.
+func Encode(c Change) []byte {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(c); err != nil {
+		panic(err) // its types are fixed
+	}
+	return b.Bytes()
+}
+
+// Decode reads a change.
+func Decode(b []byte) (c Change, err error) {
+	err = gob.NewDecoder(bytes.NewReader(b)).Decode(&c)
+	return c, err
+}
+
+// Snapshot is the state as bytes; maps are written in order, so equal states give equal bytes.
+func (s *State) Snapshot() []byte {
+	flat := flatState{Index: s.Index, Config: s.Config, Gen: s.Gen, Taken: s.Taken, Gone: s.Gone}
+	for _, id := range slices.Sorted(maps.Keys(s.Hosts)) {
+		flat.Hosts = append(flat.Hosts, s.Hosts[id])
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Leads)) {
+		flat.Names, flat.Leads = append(flat.Names, name), append(flat.Leads, s.Leads[name])
+	}
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(flat); err != nil {
+		panic(err)
+	}
+	return b.Bytes()
+}
+
+type flatState struct {
+	Index  uint64
+	Config []byte
+	Gen    int64
+	Taken  []Digest
+	Hosts  []Host
+	Names  []string
+	Leads  []Lead
+	Gone   []string
+}
+
+// Restore reads a snapshot.
+func Restore(b []byte) (*State, error) {
+	s := &State{}
+	if len(b) == 0 {
+		return s, nil
+	}
+	var flat flatState
+	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(&flat); err != nil {
+		return nil, err
+	}
+	if len(flat.Names) != len(flat.Leads) {
+		return nil, fmt.Errorf("a snapshot: %d services with %d leads", len(flat.Names), len(flat.Leads))
+	}
+	s.Index, s.Config, s.Gen, s.Taken, s.Gone = flat.Index, flat.Config, flat.Gen, flat.Taken, flat.Gone
+	for _, h := range flat.Hosts {
+		s.host(h)
+	}
+	for i, n := range flat.Names {
+		s.lead(n, flat.Leads[i])
+	}
+	if len(s.Config) > 0 {
+		p, err := jig.Read(s.Config)
+		if err != nil {
+			return nil, fmt.Errorf("a snapshot: its configuration: %w", err)
+		}
+		s.plan = p
+	}
+	return s, nil
+}
+
+// Sum is the same for equal states.
+func (s *State) Sum() uint32 { return crc32.ChecksumIEEE(s.Snapshot()) }
+
+// Plan is the configuration in force; nil: none.
+func (s *State) Plan() *jig.Plan { return s.plan }
+
+func (s *State) host(h Host) {
+	if s.Hosts == nil {
+		s.Hosts = map[string]Host{}
+	}
+	s.Hosts[h.ID] = h
+}
+
+func (s *State) lead(name string, l Lead) {
+	if s.Leads == nil {
+		s.Leads = map[string]Lead{}
+	}
+	s.Leads[name] = l
+}
+
+// Members are the ids of a service's hosts, in order.
+func (s *State) Members(service string) (ids []string) {
+	for id, h := range s.Hosts {
+		if h.Service == service {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Check says what a configuration sent now would meet, without taking it: nil and the plan; nil and none where the
+// same was taken before; or why not.
+func (s *State) Check(c *Configure) (*jig.Plan, error) {
+	sum := digest(c)
+	for _, t := range s.Taken {
+		if t.Sum == sum && t.Base == c.Base {
+			return nil, nil
+		}
+	}
+	if c.Base != s.Gen {
+		return nil, fmt.Errorf("%w: %d is, the change builds on %d", ErrOther, s.Gen, c.Base)
+	}
+	var plan *jig.Plan
+	var err error
+	switch {
+	case c.Amend && len(s.Config) == 0:
+		err = errors.New("nothing to amend")
+	case c.Amend:
+		plan, err = jig.Amend(s.Config, c.Body)
+	default:
+		plan, err = jig.Read(c.Body)
+	}
+	if err == nil && (plan.Generation <= s.Gen) {
+		err = fmt.Errorf("Generation: %d: not above %d", plan.Generation, s.Gen)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return plan, nil
+}
+
+func digest(c *Configure) (sum [16]byte) {
+	h := blake3.New()
+	if c.Amend {
+		h.Write([]byte{1})
+	}
+	h.Write(c.Body)
+	copy(sum[:], h.Sum(nil))
+	return sum
+}
+
+// Apply takes in the change at an index. The error tells whoever proposed it why it changed nothing; changes at or
+// before Index are passed over.
+func (s *State) Apply(index uint64, c Change) error {
+	if index <= s.Index {
+		return nil
+	}
+	s.Index = index
+	switch {
+	case c.Configure != nil:
+		plan, err := s.Check(c.Configure)
+		if err != nil || plan == nil {
+			return err
+		}
+		s.plan, s.Config, s.Gen = plan, plan.Body, plan.Generation
+		s.Taken = append(s.Taken, Digest{c.Configure.Base, plan.Generation, digest(c.Configure)})
+		s.Taken = s.Taken[max(0, len(s.Taken)-remembered):]
+	case c.Enter != nil:
+		h := *c.Enter
+		if slices.Contains(s.Gone, h.ID) {
+			return fmt.Errorf("%w: %s has left", ErrUnknown, h.ID)
+		}
+		was, known := s.Hosts[h.ID]
+		h.Since = index
+		if known {
+			h.Since, h.Draining = was.Since, was.Draining || h.Draining
+		}
+		s.host(h)
+	case c.Drain != "":
+		h, known := s.Hosts[c.Drain]
+		if !known {
+			return fmt.Errorf("%w: %s", ErrUnknown, c.Drain)
+		}
+		h.Draining = true
+		s.host(h)
+	case c.Leave != "":
+		if _, known := s.Hosts[c.Leave]; known {
+			delete(s.Hosts, c.Leave)
+			s.Gone = append(s.Gone, c.Leave)
+			s.Gone = s.Gone[max(0, len(s.Gone)-remembered):]
+		}
+	case c.Recall != nil:
+		l := s.Leads[c.Recall.Service]
+		if !l.Moving {
+			l.Moving, l.At = true, index
+		}
+		if l.Holder != c.Recall.Holder || l.Fence == 0 {
+			l.Holder, l.Fence = c.Recall.Holder, index
+		}
+		s.lead(c.Recall.Service, l)
+	case c.Named != nil:
+		l := s.Leads[c.Named.Service]
+		l.To = c.Named.Host
+		if l.Holder != c.Named.Holder || l.Fence == 0 {
+			l.Holder, l.Fence = c.Named.Holder, index
+		}
+		s.lead(c.Named.Service, l)
+	case c.Lead != nil:
+		l := s.Leads[c.Lead.Service]
+		l.Host, l.Term, l.Moving, l.To, l.At = c.Lead.Host, max(l.Term, c.Lead.Term), false, "", index
+		s.lead(c.Lead.Service, l)
+	}
+	return nil
+}
+
+// Rank orders hosts of a service by id, for where nothing else does.
+func Rank(a, b Host) int { return cmp.Compare(a.ID, b.ID) }
--- a/internal/routing/counts.go
+++ b/internal/routing/counts.go
@@ -31,7 +31,7 @@
 		zap.Int64("lists", c.Lists.Load()), zap.Int64("stale_lists", c.Stale.Load()),
 		zap.Int64("list_asks", c.Asks.Load()), zap.Int64("list_asks_failed", c.Unlists.Load()),
 		zap.Int64("hosts_held", c.Held.Load()), zap.Int64("hosts_forgotten", c.Forgotten.Load()),
-		zap.Int64("panics", c.Panics.Load()), zap.Int64("stalls", c.Stalls.Load()), zap.Int("queued", r.queue.length()),
+		zap.Int64("panics", c.Panics.Load()), zap.Int64("stalls", c.Stalls.Load()), zap.Int("queued", r.queue.Length()),
 	}
 	for i := range c.Outcomes {
 		fields = append(fields, zap.Int64("outcome_"+rules.Outcome(i).String(), c.Outcomes[i].Load()))
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/catalog"
 	"ferrypitch/internal/setup"
 	"ferrypitch/internal/tier/link"
@@ -91,7 +92,7 @@
 // Told takes in what is new in a view, from any goroutine: hosts as they are now, names of those that it dropped,
 // how many routers there are, and whether any planner is there. Lists that are held are the view's alone.
 func (r *Router) Told(hosts []view.Host, dropped []string, routers int, blind bool) {
-	r.queue.put(lists, func() {
+	r.queue.Put(arbor.Lists, func() {
 		for _, name := range dropped {
 			if h := r.hosts[name]; h != nil {
 				gone := h.Host
@@ -120,7 +121,7 @@
 // Report hands over what answers said of hosts since the last report, from any goroutine; nil once stopped.
 func (r *Router) Report() []link.Heard {
 	got := make(chan []link.Heard, 1)
-	if !r.queue.put(lists, func() {
+	if !r.queue.Put(arbor.Lists, func() {
 		var all []link.Heard
 		for _, h := range r.hosts {
 			h.heard.Evidence = h.said
@@ -136,7 +137,7 @@
 	select {
 	case all := <-got:
 		return all
-	case <-r.queue.ended:
+	case <-r.queue.Ended:
 		return nil
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/clock"
 	"ferrypitch/internal/protocol"
 	"ferrypitch/internal/setup"
@@ -26,7 +27,7 @@
 type Router struct {
 	start *setup.Start
 	log   *zap.Logger
-	queue *queue
+	queue *arbor.Queue
 	clock *clock.Clock
 	pool  *transport.Hosts
 	tell  func(body string)
@@ -41,7 +42,7 @@
 	groups map[*rules.CmdGroup]int
 	cmds   map[string]*command
 	slots  map[*transport.Slot]*command // of commands that are owed an answer
-	due    deadlines
+	due    arbor.Timers[*sending]
 	wakeAt time.Time
 	stepAt time.Time // when the owner last went on
 	listed bool
@@ -65,7 +66,7 @@
 
 // New makes a router that knows the list of the last run, if there was one. trace may be nil.
 func New(s *setup.Start, pool *transport.Hosts, tell func(string), trace *record.Recorder, log *zap.Logger) (*Router, error) {
-	r := &Router{start: s, log: log, queue: newQueue(s.Limits.Backlog), clock: clock.New(time.Now), pool: pool,
+	r := &Router{start: s, log: log, queue: arbor.NewQueue(s.Limits.Backlog), clock: clock.New(time.Now), pool: pool,
 		tell: tell, trace: trace, hosts: map[string]*host{}, nodes: map[*rules.Node]*host{}, sets: map[int64]bool{}, groups: map[*rules.CmdGroup]int{}, cmds: map[string]*command{},
 		slots: map[*transport.Slot]*command{}, began: time.Now()}
 	r.rev.Store(-1)
@@ -105,7 +106,7 @@
 	}
 	longest := clock.Span(g.Timeout) // nobody waits for longer, whatever is said
 	until := at.Add(min(time.Duration(min(wait, 1e9)*float64(time.Millisecond)), longest) - r.start.Limits.Early)
-	if !r.queue.put(commands, func() { r.command(s, statement, g, id, key, set, until, after, again) }) {
+	if !r.queue.Put(arbor.Commands, func() { r.command(s, statement, g, id, key, set, until, after, again) }) {
 		s.Fail(protocol.Failed, errStopped.Error())
 	}
 }
@@ -117,7 +118,7 @@
 }
 
 func (r *Router) Empty(s *transport.Slot) {
-	r.queue.put(commands, func() {
+	r.queue.Put(arbor.Commands, func() {
 		if r.listed {
 			s.Empty()
 		} else {
@@ -127,7 +128,7 @@
 }
 
 func (r *Router) Left(s *transport.Slot) {
-	r.queue.put(outcomes, func() {
+	r.queue.Put(arbor.Outcomes, func() {
 		if c := r.slots[s]; c != nil {
 			r.Gone.Add(1)
 			r.final(c)
@@ -142,7 +143,7 @@
 // that speaks for the first time.
 func (r *Router) List(line []byte, anew bool) error {
 	told := make(chan error, 1)
-	if !r.queue.put(lists, func() {
+	if !r.queue.Put(arbor.Lists, func() {
 		o, err := setup.Decode("", line)
 		if err == nil {
 			err = r.list(o, anew)
@@ -154,14 +155,14 @@
 	select {
 	case err := <-told:
 		return err
-	case <-r.queue.ended:
+	case <-r.queue.Ended:
 		return errStopped
 	}
 }
 
 // Unlisted tells that a list that was asked for did not come, or comes no more. What is held serves on.
 func (r *Router) Unlisted() {
-	r.queue.put(lists, func() {
+	r.queue.Put(arbor.Lists, func() {
 		r.Unlists.Add(1)
 		r.moment()
 		r.trace.Unlisted()
@@ -170,7 +171,7 @@
 }
 
 func (r *Router) Heard(body string) {
-	r.queue.put(commands, func() {
+	r.queue.Put(arbor.Commands, func() {
 		r.moment()
 		r.trace.Heard(body)
 		r.rules.Heard(body)
@@ -180,7 +181,7 @@
 // Reloaded notes, for whoever captures, that the configuration was read again, and whether it was good.
 func (r *Router) Reloaded(ok bool) {
 	if r.trace != nil {
-		r.queue.put(lists, func() {
+		r.queue.Put(arbor.Lists, func() {
 			r.moment()
 			r.trace.Reload(ok)
 		})
@@ -190,17 +191,17 @@
 // Stop fails what is owed, when time is up.
 func (r *Router) Stop() {
 	done := make(chan struct{})
-	if r.queue.put(outcomes, func() { r.failAll(); close(done) }) {
+	if r.queue.Put(arbor.Outcomes, func() { r.failAll(); close(done) }) {
 		select {
 		case <-done:
-		case <-r.queue.ended:
+		case <-r.queue.Ended:
 		}
 	}
 }
 
 // Run owns the module until the context ends.
 func (r *Router) Run(ctx context.Context) error {
-	defer r.queue.close()
+	defer r.queue.Close()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	r.stepAt = time.Now()
@@ -209,7 +210,7 @@
 		case <-ctx.Done():
 			r.trace.Flush()
 			return nil
-		case <-r.queue.ready:
+		case <-r.queue.Ready:
 		case <-timer.C:
 		}
 		r.catchUp()
@@ -236,8 +237,8 @@
 	if !r.wakeAt.IsZero() && r.wakeAt.Before(next) {
 		next = r.wakeAt
 	}
-	if len(r.due) > 0 && r.due[0].until.Before(next) {
-		next = r.due[0].until
+	if first := r.due.First(); first != nil && first.Until.Before(next) {
+		next = first.Until
 	}
 	return next
 }
@@ -245,16 +246,16 @@
 // step does what comes first of all that is due now, and says whether there was anything.
 func (r *Router) step() bool {
 	r.stepAt = time.Now()
-	if do := r.queue.take(lists); do != nil {
+	if do := r.queue.Take(arbor.Lists); do != nil {
 		do()
 		return true
 	}
-	if do := r.queue.take(outcomes); do != nil {
+	if do := r.queue.Take(arbor.Outcomes); do != nil {
 		do()
 		return true
 	}
-	if len(r.due) > 0 && !r.stepAt.Before(r.due[0].until) {
-		r.expire(r.due[0])
+	if first := r.due.First(); first != nil && !r.stepAt.Before(first.Until) {
+		r.expire(first.What)
 		return true
 	}
 	if !r.wakeAt.IsZero() && !r.stepAt.Before(r.wakeAt) {
@@ -272,7 +273,7 @@
 		}
 		r.asking = nil
 	}
-	if do := r.queue.take(commands); do != nil {
+	if do := r.queue.Take(arbor.Commands); do != nil {
 		do()
 		return true
 	}
@@ -306,9 +307,9 @@
 
 // failAll gives up on all that is out, and answers what is owed.
 func (r *Router) failAll() {
-	for _, s := range r.due {
-		s.over = true
-		s.call.Abandon()
+	for _, t := range r.due.All() {
+		t.What.over = true
+		t.What.call.Abandon()
 	}
 	for _, c := range r.cmds {
 		if c.slot != nil {
@@ -316,7 +317,7 @@
 			c.slot.Fail(protocol.Failed, "the router has given up on the command")
 		}
 	}
-	r.due = nil
+	r.due.Clear()
 	clear(r.cmds)
 	clear(r.slots)
 	clear(r.nodes)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/clock"
 	"ferrypitch/internal/protocol"
 	"ferrypitch/internal/setup"
@@ -73,7 +74,7 @@
 		t.Errorf("given up while held: %q", code)
 	}
 	left := make(chan int)
-	r.queue.put(outcomes, func() { left <- len(r.cmds) + len(r.slots) })
+	r.queue.Put(arbor.Outcomes, func() { left <- len(r.cmds) + len(r.slots) })
 	if n := <-left; n != 0 {
 		t.Errorf("%d are kept of a command that was given up while held", n)
 	}
@@ -82,7 +83,7 @@
 	for r.Taken.Load() < 2 {
 		time.Sleep(time.Millisecond)
 	}
-	r.queue.put(commands, func() { panic("a fault of the module") })
+	r.queue.Put(arbor.Commands, func() { panic("a fault of the module") })
 	if _, code := answer(); code != protocol.Failed {
 		t.Errorf("the held command ends with %q", code)
 	}
@@ -93,7 +94,7 @@
 	end()
 	<-done
 	<-done
-	if r.Panics.Load() != 1 || r.Failed.Load() != 1 || len(r.nodes) != 1 || len(r.cmds)+len(r.slots)+len(r.due) != 0 {
+	if r.Panics.Load() != 1 || r.Failed.Load() != 1 || len(r.nodes) != 1 || len(r.cmds)+len(r.slots)+len(r.due.All()) != 0 {
 		t.Errorf("%d panics, %d failed, %d nodes, %d commands", r.Panics.Load(), r.Failed.Load(), len(r.nodes), len(r.cmds))
 	}
 }
@@ -143,33 +144,33 @@
 }
 
 func TestListsComeBeforeOutcomesAndThoseBeforeCommands(t *testing.T) {
-	q, order := newQueue(2), ""
-	for _, r := range []rank{commands, outcomes, outcomes, outcomes, lists} {
-		q.put(r, func() { order += string(rune('0' + r)) })
+	q, order := arbor.NewQueue(2), ""
+	for _, r := range []arbor.Rank{arbor.Commands, arbor.Outcomes, arbor.Outcomes, arbor.Outcomes, arbor.Lists} {
+		q.Put(r, func() { order += string(rune('0' + r)) })
 	}
-	for _, r := range []rank{lists, outcomes, commands} {
-		for do := q.take(r); do != nil; do = q.take(r) {
+	for _, r := range []arbor.Rank{arbor.Lists, arbor.Outcomes, arbor.Commands} {
+		for do := q.Take(r); do != nil; do = q.Take(r) {
 			do()
 		}
 	}
 	if order != "01112" {
 		t.Error(order)
 	}
-	q.put(commands, func() {})
-	q.put(commands, func() {})
+	q.Put(arbor.Commands, func() {})
+	q.Put(arbor.Commands, func() {})
 	waited := make(chan bool)
-	go func() { waited <- q.put(commands, func() {}) }()
+	go func() { waited <- q.Put(arbor.Commands, func() {}) }()
 	select {
 	case <-waited:
 		t.Error("a full queue takes a command")
 	default:
 	}
-	q.take(commands)
-	if !<-waited || q.length() != 2 {
+	q.Take(arbor.Commands)
+	if !<-waited || q.Length() != 2 {
 		t.Error("the command that waited is lost")
 	}
-	q.close()
-	if q.put(outcomes, func() {}) {
+	q.Close()
+	if q.Put(arbor.Outcomes, func() {}) {
 		t.Error("a closed queue takes")
 	}
 }
--- a/rules/door.go
+++ b/rules/door.go
@@ -98,6 +98,7 @@
 	Kept       bool  // sessions bring no write time, only this router's memory counts
 	Reports    bool  // probes, at least, bring positions
 	Probes     bool
+	Led        bool    // who the primary is comes by Leads alone: no other is tried for writes
 	Told       bool    // lives by the views of planners: what is new comes by Told, and Count says how many share it
 	Peers      bool    // routers may tell each other
 	PeerPrice  float64 // what a full message (256 bytes) a command takes off the service
@@ -137,6 +138,21 @@
 // Cmd.Left on its handle; Node.Reported and Node.Probed; Node.Told and
 // Router.Count; Router.Heard; Router.Woke.
 
+// Group readies a command group that was not there at start.
+func (r *Router) Group(g *CmdGroup) *CmdGroup {
+	g.latency, g.count = float64(g.Target)/3, 1
+	return g
+}
+
+// Leads says that a host is the primary of its set from now on, or no longer.
+func (n *Node) Leads(yes bool) {
+	role := Replica
+	if yes {
+		role = Primary
+	}
+	n.is(role, n.set.r.now)
+}
+
 // Lateness is the word that Told takes for a view's: one more than the tenths of the response target, 0 for not known.
 func Lateness(late uint8) Tenth {
 	if late == 0 {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -343,8 +343,8 @@
 // write sends to the primary. With none known, or that one silent, members are tried, one every few ticks.
 func (c *Cmd) write() bool {
 	s, r := c.set, c.set.r
-	if p := s.primary; p != nil && !p.left {
-		return p.open(c, 1) && c.lucky(p.share) && c.dispatch(p, 0)
+	if p := s.primary; p != nil && !p.left || r.Led {
+		return p != nil && p.open(c, 1) && c.lucky(p.share) && c.dispatch(p, 0)
 	}
 	for i := 0; i < len(s.members) && r.now >= s.lookAt && 2*c.Sent < r.Dispatches; i++ {
 		n := s.members[s.next%len(s.members)]
@@ -398,7 +398,7 @@
 	case n.standing != In || n.dark || r.now < n.trialAt || n.cold() && !n.budget(c, part):
 		return false
 	case n.left: // one replayable command at a time finds out whether it is back
-		return c.group.Effect == Replayable && len(c.tried) == 0
+		return (c.group.Effect == Replayable || r.Led) && len(c.tried) == 0
 	case r.now >= c.target && c.group.LateShare == 0:
 		part /= 2 // it can earn nothing: what is spare will do
 	}
