Members that all start anew elect at once; sessions that come early wait to be greeted

Ruled out: routers' links and leases (ready 60 ms after a leader led). Change: a candidate that hears from every member that its present life heard no leader needs wait for no promise, since none can lead; whether votes would be had is asked at once; the promise is 0.7 s; a session that comes before its router is in touch is greeted once it is, within 0.9 s.

--- a/internal/headstock/headstock.go
+++ b/internal/headstock/headstock.go
@@ -56,6 +56,7 @@
 	routes     map[string]*route
 	calls      map[string]*call
 	sessions   map[*session]struct{}
+	early      []early // sessions that came before this router was in touch
 	serial     uint64
 	plan       *jig.Plan
 	leaving    bool // SIGTERM has come
@@ -273,6 +274,7 @@
 		h.ready.Store(ready)
 		h.log.Info("ready", "is", ready)
 	}
+	h.greetEarly(now)
 	for _, n := range h.hosts {
 		n.trim(now)
 	}
--- a/internal/headstock/news.go
+++ b/internal/headstock/news.go
@@ -218,6 +218,7 @@
 	if l.Routers > 0 {
 		h.routers = l.Routers
 	}
+	h.rounds(time.Now())
 }
 
 // news takes in changes, in their order.
--- a/internal/headstock/sessions.go
+++ b/internal/headstock/sessions.go
@@ -151,6 +151,39 @@
 	s.database = database
 	h.serial++
 	s.key = number(h.serial)
+	if !h.inTouch() && len(h.early) < mostEarly && !h.leaving {
+		h.early = append(h.early, early{s, database, time.Now()}) // it may be in touch before the client goes
+		return
+	}
+	h.greet(s, database)
+}
+
+// early is a session that came before this router was in touch.
+type early struct {
+	session  *session
+	database string
+	at       time.Time
+}
+
+const (
+	mostEarly = 2048
+	earlyFor  = 900 * time.Millisecond
+)
+
+// greetEarly greets those that wait, once this router is in touch, or when they have waited for long enough.
+func (h *Headstock) greetEarly(now time.Time) {
+	touch := h.inTouch()
+	for len(h.early) > 0 && (touch || now.Sub(h.early[0].at) > earlyFor) {
+		e := h.early[0]
+		h.early = h.early[1:]
+		h.greet(e.session, e.database)
+	}
+}
+
+func (h *Headstock) greet(s *session, database string) {
+	if s.closed {
+		return
+	}
 	if h.routes[database] == nil {
 		if !h.inTouch() {
 			h.final(s, scribe.AppendError(nil, scribe.Retry, "this router has no configuration that is known to be in force; 500"))
--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -73,6 +73,7 @@
 	Try      bool // of Ask and Vote
 	Yielded  bool // of Ask: the leader that was promised to has handed over
 	Granted  bool
+	Fresh    bool // of Vote: no leader was heard in this life; of Ask: all members have said so
 }
 
 // Out is what a call asks for. Messages that wait for a disk come out of Saved.
@@ -102,7 +103,7 @@
 
 // Usual are terms for a network of a few milliseconds.
 func Usual(lost int) Terms {
-	return Terms{Promise: 1000, Beat: 150, Jitter: 400, Again: 400, Gone: 2500, Lost: lost}
+	return Terms{Promise: 700, Beat: 130, Jitter: 200, Again: 400, Gone: 2500, Lost: lost}
 }
 
 type role uint8
@@ -157,6 +158,9 @@
 	try      bool
 	yielded  bool
 	votes    map[ID]bool
+	fresh    map[ID]bool // members that have heard no leader in their present lives
+	heard    bool        // a leader was, in this life, or this one led
+	allFresh bool
 	peers    map[ID]*progress
 	began    uint64 // the index of this leader's first entry
 	beatAt   int64
@@ -188,7 +192,7 @@
 			c.configs = append(c.configs, config{c.base.Index + uint64(i) + 1, e.Members})
 		}
 	}
-	c.rest()
+	c.askAt = now + c.Beat/2 + int64(c.chance()*float64(c.Jitter)/2)
 	return c
 }
 
@@ -277,6 +281,18 @@
 	return true
 }
 
+func (c *Core) all(has func(ID) bool) bool {
+	n := 0
+	for _, g := range c.active() {
+		for _, m := range g.members {
+			if n++; !has(m) {
+				return false
+			}
+		}
+	}
+	return n > 0
+}
+
 func (c *Core) member(id ID) bool {
 	for _, g := range c.active() {
 		if slices.Contains(g.members, id) {
@@ -569,10 +585,12 @@
 // ask begins an election: first whether votes would be had, then for them.
 func (c *Core) ask(try, yielded bool) {
 	c.role, c.leader, c.try, c.yielded = candidate, "", try, yielded
-	c.votes = map[ID]bool{c.id: try}
-	c.rest()
+	c.votes, c.fresh = map[ID]bool{c.id: try}, map[ID]bool{c.id: !c.heard}
+	if c.rest(); try { // asking whether votes would be had harms nobody
+		c.askAt = c.now + c.Beat/2 + int64(c.chance()*float64(c.Jitter)/2)
+	}
 	view, _ := c.viewAt(c.last())
-	m := Message{Kind: Ask, Index: c.last(), Prev: view, Try: try, Yielded: yielded}
+	m := Message{Kind: Ask, Index: c.last(), Prev: view, Try: try, Yielded: yielded, Fresh: c.allFresh && !try}
 	to := map[ID]bool{}
 	for _, g := range c.active() {
 		for _, id := range g.members {
@@ -605,6 +623,12 @@
 }
 
 func (c *Core) elected() {
+	// Where all members are in lives in which none has heard a leader, none leads: there is no promise to wait out.
+	c.allFresh = c.try && c.all(func(id ID) bool { return c.fresh[id] })
+	if c.role == candidate && c.allFresh {
+		c.ask(false, false)
+		return
+	}
 	if c.role != candidate || !c.majority(func(id ID) bool { return c.votes[id] }) {
 		return
 	}
@@ -612,6 +636,7 @@
 		c.ask(false, c.yielded)
 		return
 	}
+	c.heard = true
 	c.role, c.leader, c.ceded, c.beatAt, c.ledAt = leader, c.id, false, c.now, c.now
 	c.peers = map[ID]*progress{}
 	c.follow()
@@ -663,8 +688,9 @@
 		return
 	}
 	if m.Kind == Vote && m.Try {
-		if c.role == candidate && c.try && m.Granted {
-			c.votes[m.From] = true
+		if c.role == candidate && c.try {
+			c.votes[m.From] = c.votes[m.From] || m.Granted
+			c.fresh[m.From] = m.Fresh
 			c.elected()
 		}
 		return
@@ -695,7 +721,7 @@
 		if c.role != follower || c.leader != m.From {
 			c.fall(m.From)
 		}
-		c.heardAt = c.now
+		c.heardAt, c.heard = c.now, true
 		c.rest()
 	}
 	switch m.Kind {
@@ -821,12 +847,12 @@
 	if m.Yielded && m.From != "" && c.role == follower && c.now >= c.startedAt+c.Promise {
 		bound = false
 	}
-	if m.Yielded && c.role == leader && c.ceded {
+	if m.Yielded && c.role == leader && c.ceded || m.Fresh && !c.heard {
 		bound = false
 	}
 	if m.Try {
 		newer := m.View+1 > c.meta.View
-		c.send(Message{Kind: Vote, To: m.From, Try: true, Granted: !bound && upToDate && newer})
+		c.send(Message{Kind: Vote, To: m.From, Try: true, Granted: !bound && upToDate && newer, Fresh: !c.heard && upToDate})
 		return
 	}
 	if bound || m.View < c.meta.View {
@@ -835,7 +861,7 @@
 	if m.View > c.meta.View {
 		c.meta = Meta{View: m.View}
 		c.fall("")
-	} else if c.meta.Vote != "" && c.meta.Vote != m.From || c.role != follower {
+	} else if c.meta.Vote != "" && c.meta.Vote != m.From || c.role == leader {
 		return
 	}
 	if !upToDate {
