A member remembers which change of members was delivered

Ruled out: disks (both survivors held the log to its end). Change: Meta.Settled is put on disk once a change of members is delivered.

--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -21,8 +21,9 @@
 
 // Meta is what a member has promised.
 type Meta struct {
-	View uint64
-	Vote ID
+	View    uint64
+	Vote    ID
+	Settled uint64 // the newest change of members that is known to be delivered
 }
 
 // Snapshot stands for all entries up to Index.
@@ -260,7 +261,7 @@
 // active are the configurations that must each agree: the newest delivered one and all behind it.
 func (c *Core) active() []config {
 	i := 0
-	for i+1 < len(c.configs) && c.configs[i+1].index <= c.commit {
+	for i+1 < len(c.configs) && c.configs[i+1].index <= max(c.commit, c.meta.Settled) {
 		i++
 	}
 	return c.configs[i:]
@@ -479,6 +480,11 @@
 	}
 	for len(c.configs) > 1 && c.configs[1].index <= c.commit {
 		c.configs = c.configs[1:]
+		if at := c.configs[0].index; at > c.meta.Settled { // else a new life would have to ask those who are out
+			c.meta.Settled = at
+			meta := c.meta
+			c.write(Write{Meta: &meta})
+		}
 	}
 	c.follow()
 	if c.role == leader && !c.member(c.id) { // it led until it was out
@@ -612,7 +618,7 @@
 		c.elected()
 		return
 	}
-	c.meta = Meta{View: c.meta.View + 1, Vote: c.id}
+	c.meta.View, c.meta.Vote = c.meta.View+1, c.id
 	meta := c.meta
 	messages := []Message{{Kind: Vote, To: c.id, Granted: true}}
 	for _, id := range all {
@@ -702,7 +708,7 @@
 		}
 		return
 	case m.View > c.meta.View:
-		c.meta = Meta{View: m.View}
+		c.meta.View, c.meta.Vote = m.View, ""
 		meta := c.meta
 		c.write(Write{Meta: &meta})
 		c.fall("")
@@ -859,7 +865,7 @@
 		return
 	}
 	if m.View > c.meta.View {
-		c.meta = Meta{View: m.View}
+		c.meta.View, c.meta.Vote = m.View, ""
 		c.fall("")
 	} else if c.meta.Vote != "" && c.meta.Vote != m.From || c.role == leader {
 		return
