Whole routers on a simulated network; one host at a time is named by fail-over

Change: hoist considers draining replicas by position first; nothing is called while a proposal is out; after a call only that host is watched until its time is over; a host seen to lead in a greater term gets the lead, whoever was named; a planned move wants all other replicas PAUSEd, else writes are stopped first, and they are PAUSEd again while it goes on. headstock has its sockets, time and dialling handed in.

--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -77,7 +77,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	tasks, ctx := errgroup.WithContext(ctx)
-	f := &Forge{plate: plate, log: log, clock: arbor.NewSteady(), queue: arbor.NewQueue(512), ctx: ctx, tasks: tasks,
+	f := &Forge{plate: plate, log: log, clock: arbor.NewSteady(time.Now), queue: arbor.NewQueue(512), ctx: ctx, tasks: tasks,
 		disk: make(chan []ratchet.Write, 1024), routers: map[*router]struct{}{}, waiting: map[uint64]waiter{},
 		passed: map[uint64]func(belt.Answer){}, seqs: map[string]int64{}}
 	if err := f.restore(); err != nil {
--- a/internal/headstock/calls.go
+++ b/internal/headstock/calls.go
@@ -86,7 +86,7 @@
 	default:
 		c.group = r.fresh // no floor is known, or none is allowed
 	}
-	timeout := now + rules.Tenth(time.Until(c.until)/(100*time.Microsecond))
+	timeout := now + rules.Tenth(c.until.Sub(h.clock.Time())/(100*time.Microsecond))
 	h.serial++
 	c.name = number(h.serial)
 	h.calls[c.name] = c
@@ -108,7 +108,7 @@
 	c.handle = handle
 	c.host, c.conn, c.sent, c.over, c.ready = h.nodes[n], nil, false, false, false
 	until := c.until
-	if at := time.Now().Add(time.Duration(timeout) * 100 * time.Microsecond); timeout > 0 && at.Before(until) {
+	if at := h.clock.Time().Add(time.Duration(timeout) * 100 * time.Microsecond); timeout > 0 && at.Before(until) {
 		until = at
 	}
 	h.Dispatched.Add(1)
@@ -165,7 +165,7 @@
 		}
 		b = scribe.AppendFenced(nil, c.request.ID, floor, c.step.Text)
 	}
-	c.sentAt, c.sent, c.wroteAt = now, true, time.Now()
+	c.sentAt, c.sent, c.wroteAt = now, true, h.clock.Time()
 	if n, ok := k.out.write(b); !ok {
 		c.sent = n == len(b) // never whole, so it never ran
 		h.later = append(h.later, func() { h.broken(k) })
--- a/internal/headstock/headstock.go
+++ b/internal/headstock/headstock.go
@@ -68,6 +68,8 @@
 	handedBack bool      // a lead was, since it was last told how far the log was applied
 
 	link           *link
+	dial           func(n *host, asked rules.Tenth, lead uint64) // ends in host.opened
+	say            func(*belt.Frame)                             // to the member that leads, if there is one
 	ready          atomic.Bool
 	listenerClosed chan struct{}
 
@@ -135,13 +137,10 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	h := &Headstock{plate: plate, log: log, clock: arbor.NewSteady(), queue: arbor.NewQueue(2048), ctx: ctx, life: rand.Uint64() | 1,
-		state: &rack.State{}, routers: 12, hosts: map[string]*host{}, nodes: map[*rules.Node]*host{}, services: map[string]*service{},
-		routes: map[string]*route{}, calls: map[string]*call{}, sessions: map[*session]struct{}{}, listenerClosed: make(chan struct{})}
-	h.module = rules.New(h, rules.Deployment{Seed: rand.Uint32(), Tick: 50, Routers: 1, Zone: plate.Zone, Dispatches: 3, Guarded: true,
-		Kept: true, Probes: true, Led: true, Streams: 1, IdleFor: rules.Tenth(idleFor / (100 * time.Microsecond)),
-		ConnectFor: rules.Tenth(connectFor / (100 * time.Microsecond)), Comeback: 2000, FallFactor: 1e6, ColdFrom: 1, ProbePrice: 0.01}, h.moment())
+	h := newHeadstock(plate, log, arbor.NewSteady(time.Now), rand.Uint64())
+	h.ctx = ctx
 	h.link = &link{h: h, out: make(chan *belt.Frame, 256)}
+	h.dial, h.say = h.dialer, h.link.say
 	lc := net.ListenConfig{KeepAlive: 15 * time.Second}
 	front, err := lc.Listen(ctx, "tcp", plate.Listen.Front)
 	if err != nil {
@@ -164,11 +163,11 @@
 	end()
 	<-owner
 	for s := range h.sessions {
-		s.conn.Close()
+		s.out.close()
 	}
 	for _, n := range h.hosts {
 		for k := range n.all {
-			k.conn.Close()
+			k.out.close()
 		}
 	}
 	done := make(chan struct{})
@@ -181,6 +180,17 @@
 	return nil
 }
 
+// newHeadstock readies a router without its sockets.
+func newHeadstock(plate *nameplate.Plate, log hclog.Logger, clock arbor.Steady, seed uint64) *Headstock {
+	h := &Headstock{plate: plate, log: log, clock: clock, queue: arbor.NewQueue(2048), life: seed | 1,
+		state: &rack.State{}, routers: 12, hosts: map[string]*host{}, nodes: map[*rules.Node]*host{}, services: map[string]*service{},
+		routes: map[string]*route{}, calls: map[string]*call{}, sessions: map[*session]struct{}{}, listenerClosed: make(chan struct{})}
+	h.module = rules.New(h, rules.Deployment{Seed: uint32(seed), Tick: 50, Routers: 1, Zone: plate.Zone, Dispatches: 3, Guarded: true,
+		Kept: true, Probes: true, Led: true, Streams: 1, IdleFor: rules.Tenth(idleFor / (100 * time.Microsecond)),
+		ConnectFor: rules.Tenth(connectFor / (100 * time.Microsecond)), Comeback: 2000, FallFactor: 1e6, ColdFrom: 1, ProbePrice: 0.01}, h.moment())
+	return h
+}
+
 // readiness answers the platform.
 func (h *Headstock) readiness(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/readiness" {
@@ -215,15 +225,20 @@
 		}
 		for h.step() {
 		}
-		next := time.Now().Add(pulse)
-		if first := h.due.First(); first != nil && first.Until.Before(next) {
-			next = first.Until
-		}
-		if !h.wakeAt.IsZero() && h.wakeAt.Before(next) {
-			next = h.wakeAt
-		}
-		t.Reset(max(0, time.Until(next)))
+		t.Reset(max(0, time.Until(h.dueAt())))
+	}
+}
+
+// dueAt is when something is due.
+func (h *Headstock) dueAt() time.Time {
+	next := h.clock.Time().Add(pulse)
+	if first := h.due.First(); first != nil && first.Until.Before(next) {
+		next = first.Until
+	}
+	if !h.wakeAt.IsZero() && h.wakeAt.Before(next) {
+		next = h.wakeAt
 	}
+	return next
 }
 
 // step does what comes first of all that is due.
@@ -235,7 +250,7 @@
 			return true
 		}
 	}
-	now := time.Now()
+	now := h.clock.Time()
 	if first := h.due.First(); first != nil && !now.Before(first.Until) {
 		h.due.Remove(first)
 		first.What()
@@ -338,7 +353,7 @@
 
 // Wake has the module called.
 func (h *Headstock) Wake(after rules.Tenth) {
-	if at := time.Now().Add(time.Duration(after) * 100 * time.Microsecond); h.wakeAt.IsZero() || at.Before(h.wakeAt) {
+	if at := h.clock.Time().Add(time.Duration(after) * 100 * time.Microsecond); h.wakeAt.IsZero() || at.Before(h.wakeAt) {
 		h.wakeAt = at
 	}
 }
@@ -362,7 +377,7 @@
 			h.log.Info("ends")
 			grace := nameplate.Duration(h.plate.Bounds.GraceS * 1000)
 			began := time.Now()
-			h.queue.Put(arbor.Lists, func() { h.leaving = true; h.rounds(time.Now()) })
+			h.queue.Put(arbor.Lists, func() { h.leaving = true; h.rounds(h.clock.Time()) })
 			for {
 				time.Sleep(100 * time.Millisecond)
 				left := make(chan int, 1)
--- a/internal/headstock/hosts.go
+++ b/internal/headstock/hosts.go
@@ -36,8 +36,7 @@
 // hostConn is a connection. All but its socket belongs to the owner.
 type hostConn struct {
 	host    *host
-	out     *outlet
-	conn    net.Conn
+	out     wire
 	fixture chuck.Fixture
 	call    *call    // whose statement is out, or is being made ready
 	session *session // whose transaction is open on it
@@ -87,11 +86,15 @@
 	n.opening++
 	h.Opened.Add(1)
 	asked := h.moment()
+	h.dial(n, asked, n.service.asLead(n, h))
+}
+
+// dialer opens a connection in a goroutine of its own, which reads from it from then on.
+func (h *Headstock) dialer(n *host, asked rules.Tenth, lead uint64) {
 	address, service, id := n.Address, n.Service, n.ID
-	lead := n.service.asLead(n, h)
 	h.tasks.Go(func() {
 		conn, err := belt.Dial(h.ctx, h.plate.Ip, address, connectFor)
-		k := &hostConn{host: n, conn: conn, opened: asked}
+		k := &hostConn{host: n, opened: asked}
 		var a scribe.Answer
 		in := &lines{conn: conn}
 		if err == nil {
@@ -100,8 +103,6 @@
 				a, err = gather(in)
 			}
 			conn.SetDeadline(time.Time{})
-		}
-		if conn != nil {
 			k.out = newOutlet(conn)
 		}
 		up := err == nil && a.Code == ""
@@ -111,7 +112,7 @@
 			}
 			return
 		}
-		k.read(in)
+		k.read(conn, in)
 	})
 }
 
@@ -133,7 +134,7 @@
 }
 
 // read is a connection's reading goroutine.
-func (k *hostConn) read(in *lines) {
+func (k *hostConn) read(conn net.Conn, in *lines) {
 	h := k.host.h
 	for {
 		a, err := gather(in)
@@ -147,7 +148,7 @@
 			}
 		})
 		if err != nil {
-			k.conn.Close()
+			conn.Close()
 			return
 		}
 	}
@@ -180,7 +181,7 @@
 	}
 	if n.gone {
 		k.closed = true
-		k.conn.Close()
+		k.out.close()
 		return
 	}
 	n.all[k] = struct{}{}
@@ -228,7 +229,7 @@
 		h.run(k, c)
 		return
 	}
-	k.since = time.Now()
+	k.since = h.clock.Time()
 	n.idle = append(n.idle, k)
 }
 
@@ -237,7 +238,7 @@
 	n := k.host
 	if !k.closed {
 		k.closed = true
-		k.conn.Close()
+		k.out.close()
 	}
 	delete(n.all, k)
 	if i := slices.Index(n.idle, k); i >= 0 {
--- a/internal/headstock/news.go
+++ b/internal/headstock/news.go
@@ -27,9 +27,9 @@
 )
 
 // say sends a frame to the member that leads, if there is one.
-func (h *Headstock) say(f *belt.Frame) {
+func (l *link) say(f *belt.Frame) {
 	select {
-	case h.link.out <- f:
+	case l.out <- f:
 	default:
 	}
 }
@@ -84,7 +84,7 @@
 	h := l.h
 	ctx, end := context.WithCancel(h.ctx)
 	defer end()
-	socket, err := belt.Dial(ctx, h.plate.Ip, h.plate.Link(ip), 400*time.Millisecond)
+	socket, err := belt.Dial(ctx, h.plate.Ip, h.plate.Link(ip), 200*time.Millisecond)
 	if err != nil {
 		return false
 	}
@@ -218,7 +218,7 @@
 	if l.Routers > 0 {
 		h.routers = l.Routers
 	}
-	h.rounds(time.Now())
+	h.rounds(h.clock.Time())
 }
 
 // news takes in changes, in their order.
--- a/internal/headstock/outlet.go
+++ b/internal/headstock/outlet.go
@@ -12,6 +12,25 @@
 	stuck       = 10 * time.Second // a peer that takes nothing for so long is left
 )
 
+// wire is one connection as the owner sees it. None of its calls waits.
+type wire interface {
+	write(b []byte) (n int, ok bool) // how much went out at once, and whether the rest will be tried
+	stop()                           // no more is read from it; its reader tells when it has ended
+	finish()                         // nothing more is written; its reader ends soon
+	close()
+}
+
+func (o *outlet) stop() { o.conn.SetReadDeadline(time.Unix(1, 0)) }
+
+func (o *outlet) finish() {
+	if half, ok := o.conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+	o.conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+}
+
+func (o *outlet) close() { o.conn.Close() }
+
 // outlet writes to a socket without ever holding up who writes: what the socket does not take at once is sent on by a
 // goroutine of its own.
 type outlet struct {
@@ -94,13 +113,6 @@
 	}
 }
 
-// idle says that nothing waits to be sent.
-func (o *outlet) idle() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return !o.sending
-}
-
 // lines reads lines of the wire from a socket.
 type lines struct {
 	conn net.Conn
--- a/internal/headstock/sessions.go
+++ b/internal/headstock/sessions.go
@@ -19,8 +19,7 @@
 type session struct {
 	chuck.Session
 	h        *Headstock
-	conn     net.Conn
-	out      *outlet
+	out      wire
 	key      string // what the module calls it
 	database string
 	ahead    []message
@@ -69,7 +68,7 @@
 
 // client is a session's reading goroutine.
 func (h *Headstock) client(c net.Conn) {
-	s := &session{h: h, conn: c, out: newOutlet(c)}
+	s := &session{h: h, out: newOutlet(c)}
 	in := &lines{conn: c}
 	c.SetReadDeadline(time.Now().Add(connectIn))
 	line, _, err := in.next(scribe.Line)
@@ -83,7 +82,7 @@
 			c.Close()
 			return
 		}
-		s.part(scribe.AppendError(nil, scribe.Malformed, "CONNECT with a database and a word for who comes first"))
+		part(c, scribe.AppendError(nil, scribe.Malformed, "CONNECT with a database and a word for who comes first"))
 		return
 	}
 	c.SetReadDeadline(time.Time{})
@@ -118,19 +117,17 @@
 }
 
 // part tells why a connection ends and closes it, so that the word is read: over unread bytes a close would reset.
-func (s *session) part(last []byte) {
-	s.out.write(last)
-	if half, ok := s.conn.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite()
-	}
-	s.conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+func part(c net.Conn, last []byte) {
+	o := newOutlet(c)
+	o.write(last)
+	o.finish()
 	var drop [2048]byte
 	for {
-		if _, err := s.conn.Read(drop[:]); err != nil {
+		if _, err := c.Read(drop[:]); err != nil {
 			break
 		}
 	}
-	s.conn.Close()
+	c.Close()
 }
 
 // final says a last word to a session and lets its reader end it.
@@ -139,10 +136,7 @@
 		return
 	}
 	s.out.write(word)
-	if half, ok := s.conn.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite()
-	}
-	s.conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	s.out.finish()
 	s.closed = true
 }
 
@@ -152,7 +146,7 @@
 	h.serial++
 	s.key = number(h.serial)
 	if !h.inTouch() && len(h.early) < mostEarly && !h.leaving {
-		h.early = append(h.early, early{s, database, time.Now()}) // it may be in touch before the client goes
+		h.early = append(h.early, early{s, database, h.clock.Time()}) // it may be in touch before the client goes
 		return
 	}
 	h.greet(s, database)
@@ -223,7 +217,7 @@
 		h.statement(s, m)
 	}
 	if s.call == nil {
-		s.restAt = time.Now()
+		s.restAt = h.clock.Time()
 		switch {
 		case s.parted:
 			h.left(s)
@@ -240,7 +234,7 @@
 	}
 	b := append(make([]byte, 0, len(lines)+32), lines...)
 	if _, ok := s.out.write(scribe.AppendIdle(b, s.At(), s.last)); !ok {
-		s.conn.Close() // its reader notices
+		s.out.close() // its reader notices
 	}
 }
 
@@ -248,7 +242,7 @@
 func (h *Headstock) end(s *session) {
 	if !s.closed && !s.ending {
 		s.ending = true
-		s.conn.SetReadDeadline(time.Unix(1, 0))
+		s.out.stop()
 	}
 }
 
@@ -259,7 +253,7 @@
 		return
 	}
 	s.closed = true
-	s.conn.Close()
+	s.out.close()
 	delete(h.sessions, s)
 	s.ahead = nil
 	if c := s.call; c != nil {
--- a/internal/hoist/hoist.go
+++ b/internal/hoist/hoist.go
@@ -27,6 +27,7 @@
 	quick    = 90   // between looks at a host that is about to lead
 	believed = 3000 // a suspicion counts for so long
 	renew    = 700  // between calls to the platform that got no clear answer
+	handing  = 1200 // a replica that is to be PAUSEd for a planned move has so long to answer
 	settles  = 5000 // a host that was promoted has so long before another is looked for
 )
 
@@ -303,6 +304,16 @@
 		s.propose(do, rack.Change{Recall: &rack.Recall{Service: s.name, Holder: h.self}}, now)
 		return
 	}
+	for _, m := range members { // one that was promoted late leads now, whoever is said to
+		if m == lead.Host || !h.beats[m].Leader || h.beats[m].At < h.since {
+			continue
+		}
+		if st, ok := s.answered(m, Stat, now-2*again); ok && st.Leader && st.Term > lead.Term {
+			s.propose(do, rack.Change{Recall: &rack.Recall{Service: s.name, Holder: h.self}}, now)
+			return
+		}
+		h.ask(do, s, m, Stat, 0, 4*again, now)
+	}
 	if primary.Draining {
 		if to := h.successor(state, s, lead, members, now); to != "" {
 			h.Counts.Planned++
@@ -409,6 +420,11 @@
 		return
 	}
 	if s.called != "" {
+		for _, m := range members { // one that started anew receives again, and would have more than the successor
+			if m != lead.Host && m != lead.To {
+				h.ask(do, s, m, Pause, lead.Term+1, quick, now)
+			}
+		}
 		if now > s.callEnded+again && !s.calling {
 			h.ask(do, s, lead.To, Stat, 0, again, now)
 		}
@@ -426,8 +442,7 @@
 		st, ok := s.answered(m, Pause, s.started)
 		if !ok {
 			h.ask(do, s, m, Pause, lead.Term+1, again, now)
-			r := s.rows[m]
-			ready = ready && r.verb == Pause && r.sent >= s.started && r.reply.Refused // it is not running, so it receives nothing
+			ready = false // one that is not running may be back before the successor leads
 			continue
 		}
 		if s.paused[m] = true; most.Before(st.Received) {
@@ -435,6 +450,9 @@
 		}
 	}
 	if !ready {
+		if now > s.started+handing { // then with writes stopped first
+			s.propose(do, recall, now)
+		}
 		return
 	}
 	st, ok := s.answered(lead.To, Stat, s.started)
@@ -446,7 +464,7 @@
 }
 
 func (h *Hoist) call(do *Todo, s *service, lead rack.Lead, host string, now int64) {
-	if s.calling || s.calledAt > 0 && now < s.calledAt+renew && s.called == host {
+	if s.calling || s.proposed > 0 || s.calledAt > 0 && now < s.calledAt+renew && s.called == host {
 		return
 	}
 	s.calling, s.called, s.calledAt = true, host, now
@@ -469,29 +487,24 @@
 			term = max(term, r.reply.Status.Term+1)
 		}
 	}
-	// One that was named may lead by now.
-	if lead.To != "" {
-		if st, ok := s.answered(lead.To, Stat, s.started-2*settles); ok && st.Leader && st.Term > lead.Term {
-			if lead.Host != lead.To { // it need not answer
-				h.ask(do, s, lead.Host, StepDown, st.Term, again, now)
-			}
-			if clear(lead.At) {
-				h.Log(s.name, "leads", lead.To)
-				s.propose(do, rack.Change{Lead: &rack.NewLead{Service: s.name, Host: lead.To, Term: st.Term}}, now)
-			}
-			return
-		}
-		if s.called == "" || !s.calling {
-			h.ask(do, s, lead.To, Stat, 0, quick, now)
+	// One that was named, by whomever, may lead by now.
+	if to, st := s.leading(lead, members); to != "" {
+		h.ask(do, s, lead.Host, StepDown, st.Term, again, now) // it need not answer
+		if clear(lead.At) {
+			h.Log(s.name, "leads", to)
+			s.propose(do, rack.Change{Lead: &rack.NewLead{Service: s.name, Host: to, Term: st.Term}}, now)
 		}
-		if s.called == lead.To && (s.calling || now < s.callEnded+settles) {
-			return
-		}
-		if s.called == "" && lead.To != "" { // an earlier holder may have called; it is looked at before others are
-			r, ok := s.rows[lead.To]
-			if _, there := state.Hosts[lead.To]; there && (!ok || r.sent < s.started || now < s.started+2*patience) {
-				return
-			}
+		return
+	}
+	if s.called != "" && (s.calling || now < s.callEnded+settles) {
+		h.ask(do, s, s.called, Stat, 0, quick, now) // none other is named before it is clear what became of the call
+		return
+	}
+	if lead.To != "" {
+		h.ask(do, s, lead.To, Stat, 0, quick, now)
+		if r, ok := s.rows[lead.To]; s.called == "" && state.Hosts[lead.To].ID != "" &&
+			(!ok || r.sent < s.started || now < s.started+2*patience) {
+			return // an earlier holder may have called; it is looked at before others are
 		}
 	}
 	if !clear(lead.At) {
@@ -505,10 +518,8 @@
 	}
 	complete, best, most := true, "", scribe.Position{}
 	consider := func(m string, at scribe.Position) {
-		if state.Hosts[m].Draining || s.rejected[m] > 0 && now < s.rejected[m]+2*patience {
-			return
-		}
-		if best == "" || most.Before(at) {
+		// One that drains is taken only where no other has as much: what it alone received was acknowledged.
+		if best == "" || most.Before(at) || most == at && (state.Hosts[best].Draining && !state.Hosts[m].Draining || m == lead.To) {
 			best, most = m, at
 		}
 	}
@@ -531,7 +542,7 @@
 		}
 		complete = complete || best != "" && !most.Before(old.Received)
 	}
-	if !complete || best == "" {
+	if !complete || best == "" || s.rejected[best] > 0 && now < s.rejected[best]+2*patience {
 		h.Counts.Waiting++
 		return
 	}
@@ -542,6 +553,18 @@
 	h.call(do, s, lead, best, now)
 }
 
+// leading is the host that was seen to lead in a greater term than the lead's, the greatest of all.
+func (s *service) leading(lead rack.Lead, members []string) (to string, at scribe.Status) {
+	for _, m := range members {
+		r, ok := s.rows[m]
+		if ok && r.sent >= s.started-2*settles && r.reply.Code == "" && !r.reply.Silent && !r.reply.Refused &&
+			r.reply.Status.Leader && r.reply.Status.Term > max(lead.Term, at.Term) {
+			to, at = m, r.reply.Status
+		}
+	}
+	return to, at
+}
+
 // Active says whether any service is on the move or looked into.
 func (h *Hoist) Active(state *rack.State) bool {
 	for name, s := range h.services {
--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -162,6 +162,7 @@
 	fresh    map[ID]bool // members that have heard no leader in their present lives
 	heard    bool        // a leader was, in this life, or this one led
 	allFresh bool
+	tries    int64 // elections since a leader was heard
 	peers    map[ID]*progress
 	began    uint64 // the index of this leader's first entry
 	beatAt   int64
@@ -593,8 +594,11 @@
 func (c *Core) ask(try, yielded bool) {
 	c.role, c.leader, c.try, c.yielded = candidate, "", try, yielded
 	c.votes, c.fresh = map[ID]bool{c.id: try}, map[ID]bool{c.id: !c.heard}
-	if c.rest(); try { // asking whether votes would be had harms nobody
+	if try { // asking whether votes would be had harms nobody
 		c.askAt = c.now + c.Beat/2 + int64(c.chance()*float64(c.Jitter)/2)
+	} else { // two at once may take each other's votes; slow disks need longer each time
+		c.tries = min(c.tries+1, 8)
+		c.askAt = c.now + int64(c.tries)*c.Beat + int64(c.chance()*float64(c.Jitter))
 	}
 	view, _ := c.viewAt(c.last())
 	m := Message{Kind: Ask, Index: c.last(), Prev: view, Try: try, Yielded: yielded, Fresh: c.allFresh && !try}
@@ -736,7 +740,7 @@
 		if c.role != follower || c.leader != m.From {
 			c.fall(m.From)
 		}
-		c.heardAt, c.heard = c.now, true
+		c.heardAt, c.heard, c.tries = c.now, true, 0
 		c.rest()
 	}
 	switch m.Kind {
