Routers know each other by probes; settings files that change without a signal are read

Need: routers must learn of each other and, where their seeds are old, of the control plane's members; settings files may change without a signal. Change: feeler (probes to one other a second in a drawn order, second opinions through three, suspicion for 5 s, words of six others and of the control plane's members with each datagram), its UDP shell in headstock, five routers' addresses with a member's welcome; nameplate.Watch. Live routers bound a router's share of a host's connections beside the leases.

--- a/cmd/anvil/run.go
+++ b/cmd/anvil/run.go
@@ -36,6 +36,7 @@
 	signals, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
+	go nameplate.Watch(context.Background(), reload, syscall.SIGHUP) // ends with the program
 	if err := forge.Run(plate, signals, reload, log); err != nil {
 		fmt.Fprintln(os.Stderr, "anvil:", trace.UserMessage(err))
 		if trace.IsBadParameter(err) {
--- a/internal/belt/belt.go
+++ b/internal/belt/belt.go
@@ -72,6 +72,7 @@
 	Leads   bool
 	Leader  string   // where to go otherwise; empty: not known
 	Members []string // addresses of all
+	Routers []string // addresses of some that are there
 }
 
 // News is the log from a place on, or a snapshot. Index is the last entry's.
--- /dev/null
+++ b/internal/feeler/feeler.go
@@ -0,0 +1,351 @@
+// Package feeler (a thin blade that feels whether there is a gap) is how routers know each other: each probes a few
+// others in turn, asks third parties for a second opinion on one that does not answer, suspects before it removes, and
+// passes on what it learned with its probes. What a router costs does not grow with the number of routers.
+//
+//	Heard (a message), Tick  ->  Feeler  ->  messages to send;  Live, Control: what is known
+//
+// Pure: the caller brings time in milliseconds, chance and messages.
+package feeler
+
+import (
+	"maps"
+	"slices"
+)
+
+// State of a router, as another sees it.
+type State uint8
+
+// States. Of two words with one incarnation the later state here binds.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+)
+
+// News is a word on one router.
+type News struct {
+	Name, Address string
+	Incarnation   uint64 // raised by the router itself, to contradict a suspicion
+	State         State
+}
+
+// Kind of a message.
+type Kind uint8
+
+// Kinds.
+const (
+	Ping Kind = iota + 1
+	Ack
+	Please // ping another, and tell
+)
+
+// Message goes over datagrams; it may be lost.
+type Message struct {
+	Kind    Kind
+	From    string // an address
+	Serial  uint64
+	Target  string // of Please: an address
+	News    []News
+	Control []string // addresses of the control plane's members
+	Version uint64   // of Control: the place in the log where it was so
+}
+
+// Out is a message and where it goes.
+type Out struct {
+	To      string
+	Message Message
+}
+
+// Terms are times in milliseconds and counts.
+type Terms struct {
+	Period  int64 // between probes
+	Answer  int64 // after which third parties are asked
+	Suspect int64 // how long a router is suspected before it is removed
+	Keep    int64 // how long a removed one is remembered
+	Third   int   // how many third parties are asked
+	Load    int   // words that a message carries at most
+}
+
+// Usual are terms for tens to hundreds of routers.
+func Usual() Terms {
+	return Terms{Period: 1000, Answer: 250, Suspect: 5000, Keep: 60000, Third: 3, Load: 6}
+}
+
+type router struct {
+	News
+	since int64 // in this state
+	told  int   // how often this word was passed on
+}
+
+type probe struct {
+	name    string
+	at      int64
+	asked   bool // third parties were
+	done    bool
+	forWhom string // of a Please: who wants to know
+	serial  uint64 // theirs
+}
+
+// Feeler is one router's view of the others. The zero value is not of use; New.
+type Feeler struct {
+	Terms
+	self    News
+	chance  func(n int) int
+	now     int64
+	next    int64
+	serial  uint64
+	routers map[string]*router
+	order   []string // who is probed next
+	probes  map[uint64]*probe
+	control []string
+	version uint64
+
+	Removed, Contradicted, Probes int64
+}
+
+// New starts a router that knows nobody. life is greater in each life of its process; chance draws below n.
+func New(name, address string, life uint64, t Terms, chance func(n int) int, now int64) *Feeler {
+	return &Feeler{Terms: t, self: News{Name: name, Address: address, Incarnation: life}, chance: chance, now: now,
+		next: now + int64(chance(int(t.Period))), routers: map[string]*router{}, probes: map[uint64]*probe{}}
+}
+
+// Known takes in addresses of routers, from whomever; they are probed to learn who is there.
+func (f *Feeler) Known(addresses []string, now int64) (out []Out) {
+	f.clock(now)
+	for _, a := range addresses {
+		if a == f.self.Address || slices.ContainsFunc(f.all(), func(r *router) bool { return r.Address == a }) {
+			continue
+		}
+		out = append(out, f.ping(a, &probe{name: "", at: f.now}))
+	}
+	return out
+}
+
+func (f *Feeler) all() []*router { return slices.Collect(maps.Values(f.routers)) }
+
+// Live are the names of routers that are not removed, this one included, in order.
+func (f *Feeler) Live() []string {
+	names := []string{f.self.Name}
+	for name, r := range f.routers {
+		if r.State != Dead {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// State is what is held of a router.
+func (f *Feeler) State(name string) (News, bool) {
+	r := f.routers[name]
+	if r == nil {
+		return News{}, false
+	}
+	return r.News, true
+}
+
+// SetControl notes who the members of the control plane are, as of a place in the log; the newest word binds, whoever
+// brings it.
+func (f *Feeler) SetControl(members []string, version uint64) {
+	if version > f.version && len(members) > 0 && len(members) <= 32 {
+		f.control, f.version = slices.Clone(members), version
+	}
+}
+
+// Control is the newest word on the members of the control plane.
+func (f *Feeler) Control() ([]string, uint64) { return f.control, f.version }
+
+func (f *Feeler) clock(now int64) { f.now = max(f.now, now) }
+
+// most that is held of routers and of probes, whatever is heard.
+const most = 1024
+
+// hear takes in one word.
+func (f *Feeler) hear(n News) {
+	if n.Name == "" || n.Address == "" || len(n.Name) > 128 || len(n.Address) > 64 || n.State > Dead {
+		return
+	}
+	if n.Name == f.self.Name {
+		if n.State != Alive && n.Incarnation >= f.self.Incarnation { // it is not so
+			f.Contradicted++
+			f.self.Incarnation = n.Incarnation + 1
+		}
+		return
+	}
+	r := f.routers[n.Name]
+	switch {
+	case r == nil:
+		if n.State == Dead || len(f.routers) >= most {
+			return
+		}
+		f.routers[n.Name] = &router{News: n, since: f.now}
+	case n.Incarnation < r.Incarnation, n.Incarnation == r.Incarnation && n.State <= r.State:
+		return
+	default:
+		if n.State == Dead && r.State != Dead {
+			f.Removed++
+		}
+		*r = router{News: n, since: f.now}
+	}
+}
+
+// load are the words that were passed on least, this router's own first.
+func (f *Feeler) load() []News {
+	words := []News{f.self}
+	all := f.all()
+	slices.SortFunc(all, func(a, b *router) int {
+		if a.told != b.told {
+			return a.told - b.told
+		}
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	limit := 3
+	for n := len(f.routers); n > 1; n /= 2 { // each word goes out some log n times
+		limit++
+	}
+	for _, r := range all {
+		if len(words) >= f.Load {
+			break
+		}
+		if r.told < limit {
+			r.told++
+			words = append(words, r.News)
+		}
+	}
+	for i := 0; len(words) < f.Load && i < len(all); i++ { // what all know fills up, in turn, for those that are new
+		r := all[f.chance(len(all))]
+		if !slices.Contains(words, r.News) {
+			words = append(words, r.News)
+		}
+	}
+	return words
+}
+
+func (f *Feeler) message(kind Kind, serial uint64) Message {
+	return Message{Kind: kind, From: f.self.Address, Serial: serial, News: f.load(), Control: f.control, Version: f.version}
+}
+
+func (f *Feeler) ping(address string, p *probe) Out {
+	f.serial++
+	f.Probes++
+	if len(f.probes) < most {
+		f.probes[f.serial] = p
+	}
+	return Out{address, f.message(Ping, f.serial)}
+}
+
+// Heard takes in a message.
+func (f *Feeler) Heard(m Message, now int64) (out []Out) {
+	f.clock(now)
+	if len(m.News) > 64 {
+		m.News = m.News[:64]
+	}
+	for _, n := range m.News {
+		f.hear(n)
+	}
+	f.SetControl(m.Control, m.Version)
+	switch m.Kind {
+	case Ping:
+		out = append(out, Out{m.From, f.message(Ack, m.Serial)})
+	case Please:
+		if m.Target != "" && m.Target != f.self.Address {
+			out = append(out, f.ping(m.Target, &probe{at: f.now, forWhom: m.From, serial: m.Serial}))
+		}
+	case Ack:
+		p := f.probes[m.Serial]
+		if p == nil {
+			break
+		}
+		delete(f.probes, m.Serial)
+		p.done = true
+		if p.forWhom != "" {
+			out = append(out, Out{p.forWhom, f.message(Ack, p.serial)})
+		}
+	}
+	return out
+}
+
+// Tick goes on to a time.
+func (f *Feeler) Tick(now int64) (out []Out) {
+	f.clock(now)
+	for _, serial := range slices.Sorted(maps.Keys(f.probes)) {
+		p := f.probes[serial]
+		switch r := f.routers[p.name]; {
+		case f.now >= p.at+f.Period:
+			delete(f.probes, serial)
+			if r != nil && r.State == Alive && p.forWhom == "" {
+				*r = router{News: News{r.Name, r.Address, r.Incarnation, Suspect}, since: f.now}
+			}
+		case r != nil && !p.asked && p.forWhom == "" && f.now >= p.at+f.Answer:
+			p.asked = true
+			for _, third := range f.pick(f.Third, p.name) {
+				m := f.message(Please, serial)
+				m.Target = r.Address
+				out = append(out, Out{third.Address, m})
+			}
+		}
+	}
+	for name, r := range f.routers {
+		switch {
+		case r.State == Suspect && f.now >= r.since+f.Suspect:
+			f.Removed++
+			*r = router{News: News{r.Name, r.Address, r.Incarnation, Dead}, since: f.now}
+		case r.State == Dead && f.now >= r.since+f.Keep:
+			delete(f.routers, name)
+		}
+	}
+	if f.now >= f.next {
+		f.next = f.now + f.Period
+		if r := f.turn(); r != nil {
+			out = append(out, f.ping(r.Address, &probe{name: r.Name, at: f.now}))
+		}
+	}
+	return out
+}
+
+// Next is when Tick is to be called at the latest.
+func (f *Feeler) Next() int64 {
+	next := f.next
+	for _, p := range f.probes {
+		if !p.asked {
+			next = min(next, p.at+f.Answer)
+		}
+	}
+	return max(next, f.now+20)
+}
+
+// turn is whom to probe: all in a drawn order, then in another.
+func (f *Feeler) turn() *router {
+	for range 2 {
+		for len(f.order) > 0 {
+			name := f.order[0]
+			f.order = f.order[1:]
+			if r := f.routers[name]; r != nil && (r.State != Dead || f.chance(4) == 0) { // a removed one may be back
+				return r
+			}
+		}
+		f.order = slices.Sorted(maps.Keys(f.routers))
+		for i := len(f.order) - 1; i > 0; i-- {
+			j := f.chance(i + 1)
+			f.order[i], f.order[j] = f.order[j], f.order[i]
+		}
+	}
+	return nil
+}
+
+// pick draws routers that are alive, but for one.
+func (f *Feeler) pick(n int, but string) (some []*router) {
+	names := slices.Sorted(maps.Keys(f.routers))
+	for len(some) < n && len(names) > 0 {
+		i := f.chance(len(names))
+		r := f.routers[names[i]]
+		names = slices.Delete(names, i, i+1)
+		if r.State == Alive && r.Name != but {
+			some = append(some, r)
+		}
+	}
+	return some
+}
--- a/internal/forge/routers.go
+++ b/internal/forge/routers.go
@@ -108,6 +108,11 @@
 		if l := f.core.Leader(); l != "" && l != f.id {
 			w.Leader = l.Address()
 		}
+		for other := range f.routers {
+			if len(w.Routers) < 5 {
+				w.Routers = append(w.Routers, other.conn.Remote())
+			}
+		}
 		r.put(&belt.Frame{Welcome: w})
 		if w.Leads {
 			f.routers[r] = struct{}{}
--- /dev/null
+++ b/internal/headstock/feel.go
@@ -0,0 +1,71 @@
+package headstock
+
+import (
+	"bytes"
+	"encoding/gob"
+	"net"
+	"time"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/feeler"
+)
+
+const mostDatagram = 8 << 10
+
+// feel hears the datagrams of other routers until the end.
+func (h *Headstock) feel(conn net.PacketConn) {
+	b := make([]byte, mostDatagram)
+	for {
+		n, _, err := conn.ReadFrom(b)
+		if h.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			select {
+			case <-h.ctx.Done():
+			case <-time.After(50 * time.Millisecond):
+			}
+			continue
+		}
+		var m feeler.Message
+		if gob.NewDecoder(bytes.NewReader(b[:n])).Decode(&m) != nil {
+			h.Torn.Add(1)
+			continue
+		}
+		h.queue.Put(arbor.Outcomes, func() { h.pass(h.feeler.Heard(m, h.clock.Now())) })
+	}
+}
+
+// pass sends what the feeler asks for; a datagram that can't go at once is lost, as any may be.
+func (h *Headstock) pass(all []feeler.Out) {
+	for _, o := range all {
+		to, err := net.ResolveUDPAddr("udp4", o.To)
+		if err != nil {
+			continue
+		}
+		var b bytes.Buffer
+		if gob.NewEncoder(&b).Encode(o.Message) == nil && b.Len() <= mostDatagram {
+			h.datagrams.SetWriteDeadline(time.Now().Add(time.Millisecond))
+			h.datagrams.WriteTo(b.Bytes(), to)
+		}
+	}
+}
+
+// meet has the feeler do what is due, and know of routers that the control plane named.
+func (h *Headstock) meet(addresses []string) {
+	if h.feeler == nil {
+		return
+	}
+	now := h.clock.Now()
+	if len(addresses) > 0 {
+		var all []string
+		for _, ip := range addresses {
+			all = append(all, h.plate.Link(ip))
+		}
+		h.pass(h.feeler.Known(all, now))
+	}
+	if now >= h.feelAt {
+		h.pass(h.feeler.Tick(now))
+		h.feelAt = h.feeler.Next()
+	}
+}
--- a/internal/headstock/headstock.go
+++ b/internal/headstock/headstock.go
@@ -16,6 +16,7 @@
 
 	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/belt"
+	"ferrypitch/internal/feeler"
 	"ferrypitch/internal/gauge"
 	"ferrypitch/internal/jig"
 	"ferrypitch/internal/nameplate"
@@ -68,6 +69,9 @@
 	handedBack bool      // a lead was, since it was last told how far the log was applied
 
 	link           *link
+	feeler         *feeler.Feeler // nil: other routers are not looked for
+	feelAt         int64
+	datagrams      net.PacketConn
 	dial           func(n *host, asked rules.Tenth, lead uint64) // ends in host.opened
 	say            func(*belt.Frame)                             // to the member that leads, if there is one
 	ready          atomic.Bool
@@ -124,7 +128,11 @@
 
 // share is how many connections this router may have to a host.
 func (h *Headstock) share(n *host) int {
-	return max(1, (n.service.conns-2)/(h.routers+1))
+	routers := h.routers
+	if h.feeler != nil {
+		routers = max(routers, len(h.feeler.Live()))
+	}
+	return max(1, (n.service.conns-2)/(routers+1))
 }
 
 // Run lives until a signal to stop.
@@ -141,6 +149,11 @@
 	h.ctx = ctx
 	h.link = &link{h: h, out: make(chan *belt.Frame, 256)}
 	h.dial, h.say = h.dialer, h.link.say
+	var err error
+	if h.datagrams, err = net.ListenPacket("udp4", plate.Link(plate.Ip)); err != nil {
+		return trace.Wrap(err, "PortRange")
+	}
+	h.feeler = feeler.New(plate.Node, plate.Link(plate.Ip), uint64(time.Now().UnixNano()), feeler.Usual(), rand.IntN, h.clock.Now())
 	lc := net.ListenConfig{KeepAlive: 15 * time.Second}
 	front, err := lc.Listen(ctx, "tcp", plate.Listen.Front)
 	if err != nil {
@@ -152,10 +165,11 @@
 	}
 	probe := &http.Server{Handler: http.HandlerFunc(h.readiness), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 20 * time.Second,
 		MaxHeaderBytes: 8 << 10}
-	context.AfterFunc(ctx, func() { probe.Close(); front.Close() })
+	context.AfterFunc(ctx, func() { probe.Close(); front.Close(); h.datagrams.Close() })
 	h.tasks.Go(func() { probe.Serve(readiness) })
 	h.tasks.Go(func() { h.accept(front) })
 	h.tasks.Go(h.link.run)
+	h.tasks.Go(func() { h.feel(h.datagrams) })
 	owner := make(chan struct{})
 	go func() { h.own(); close(owner) }()
 	log.Info("started", "node", plate.Node, "front", plate.Listen.Front)
@@ -293,6 +307,7 @@
 		h.log.Info("ready", "is", ready)
 	}
 	h.greetEarly(now)
+	h.meet(nil)
 	for _, n := range h.hosts {
 		n.trim(now)
 		n.listen(now)
--- a/internal/headstock/news.go
+++ b/internal/headstock/news.go
@@ -65,10 +65,17 @@
 	return all[l.turn%len(all)]
 }
 
-// seeds are the addresses that the settings name.
+// seeds are addresses of the control plane's members that other routers or the settings name.
 func (h *Headstock) seeds() []string {
 	got := make(chan []string, 1)
-	if !h.queue.Put(arbor.Lists, func() { got <- h.plate.Seeds() }) {
+	if !h.queue.Put(arbor.Lists, func() {
+		all := h.plate.Seeds()
+		if h.feeler != nil { // the settings may be old; others may know better
+			members, _ := h.feeler.Control()
+			all = append(slices.Clone(members), all...)
+		}
+		got <- all
+	}) {
 		return nil
 	}
 	select {
@@ -119,6 +126,7 @@
 		return false
 	}
 	h.Links.Add(1)
+	h.queue.Put(arbor.Lists, func() { h.meet(f.Welcome.Routers) })
 	asked := &asks{at: map[uint64]int64{}}
 	renewed := make(chan struct{})
 	go func() {
@@ -135,6 +143,9 @@
 			l.members = f.News.Members
 			h.queue.Put(arbor.Lists, func() {
 				h.news(f.News)
+				if h.feeler != nil {
+					h.feeler.SetControl(f.News.Members, f.News.Index)
+				}
 				h.nudge()
 			})
 		case f.Lease != nil:
