One closed list of errors; decoders of outside bytes are fuzzed; each defence is proved

Need: the users' house style wants one closed list of error kinds with a table to answers; bad input and taken-out defences must be caught.

--- a/internal/chuck/chuck.go
+++ b/internal/chuck/chuck.go
@@ -16,6 +16,7 @@
 	"strings"
 
 	"ferrypitch/internal/scribe"
+	"ferrypitch/internal/telltale"
 )
 
 // Do is what a statement asks for.
@@ -70,7 +71,7 @@
 
 func here(reply []byte) Step { return Step{Do: Here, Reply: reply} }
 
-func malformed(why string) Step { return here(scribe.AppendError(nil, scribe.Malformed, why)) }
+func wrong(kind telltale.Kind) Step { return here(kind.Append(nil, 0)) }
 
 // Take says what a statement asks for. Only what is answered here changes the session.
 func (s *Session) Take(r scribe.Request) Step {
@@ -79,28 +80,28 @@
 	case scribe.Commit, scribe.Abort:
 		switch {
 		case state == 'I':
-			return malformed("no transaction is open")
+			return wrong(telltale.NoTxn)
 		case s.Lost:
 			s.Leave()
 			if r.Kind == scribe.Commit {
-				return Step{Do: End, Reply: scribe.AppendError(nil, scribe.Aborted, "the transaction was rolled back")}
+				return Step{Do: End, Reply: telltale.RolledBack.Append(nil, 0)}
 			}
 			return Step{Do: End, Reply: scribe.AppendDone(nil)}
 		}
 		return Step{Do: Pinned, Ends: true, Commit: r.Kind == scribe.Commit, Text: r.Text}
 	}
 	if state == 'E' {
-		return malformed("the transaction has failed")
+		return wrong(telltale.FailedTxn)
 	}
 	switch r.Kind {
 	case scribe.Begin, scribe.BeginRead:
 		if state == 'T' {
-			return malformed("a transaction is open")
+			return wrong(telltale.InTxn)
 		}
 		return Step{Do: Place, Begins: true, Reads: r.Kind == scribe.BeginRead, Writes: r.Kind == scribe.Begin, Text: r.Text}
 	case scribe.Set:
 		if !s.room(len(s.Values), r.Name, r.Shape) {
-			return here(scribe.AppendError(nil, scribe.Overload, "too many values in one session"))
+			return wrong(telltale.TooMuch)
 		}
 		if s.Values == nil {
 			s.Values = map[string]string{}
@@ -109,7 +110,7 @@
 		return here(scribe.AppendDone(nil))
 	case scribe.Prepare:
 		if !s.room(len(s.Names), r.Name, r.Shape) {
-			return here(scribe.AppendError(nil, scribe.Overload, "too many prepared names in one session"))
+			return wrong(telltale.TooMuch)
 		}
 		if s.Names == nil {
 			s.Names = map[string]string{}
@@ -118,7 +119,7 @@
 		return here(scribe.AppendDone(nil))
 	case scribe.CloseName:
 		if _, ok := s.Names[r.Name]; !ok {
-			return here(scribe.AppendError(nil, scribe.Unknown, "no such name"))
+			return wrong(telltale.NoName)
 		}
 		delete(s.Names, r.Name)
 		return here(scribe.AppendDone(nil))
@@ -127,7 +128,7 @@
 	if r.Kind == scribe.Execute {
 		shape, ok := s.Names[r.Name]
 		if !ok {
-			return here(scribe.AppendError(nil, scribe.Unknown, "no such name"))
+			return wrong(telltale.NoName)
 		}
 		step.Writes = scribe.Writes(shape)
 		step.Text = "EXECUTE " + Name(shape) + " " + r.Rest
--- /dev/null
+++ b/internal/drawer/drawer_test.go
@@ -0,0 +1,163 @@
+package drawer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ferrypitch/internal/ratchet"
+)
+
+func fresh() Identity { return Identity{ID: "a", Founders: []ratchet.ID{"a", "b"}} }
+
+func entry(view uint64, body string) ratchet.Entry {
+	return ratchet.Entry{View: view, Body: []byte(body)}
+}
+
+// steps are writes as a member makes them: appended, trimmed, a snapshot; and what must be there after each.
+var steps = []struct {
+	write ratchet.Write
+	want  string
+}{
+	{ratchet.Write{Meta: &ratchet.Meta{View: 1, Vote: "b"}}, "v1 b s0 []"},
+	{ratchet.Write{From: 1, Entries: []ratchet.Entry{entry(1, "x"), entry(1, "y"), entry(1, "z")}}, "v1 b s0 [1x 1y 1z]"},
+	{ratchet.Write{Meta: &ratchet.Meta{View: 2}}, "v2  s0 [1x 1y 1z]"},
+	{ratchet.Write{From: 2, Entries: []ratchet.Entry{entry(2, "n")}}, "v2  s0 [1x 2n]"},
+	{ratchet.Write{From: 3, Entries: []ratchet.Entry{entry(2, "o"), entry(2, "p")}}, "v2  s0 [1x 2n 2o 2p]"},
+	{ratchet.Write{Snapshot: &ratchet.Snapshot{Index: 3, View: 2, State: []byte("xno")}, Keep: 3}, "v2  s3 [2p]"},
+	{ratchet.Write{From: 5, Entries: []ratchet.Entry{entry(2, "q")}}, "v2  s3 [2p 2q]"},
+	{ratchet.Write{Snapshot: &ratchet.Snapshot{Index: 9, View: 4, State: []byte("all")}, Keep: 9, From: 10}, "v2  s9 []"},
+	{ratchet.Write{From: 10, Entries: []ratchet.Entry{entry(4, "r")}, Meta: &ratchet.Meta{View: 4, Vote: "a", Settled: 2}}, "v4 a s9 [4r]"},
+}
+
+func show(k ratchet.Restored) string {
+	var entries []string
+	for _, e := range k.Entries {
+		entries = append(entries, fmt.Sprintf("%d%s", e.View, e.Body))
+	}
+	return fmt.Sprintf("v%d %s s%d %v", k.Meta.View, k.Meta.Vote, k.Snapshot.Index, entries)
+}
+
+func held(t *testing.T, folder string) (string, ratchet.ID) {
+	t.Helper()
+	d, id, kept, err := Open(folder, func() Identity { return Identity{ID: "stranger"} })
+	require.NoError(t, err)
+	defer d.Close()
+	return show(kept), id.ID
+}
+
+// A loss of power leaves what was synced; of the write after that, any part, torn or missing.
+func TestWhatWasStoredOutlastsAnyCutOfWhatCameAfter(t *testing.T) {
+	chance := rand.New(rand.NewPCG(1, 2))
+	for n := range steps {
+		folder := t.TempDir()
+		path := filepath.Join(folder, "ratchet.db")
+		d, _, _, err := Open(folder, fresh)
+		require.NoError(t, err)
+		for _, s := range steps[:n] {
+			require.NoError(t, d.Store([]ratchet.Write{s.write}))
+		}
+		before, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.NoError(t, d.Store([]ratchet.Write{steps[n].write}))
+		after, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.NoError(t, d.Close())
+		was := "v0  s0 []"
+		if n > 0 {
+			was = steps[n-1].want
+		}
+		got, _ := held(t, folder)
+		require.Equal(t, steps[n].want, got, "step %d", n)
+		for range 40 {
+			torn := append([]byte{}, after...)
+			switch at := len(before) + chance.IntN(len(after)-len(before)+1); chance.IntN(3) {
+			case 0: // cut
+				torn = torn[:at]
+			case 1: // a hole
+				for i := at; i < min(len(torn), at+1+chance.IntN(200)); i++ {
+					torn[i] = 0
+				}
+			case 2: // other bytes
+				for i := at; i < min(len(torn), at+1+chance.IntN(20)); i++ {
+					torn[i] ^= byte(1 + chance.IntN(255))
+				}
+			}
+			other := t.TempDir()
+			require.NoError(t, os.WriteFile(filepath.Join(other, "ratchet.db"), torn, 0o600))
+			got, id := held(t, other)
+			require.EqualValues(t, "a", id, "step %d: who it is was lost", n)
+			require.True(t, reached(got, was, n), "step %d: %s, after %s was stored", n, got, was)
+			again, _ := held(t, other)
+			require.Equal(t, got, again, "what was read once is read again")
+		}
+	}
+}
+
+// reached says whether what is held is what a torn step may leave: as before, as after, or on the way, which takes only
+// what that step was to take.
+func reached(got, was string, n int) bool {
+	if got == was || got == steps[n].want {
+		return true
+	}
+	switch n {
+	case 1:
+		return got == "v1 b s0 [1x]" || got == "v1 b s0 [1x 1y]"
+	case 3: // entries that differ from the leader's go first
+		return got == "v2  s0 [1x]" || got == "v2  s0 [1x 1y]"
+	case 4:
+		return got == "v2  s0 [1x 2n 2o]"
+	case 5, 7: // a snapshot first, then what it stands for goes
+		return got == steps[n].want
+	case 8:
+		return got == "v2  s9 [4r]" || got == "v4 a s9 []"
+	}
+	return false
+}
+
+func TestAFileThatIsNotOursMakesAStranger(t *testing.T) {
+	folder := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "ratchet.db"), []byte("*2\r\n$3\r\nset\r\n"), 0o600))
+	got, id := held(t, folder)
+	require.Equal(t, "v0  s0 []", got)
+	require.EqualValues(t, "stranger", id)
+}
+
+func TestTheFileStaysSmallAndKeepsAll(t *testing.T) {
+	folder := t.TempDir()
+	d, _, _, err := Open(folder, fresh)
+	require.NoError(t, err)
+	for i := range 300 {
+		body := make([]byte, 400)
+		require.NoError(t, d.Store([]ratchet.Write{{From: uint64(i + 1), Entries: []ratchet.Entry{entry(1, string(body))}}}))
+		if i%50 == 49 {
+			s := ratchet.Snapshot{Index: uint64(i), View: 1}
+			require.NoError(t, d.Store([]ratchet.Write{{Snapshot: &s, Keep: s.Index}}))
+			require.NoError(t, d.Shrink(16<<10))
+		}
+	}
+	info, err := os.Stat(filepath.Join(folder, "ratchet.db"))
+	require.NoError(t, err)
+	require.Less(t, info.Size(), int64(64<<10))
+	require.NoError(t, d.Close())
+	_, id, kept, err := Open(folder, fresh)
+	require.NoError(t, err)
+	require.EqualValues(t, "a", id.ID)
+	require.EqualValues(t, 299, kept.Snapshot.Index)
+	require.Len(t, kept.Entries, 1)
+}
+
+func FuzzWhole(f *testing.F) {
+	f.Add([]byte("*3\r\n$3\r\nset\r\n$1\r\nk\r\n$3\r\na.b\r\n"))
+	f.Add([]byte("*2\r\n$3\r\ndel\r\n$1\r\nk\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		n := whole(text)
+		if n > len(text) || whole(text[:n]) != n {
+			t.Fatalf("%d of %d bytes are whole, and then %d", n, len(text), whole(text[:n]))
+		}
+	})
+}
--- a/internal/forge/calls.go
+++ b/internal/forge/calls.go
@@ -14,6 +14,7 @@
 	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/belt"
 	"ferrypitch/internal/rack"
+	"ferrypitch/internal/telltale"
 )
 
 // call is one of an operator or a host, here or passed on by another member.
@@ -60,16 +61,16 @@
 	f.Calls.Add(1)
 	c, _, ok := find(r.Method, r.URL.Path)
 	if !ok {
-		http.Error(w, "no such call", http.StatusNotFound)
+		tell(w, telltale.NoCall, "")
 		return
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, c.Most+1))
 	if err != nil {
-		http.Error(w, "the body did not come whole", http.StatusBadRequest)
+		tell(w, telltale.BadBody, "it did not come whole")
 		return
 	}
 	if int64(len(body)) > c.Most {
-		http.Error(w, "the body is longer than "+strconv.FormatInt(c.Most, 10)+" bytes", http.StatusRequestEntityTooLarge)
+		tell(w, telltale.LongBody, "over "+strconv.FormatInt(c.Most, 10)+" bytes")
 		return
 	}
 	type answer struct {
@@ -86,7 +87,7 @@
 			}
 		})
 	}) {
-		http.Error(w, "this member ends", http.StatusServiceUnavailable)
+		tell(w, telltale.NoLeader, "this member ends")
 		return
 	}
 	timer := time.NewTimer(c.Within)
@@ -100,7 +101,7 @@
 		w.WriteHeader(a.status)
 		w.Write(a.body)
 	case <-timer.C:
-		http.Error(w, "no clear answer in time", http.StatusServiceUnavailable)
+		tell(w, telltale.NoLeader, "no clear answer in time")
 	case <-f.ctx.Done():
 	}
 }
@@ -111,7 +112,7 @@
 	leader := f.core.Leader()
 	switch {
 	case !ok:
-		answer(http.StatusNotFound, fault(errors.New("no such call")))
+		refuse(answer, telltale.NoCall, nil)
 	case f.leads && f.core.Holds(f.clock.Now()) || c.Path == status.Path:
 		c.Handle(f, id, in, answer)
 	case pass && leader != "" && leader != f.id:
@@ -125,13 +126,30 @@
 			f.queue.Put(arbor.Outcomes, func() { delete(f.passed, serial) })
 		})
 	default:
-		answer(http.StatusServiceUnavailable, fault(errors.New("no member leads")))
+		refuse(answer, telltale.NoLeader, nil)
 	}
 }
 
-func fault(err error) []byte {
-	b, _ := json.Marshal(map[string]string{"error": err.Error()})
-	return append(b, '\n')
+// refuse answers by a kind, with more on it.
+func refuse(answer func(int, []byte), kind telltale.Kind, more error) {
+	text := kind.Text()
+	if more != nil {
+		text = more.Error()
+	}
+	b, _ := json.Marshal(map[string]string{"kind": kind.String(), "error": text})
+	answer(kind.Status(), append(b, '\n'))
+}
+
+func tell(w http.ResponseWriter, kind telltale.Kind, more string) {
+	var why error
+	if more != "" {
+		why = errors.New(kind.Text() + ": " + more)
+	}
+	refuse(func(status int, b []byte) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		w.Write(b)
+	}, kind, why)
 }
 
 // control is where a member takes calls: all have alike ports.
@@ -140,19 +158,17 @@
 	return net.JoinHostPort(ip, port)
 }
 
-// statusOf is the answer's status for why a change was not made.
-func statusOf(err error) int {
+// kindOf is why a change was not made.
+func kindOf(err error) telltale.Kind {
 	switch {
-	case err == nil:
-		return http.StatusOK
 	case errors.Is(err, rack.ErrOther):
-		return http.StatusPreconditionFailed
+		return telltale.OtherBase
 	case errors.Is(err, rack.ErrInvalid):
-		return http.StatusBadRequest
+		return telltale.BadBody
 	case errors.Is(err, rack.ErrUnknown):
-		return http.StatusNotFound
+		return telltale.NotKnown
 	}
-	return http.StatusServiceUnavailable
+	return telltale.NoLeader
 }
 
 var status = Call{Method: http.MethodGet, Path: "/Member.Status", Most: 0, Within: time.Second,
--- a/internal/forge/hosts.go
+++ b/internal/forge/hosts.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ferrypitch/internal/rack"
+	"ferrypitch/internal/telltale"
 )
 
 // The hosts' calls.
@@ -47,17 +48,17 @@
 	Handle: func(f *Forge, id string, c call, answer func(int, []byte)) {
 		var b Beat
 		if err := json.Unmarshal(c.body, &b); err != nil {
-			answer(http.StatusBadRequest, fault(err))
+			refuse(answer, telltale.BadBody, err)
 			return
 		}
 		if err := b.check(id); err != nil {
-			answer(http.StatusBadRequest, fault(err))
+			refuse(answer, telltale.BadBody, err)
 			return
 		}
 		f.Beats.Add(1)
 		taken := func(err error) {
 			if err != nil && !errors.Is(err, rack.ErrUnknown) { // one that has left may say so once more
-				answer(statusOf(err), fault(err))
+				refuse(answer, kindOf(err), err)
 				return
 			}
 			body, _ := json.Marshal(map[string]string{"BeatTarget": f.control(f.plate.Ip)})
@@ -80,7 +81,7 @@
 		case known && h == was:
 			taken(nil)
 		case !known && len(f.state.Hosts) >= mostHosts:
-			answer(http.StatusTooManyRequests, fault(errors.New("as many hosts as are held are here")))
+			refuse(answer, telltale.TooMany, nil)
 		default:
 			f.log.Info("a host", "id", id, "service", h.Service, "address", h.Address, "zone", h.Zone, "draining", h.Draining)
 			f.propose(rack.Change{Enter: &h}, taken)
--- a/internal/forge/operators.go
+++ b/internal/forge/operators.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ferrypitch/internal/rack"
+	"ferrypitch/internal/telltale"
 )
 
 // The operator's calls.
@@ -24,7 +25,7 @@
 	if c.base != "" {
 		var err error
 		if base, err = strconv.ParseInt(c.base, 10, 64); err != nil {
-			answer(http.StatusBadRequest, fault(fmt.Errorf("X-Base-Version: %.40q is no number", c.base)))
+			refuse(answer, telltale.BadBody, fmt.Errorf("X-Base-Version: %.40q is no number", c.base))
 			return
 		}
 	}
@@ -44,7 +45,7 @@
 
 func (f *Forge) answer(err error, answer func(int, []byte)) {
 	if err != nil {
-		answer(statusOf(err), fault(err))
+		refuse(answer, kindOf(err), err)
 		return
 	}
 	answer(http.StatusOK, []byte("{}\n"))
@@ -53,7 +54,7 @@
 var read = Call{Method: http.MethodGet, Path: "/Config.Read", Most: 0, Within: time.Second,
 	Handle: func(f *Forge, _ string, _ call, answer func(int, []byte)) {
 		if len(f.state.Config) == 0 {
-			answer(http.StatusNotFound, fault(fmt.Errorf("no configuration yet")))
+			refuse(answer, telltale.NotKnown, fmt.Errorf("no configuration yet"))
 			return
 		}
 		answer(http.StatusOK, f.state.Config)
--- a/internal/headstock/calls.go
+++ b/internal/headstock/calls.go
@@ -6,6 +6,7 @@
 
 	"ferrypitch/internal/chuck"
 	"ferrypitch/internal/scribe"
+	"ferrypitch/internal/telltale"
 	"ferrypitch/rules"
 )
 
@@ -39,7 +40,7 @@
 // statement takes one of a session's statements.
 func (h *Headstock) statement(s *session, m message) {
 	if m.err != nil {
-		h.answer(s, scribe.AppendError(nil, scribe.Malformed, "no statement of the wire"))
+		h.answer(s, h.tell(telltale.BadStatement, 0))
 		return
 	}
 	step := s.Take(m.request)
@@ -59,9 +60,9 @@
 	if c.route == nil {
 		if h.inTouch() {
 			h.NoDB.Add(1)
-			h.final(s, scribe.AppendError(nil, scribe.NoDB, "no such database any more"))
+			h.final(s, h.tell(telltale.RouteGone, 0))
 		} else {
-			h.refuse(c, scribe.Retry, "no configuration that is known to be in force", 500)
+			h.refuse(c, telltale.NoTouch, 0)
 		}
 		return
 	}
@@ -186,7 +187,7 @@
 	k := s.pin
 	if k == nil || k.closed {
 		s.Drop()
-		h.answer(s, scribe.AppendError(nil, scribe.Aborted, "the transaction's connection is gone"))
+		h.answer(s, h.tell(telltale.RolledBack, 0))
 		return
 	}
 	s.call = c
@@ -256,7 +257,7 @@
 			k.session = nil
 			h.close(k)
 			s.dropped(c)
-			h.reply(c, scribe.AppendError(nil, scribe.Aborted, "the primary was replaced"))
+			h.reply(c, h.tell(telltale.Replaced, 0))
 			return
 		}
 		if k.session = nil; s.pin == k {
@@ -269,7 +270,7 @@
 			c.handle.Ended(rules.TimedOut, -1, rules.Unknown, 0, true)
 			h.settle(c)
 		}
-		h.reply(c, scribe.AppendError(nil, scribe.InDoubt, "the primary was replaced"))
+		h.reply(c, h.tell(telltale.DoubtMoved, 0))
 		return
 	}
 	if c.step.Do == chuck.Pinned {
@@ -363,25 +364,25 @@
 	if c.step.Do == chuck.Pinned {
 		s.pin = nil
 		if c.step.Commit && c.sent {
-			s.Leave()
-			if s.ReadOnly {
-				h.reply(c, scribe.AppendError(nil, scribe.Aborted, "no answer; nothing was to be kept"))
-				return
+			kind := telltale.Doubt
+			if s.ReadOnly { // nothing was to be kept
+				kind = telltale.RolledBack
 			}
-			h.reply(c, scribe.AppendError(nil, scribe.InDoubt, "no answer to COMMIT"))
+			s.Leave()
+			h.reply(c, h.tell(kind, 0))
 			return
 		}
 		if c.step.Ends {
 			s.Leave()
 			if c.step.Commit {
-				h.reply(c, scribe.AppendError(nil, scribe.Aborted, "the transaction was rolled back"))
+				h.reply(c, h.tell(telltale.RolledBack, 0))
 			} else {
 				h.reply(c, scribe.AppendDone(nil))
 			}
 			return
 		}
 		s.Drop()
-		h.reply(c, scribe.AppendError(nil, scribe.Aborted, "the transaction was rolled back"))
+		h.reply(c, h.tell(telltale.RolledBack, 0))
 		return
 	}
 	if c.sent && c.step.Writes && !c.step.Begins && o != rules.Moot {
@@ -468,7 +469,7 @@
 			h.reply(c, c.said)
 			return
 		}
-		h.refuse(c, scribe.Retry, "no host can serve it in time", int64(comeback/10))
+		h.refuse(c, telltale.NoPlace, int64(comeback/10))
 	})
 }
 
@@ -482,15 +483,21 @@
 		case c.said != nil:
 			h.reply(c, c.said)
 		case c.maybe:
-			h.reply(c, scribe.AppendError(nil, scribe.InDoubt, "no answer from the primary"))
+			h.reply(c, h.tell(telltale.Doubt, 0))
 		default:
-			h.refuse(c, scribe.Retry, "it was not sent", 100)
+			h.refuse(c, telltale.NotSent, 0)
 		}
 	})
 }
 
 // refuse answers a call of which nothing is kept, with the milliseconds after which to come again.
-func (h *Headstock) refuse(c *call, code scribe.Code, why string, after int64) {
+func (h *Headstock) refuse(c *call, kind telltale.Kind, after int64) {
 	h.Refused.Add(1)
-	h.reply(c, scribe.AppendError(nil, code, why+"; "+strconv.FormatInt(max(after, 1), 10)))
+	h.reply(c, h.tell(kind, after))
+}
+
+// tell is an answer of this router's own, and counts it.
+func (h *Headstock) tell(kind telltale.Kind, after int64) []byte {
+	h.Told[kind].Add(1)
+	return kind.Append(nil, after)
 }
--- /dev/null
+++ b/internal/headstock/defence_test.go
@@ -0,0 +1,111 @@
+package headstock
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ferrypitch/internal/hoist"
+	"ferrypitch/internal/scribe"
+	"ferrypitch/rules"
+)
+
+// Each defence, taken out, must be caught by the worlds: else they prove nothing.
+func TestTheWorldsCatchEachDefenceTakenOut(t *testing.T) {
+	every := func(w *world, do func(r *router)) {
+		var again func()
+		again = func() {
+			for _, r := range w.routers {
+				do(r)
+			}
+			w.In(5*ms, again)
+		}
+		w.In(0, again)
+	}
+	for name, out := range map[string]struct {
+		breaks string
+		take   func(w *world)
+	}{
+		"a lead passes on while others still act on the old one": {"STALE LOST", func(w *world) {
+			w.control.clear = func(uint64) bool { return true }
+		}},
+		"a lease that never ends": {"STALE LOST", func(w *world) {
+			every(w, func(r *router) { r.h.screw.Granted(1 << 50) })
+		}},
+		"a replica that has less is promoted": {"LOST STALE", func(w *world) {
+			w.control.answer = func(q hoist.Question, r *hoist.Reply) {
+				if q.Verb == hoist.Pause {
+					r.Status.Received = scribe.Position{Term: 1} // all look alike
+				}
+			}
+		}},
+		"replicas are not stopped before they are asked": {"LOST STALE", func(w *world) {
+			w.control.answer = func(q hoist.Question, r *hoist.Reply) {
+				if q.Verb == hoist.Pause {
+					w.host(q.Host).paused = 0
+				}
+			}
+		}},
+		"a write whose answer is lost is sent again": {"TWICE", func(w *world) {
+			every(w, func(r *router) {
+				for _, k := range r.h.routes {
+					k.write.Effect = rules.Replayable
+				}
+			})
+		}},
+		"a session's own writes are forgotten": {"STALE", func(w *world) {
+			every(w, func(r *router) {
+				for s := range r.h.sessions {
+					s.Token = scribe.Position{}
+				}
+				for _, k := range r.h.routes {
+					if k.owned {
+						k.owned = false
+						k.read.Need, k.read.Bound = rules.Bounded, k.bound
+					}
+				}
+			})
+		}},
+		"floors count as newer than they are": {"STALE", func(w *world) {
+			every(w, func(r *router) {
+				for _, k := range r.h.routes {
+					k.bound = max(k.bound, 0) * 8
+				}
+			})
+			every(w, func(r *router) {
+				for _, k := range r.h.routes {
+					k.bound = min(k.bound, 8000*ms)
+				}
+			})
+		}},
+		"a connection keeps what another session set": {"PINNED", func(w *world) {
+			every(w, func(r *router) {
+				for _, n := range r.h.hosts {
+					for k := range n.all {
+						if len(k.fixture.Sum) > 0 {
+							k.fixture.Sum = ""
+						}
+					}
+				}
+			})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range 120 {
+				w := newWorld(uint64(seed), 3, 9)
+				out.take(w)
+				w.play()
+				for _, b := range w.Broken {
+					for _, rule := range strings.Fields(out.breaks) {
+						if strings.Contains(b, rule) {
+							t.Logf("caught by seed %d: %s", seed, b)
+							return
+						}
+					}
+				}
+			}
+			require.Fail(t, "120 worlds saw nothing")
+		})
+	}
+}
--- a/internal/headstock/headstock.go
+++ b/internal/headstock/headstock.go
@@ -21,6 +21,7 @@
 	"ferrypitch/internal/jig"
 	"ferrypitch/internal/nameplate"
 	"ferrypitch/internal/rack"
+	"ferrypitch/internal/telltale"
 	"ferrypitch/internal/vise"
 	"ferrypitch/rules"
 )
@@ -86,6 +87,7 @@
 	Opened, Broken, ConnsRefused, Setups, SetupFaults, Stray, Lapsed, TakenBack atomic.Int64
 	Suspects, Renewals, Leases, Links, Versions                                 atomic.Int64
 	Outcomes                                                                    [rules.Missed + 1]atomic.Int64
+	Told                                                                        [telltale.Kinds]atomic.Int64 // answers of its own
 }
 
 // service is a set of hosts with one primary.
--- a/internal/headstock/sessions.go
+++ b/internal/headstock/sessions.go
@@ -7,6 +7,7 @@
 	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/chuck"
 	"ferrypitch/internal/scribe"
+	"ferrypitch/internal/telltale"
 )
 
 const (
@@ -82,7 +83,7 @@
 			c.Close()
 			return
 		}
-		part(c, scribe.AppendError(nil, scribe.Malformed, "CONNECT with a database and a word for who comes first"))
+		part(c, h.tell(telltale.NoConnect, 0))
 		return
 	}
 	c.SetReadDeadline(time.Time{})
@@ -103,7 +104,7 @@
 		if bad != nil && r.ID == "" || bad == nil && r.Kind == scribe.Connect {
 			h.Torn.Add(1)
 			h.queue.Put(arbor.Commands, func() {
-				h.final(s, scribe.AppendError(nil, scribe.Malformed, "not a message of the wire"))
+				h.final(s, h.tell(telltale.BadMessage, 0))
 			})
 			break
 		}
@@ -180,11 +181,11 @@
 	}
 	if h.routes[database] == nil {
 		if !h.inTouch() {
-			h.final(s, scribe.AppendError(nil, scribe.Retry, "this router has no configuration that is known to be in force; 500"))
+			h.final(s, h.tell(telltale.NoTouch, 0))
 			return
 		}
 		h.NoDB.Add(1)
-		h.final(s, scribe.AppendError(nil, scribe.NoDB, "no such database"))
+		h.final(s, h.tell(telltale.NoDatabase, 0))
 		return
 	}
 	h.sessions[s] = struct{}{}
@@ -198,7 +199,7 @@
 	}
 	if len(s.ahead) >= mostAhead {
 		h.Torn.Add(1)
-		h.final(s, scribe.AppendError(nil, scribe.Malformed, "too many messages before an answer"))
+		h.final(s, h.tell(telltale.TooFarAhead, 0))
 		return
 	}
 	s.ahead = append(s.ahead, m)
--- a/internal/headstock/world_test.go
+++ b/internal/headstock/world_test.go
@@ -34,7 +34,6 @@
 	commits []*commit         // acknowledged to clients, by when
 	tries   map[string]string // data of a write -> what its client was told
 	Served  int
-	faulty  func(w *world) // a defence taken out, for tests that must fail
 	opens   int
 }
 
@@ -85,6 +84,8 @@
 	jaw   *vise.Jaw
 	hoist *hoist.Hoist
 	clear func(uint64) bool
+
+	answer func(hoist.Question, *hoist.Reply) // a defence taken out
 }
 
 func (c *control) millis() int64 { return c.w.Now / ms }
@@ -191,6 +192,9 @@
 				}
 			}
 			r.Status = scribe.Status{Leader: h.leader, Term: h.term, Received: h.pos(len(h.log)), Held: h.paused}
+			if c.answer != nil {
+				c.answer(q, &r)
+			}
 		}
 		w.In(back, func() {
 			c.hoist.Replied(r, c.millis())
--- /dev/null
+++ b/internal/rack/rack_test.go
@@ -0,0 +1,98 @@
+package rack
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func config(generation int, host string) []byte {
+	return fmt.Appendf(nil, `{"Generation":%d,"Routes":[{"Name":"r","Host":%q,"Kind":"leader","DeadlineMs":9,"Service":"s"}],"Services":[{"Name":"s"}]}`, generation, host)
+}
+
+func TestOfTwoChangesOnOneVersionOneWinsAndALostAnswerIsFoundAgain(t *testing.T) {
+	s := &State{}
+	first := Configure{Base: 0, Body: config(3, "a")}
+	require.NoError(t, s.Apply(1, Change{Configure: &first}))
+	one, other := Configure{Base: 3, Body: config(5, "b")}, Configure{Base: 3, Body: config(6, "c")}
+	require.NoError(t, s.Apply(2, Change{Configure: &one}))
+	require.ErrorIs(t, s.Apply(3, Change{Configure: &other}), ErrOther)
+	require.EqualValues(t, 5, s.Gen)
+	plan, err := s.Check(&first) // sent again after an answer was lost, and after others
+	require.NoError(t, err)
+	require.Nil(t, plan)
+	_, err = s.Check(&Configure{Base: 5, Body: config(5, "d")})
+	require.ErrorIs(t, err, ErrInvalid)
+	_, err = s.Check(&Configure{Base: 5, Body: []byte("{")})
+	require.ErrorIs(t, err, ErrInvalid)
+	_, err = (&State{}).Check(&Configure{Amend: true, Body: []byte(`{"Generation":1}`)})
+	require.ErrorIs(t, err, ErrInvalid)
+}
+
+func TestAFenceRisesWithEachHolderAndALeadIsNotedOnce(t *testing.T) {
+	s := &State{}
+	require.NoError(t, s.Apply(1, Change{Lead: &NewLead{"db", "h0", 1}}))
+	require.NoError(t, s.Apply(2, Change{Recall: &Recall{"db", "a"}}))
+	require.NoError(t, s.Apply(3, Change{Recall: &Recall{"db", "a"}}))
+	require.EqualValues(t, 2, s.Leads["db"].Fence)
+	require.EqualValues(t, 2, s.Leads["db"].At, "what was taken back once is handed back once")
+	require.NoError(t, s.Apply(4, Change{Recall: &Recall{"db", "b"}}))
+	require.EqualValues(t, 4, s.Leads["db"].Fence)
+	require.NoError(t, s.Apply(5, Change{Named: &Named{"db", "h1", "b"}}))
+	require.NoError(t, s.Apply(6, Change{Lead: &NewLead{"db", "h1", 2}}))
+	require.Equal(t, Lead{Host: "h1", Term: 2, Fence: 4, Holder: "b", At: 6}, s.Leads["db"])
+	require.True(t, errors.Is(s.Apply(7, Change{Drain: "nobody"}), ErrUnknown))
+}
+
+// Members that apply the same changes hold the same, wherever each took a snapshot.
+func TestSnapshotsStandForAllBefore(t *testing.T) {
+	for seed := range 200 {
+		chance := rand.New(rand.NewPCG(uint64(seed), 1))
+		a, b := &State{}, &State{}
+		for i := 1; i < 60; i++ {
+			var c Change
+			id := fmt.Sprintf("h%d", chance.IntN(5))
+			switch chance.IntN(8) {
+			case 0:
+				c.Configure = &Configure{Base: a.Gen, Body: config(int(a.Gen)+1+chance.IntN(3), id)}
+			case 1, 2:
+				c.Enter = &Host{ID: id, Service: "s", Address: "1.1.1.1:1", Draining: chance.IntN(3) == 0}
+			case 3:
+				c.Leave = id
+			case 4:
+				c.Recall = &Recall{"s", id}
+			case 5:
+				c.Lead = &NewLead{"s", id, uint64(i)}
+			case 6:
+				c.Router = &Router{Node: id, Gone: chance.IntN(3) == 0}
+			case 7:
+				c.Named = &Named{"s", id, "m"}
+			}
+			decoded, err := Decode(Encode(c))
+			require.NoError(t, err)
+			wantErr, gotErr := a.Apply(uint64(i), c), b.Apply(uint64(i), decoded)
+			require.Equal(t, wantErr == nil, gotErr == nil)
+			require.NoError(t, b.Apply(uint64(i), Change{Leave: "h0"}), "what was applied is passed over")
+			if chance.IntN(5) == 0 {
+				b, err = Restore(b.Snapshot())
+				require.NoError(t, err)
+			}
+			require.Equal(t, a.Sum(), b.Sum(), "seed %d, change %d", seed, i)
+			require.Equal(t, a.Plan(), b.Plan())
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(Change{Leave: "x"}))
+	f.Add((&State{Gen: 3}).Snapshot())
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if c, err := Decode(b); err == nil {
+			(&State{}).Apply(1, c)
+		}
+		Restore(b)
+	})
+}
--- /dev/null
+++ b/internal/vise/vise_test.go
@@ -0,0 +1,64 @@
+package vise
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Over seeded runs: whenever the control plane holds a change for handed back, no router acts on what was before it.
+// Members that lead change; one that stood still goes on with what it believed.
+func TestNoRouterActsOnWhatIsHandedBack(t *testing.T) {
+	type router struct {
+		screw   Screw
+		applied uint64
+		skew    int64
+	}
+	cleared := 0
+	for seed := range 300 {
+		chance := rand.New(rand.NewPCG(uint64(seed), 3))
+		now, index := int64(1<<30), uint64(1)
+		routers := map[string]*router{"a": {skew: 5}, "b": {skew: -900}, "c": {}}
+		known := []string{"a", "b", "c"}
+		jaw := New(now)
+		for range 400 {
+			now += chance.Int64N(120)
+			name := known[chance.IntN(3)]
+			r := routers[name]
+			switch chance.IntN(12) {
+			case 0:
+				index++
+			case 1: // another member leads
+				jaw = New(now)
+			case 2:
+				jaw.Heard(name, 1, r.applied)
+			case 3:
+				r.applied = index
+			default: // a renewal, its answer late or lost
+				asked := now + r.skew
+				now += chance.Int64N(30)
+				jaw.Renew(name, 1, r.applied, now)
+				if chance.IntN(4) > 0 {
+					r.screw.Granted(asked)
+				}
+			}
+			if jaw.Clear(index, known, now) {
+				cleared++
+				for name, r := range routers {
+					require.False(t, r.applied < index && r.screw.Tight(now+r.skew), "seed %d: %s acts on %d, %d was handed back", seed, name, r.applied, index)
+				}
+			}
+		}
+	}
+	require.Greater(t, cleared, 1000)
+}
+
+func TestARouterInAnotherLifeHoldsNothingOfTheLast(t *testing.T) {
+	j := New(0)
+	j.Renew("a", 1, 5, 10000)
+	require.False(t, j.Clear(6, []string{"a"}, 10001))
+	j.Heard("a", 2, 6)
+	require.True(t, j.Clear(6, []string{"a"}, 10001))
+	require.Equal(t, 0, j.Live(10001))
+}
