ferrylab system: both programs as processes through the crash of a primary

A test of idle connections waits until no answer is being written (it failed once beside other work: a writer had not noted yet that its answer was out).

--- a/cmd/ferrylab/main.go
+++ b/cmd/ferrylab/main.go
@@ -21,7 +21,7 @@
 	root := &cobra.Command{Use: "ferrylab", Short: "The laboratory of ferrypitch, on loopback and stand-ins alone",
 		SilenceErrors: true, SilenceUsage: true}
 	root.CompletionOptions.HiddenDefaultCmd = true
-	root.AddCommand(demoCommand(), tiersCommand(), exportCommand())
+	root.AddCommand(systemCommand(), demoCommand(), tiersCommand(), exportCommand())
 	switch err := root.ExecuteContext(ctx); {
 	case err == nil:
 	case errors.Is(err, errBroken):
--- /dev/null
+++ b/cmd/ferrylab/system_test.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ferrypitch/internal/lab/whole"
+)
+
+func TestTheWholeSystemServesThroughTheCrashOfAPrimary(t *testing.T) {
+	var out bytes.Buffer
+	require.NoError(t, system(t.Context(), &out, whole.Terms{For: 6 * time.Second, Sessions: 6, Seed: 77}, true))
+	var r whole.Result
+	require.NoError(t, json.Unmarshal(out.Bytes(), &r))
+	require.Empty(t, r.Broken)
+	require.Equal(t, 2, r.Versions)
+	require.Equal(t, 1, r.Leads, "the primary that crashed was not replaced")
+	require.Positive(t, r.Gap, "no write was answered after the crash")
+	require.Greater(t, r.Kept, 100)
+	require.Len(t, r.Rows, 8)
+}
--- a/cmd/ferrylab/tiers.go
+++ b/cmd/ferrylab/tiers.go
@@ -28,7 +28,7 @@
 				}
 				defer os.RemoveAll(dir)
 			}
-			if t.Binary, err = fleet.Build(dir); err != nil {
+			if t.Binary, err = fleet.Build(dir, "ferrypitch"); err != nil {
 				return err
 			}
 			if t.Trace, err = tracing(dir, capture); err != nil {
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -16,6 +16,7 @@
 // Process is a program of the product, run as service would.
 type Process struct {
 	binary string
+	env    []string
 	args   []string
 	log    string
 
@@ -26,10 +27,10 @@
 	cpu    time.Duration // of runs that are over
 }
 
-// Build builds the program into a folder.
-func Build(dir string) (binary string, err error) {
-	binary = filepath.Join(dir, "ferrypitch")
-	out, err := exec.Command("go", "build", "-o", binary, "ferrypitch/cmd/ferrypitch").CombinedOutput()
+// Build builds a program of the project into a folder.
+func Build(dir, program string) (binary string, err error) {
+	binary = filepath.Join(dir, program)
+	out, err := exec.Command("go", "build", "-o", binary, "ferrypitch/cmd/"+program).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("go build: %w: %s", err, out)
 	}
@@ -38,7 +39,12 @@
 
 // Start starts it, with its log beside its file.
 func Start(binary, log string, args ...string) (*Process, error) {
-	p := &Process{binary: binary, args: args, log: log}
+	return StartWith(nil, binary, log, args...)
+}
+
+// StartWith starts it with more variables, NAME=VALUE.
+func StartWith(env []string, binary, log string, args ...string) (*Process, error) {
+	p := &Process{binary: binary, env: env, args: args, log: log}
 	return p, p.Again()
 }
 
@@ -55,6 +61,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(p.binary, p.args...)
+	cmd.Env = append(os.Environ(), p.env...)
 	cmd.Stderr = out
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/lab/tiers/tiers_test.go
+++ b/internal/lab/tiers/tiers_test.go
@@ -9,7 +9,7 @@
 
 func TestSixForwardersAndThreePlannersKilledInTurn(t *testing.T) {
 	dir := t.TempDir()
-	binary, err := fleet.Build(dir)
+	binary, err := fleet.Build(dir, "ferrypitch")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -404,6 +404,17 @@
 			first = c
 		}
 	}
+	for owed := true; owed; { // its writer may not have noted yet that an answer is out
+		owed = false
+		s.mu.Lock()
+		for c := range s.open {
+			c.mu.Lock()
+			owed = owed || c.owed()
+			c.mu.Unlock()
+		}
+		s.mu.Unlock()
+		runtime.Gosched()
+	}
 	for range 9 {
 		dial() // says nothing, and is too new to make way
 	}
