--- a/internal/lab/whole/client.go
+++ b/internal/lab/whole/client.go
@@ -123,7 +123,7 @@
 	c.s.work.Unlock()
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	if code == "" && !c.s.crash.IsZero() && c.began.After(c.s.crash) && c.s.result.Gap == 0 {
+	if code == "" && len(data) > 0 && !c.s.crash.IsZero() && c.began.After(c.s.crash) && c.s.result.Gap == 0 {
 		c.s.result.Gap = time.Since(c.s.crash)
 	}
 }
