Connections are shared by need: a part of one rests for a part of a second

Weighed: shares lent by the control plane (messages by need, and a delay before each first use), statements sent on by a few routers that hold a service's pool (a hop, bytes between zones, 2 Mbit/s), and letting connections rest for the share's part of a second. Change: collet (pure) says how many connections a router may have and how long one may rest; where connections are fewer than routers none is opened before its service is needed. Small sites keep their shares.

--- /dev/null
+++ b/internal/collet/collet.go
@@ -0,0 +1,39 @@
+// Package collet (a sleeve that holds a piece by closing round it) says how a host's connections, which are fewer than
+// would be held if each router kept its own, are shared: how many one router may have, and how long one may rest.
+//
+// Each router counts on a share: what the host takes, less a reserve, over the routers that there are. Where the share is
+// one or more, so many may rest for long; what is over it rests for a moment. Where there are fewer connections than
+// routers, the share is a part of one: a router may open what it needs, and lets each connection rest for that part of a
+// second, so that all routers' resting connections together stay within the host's.
+//
+// Pure.
+package collet
+
+const (
+	reserve = 2     // for the control plane's questions
+	few     = 3     // that one router may have, whatever its share
+	long    = 45000 // milliseconds, within the share
+	moment  = 900
+)
+
+// Share is of one router at one host.
+type Share float64
+
+// Of is the share where a host takes so many connections and so many routers are there, this one included.
+func Of(conns, routers int) Share {
+	return Share(float64(max(1, conns-reserve)) / float64(max(1, routers)+1))
+}
+
+// Most is how many connections this router may have to the host.
+func (s Share) Most() int { return max(few, int(s)) }
+
+// Rest is how many milliseconds the nth resting connection, from 0, may go on resting.
+func (s Share) Rest(n int) int64 {
+	if n < int(s) {
+		return long
+	}
+	return int64(min(1, float64(s)) * moment)
+}
+
+// Scarce says that there are fewer connections than routers: none is opened before it is needed.
+func (s Share) Scarce() bool { return s < 1 }
--- a/internal/headstock/calls.go
+++ b/internal/headstock/calls.go
@@ -75,6 +75,14 @@
 func (h *Headstock) place(c *call) {
 	now := h.moment()
 	r := c.route
+	if !r.service.used {
+		r.service.used = true
+		for _, id := range h.state.Members(r.service.name) {
+			if n := h.hosts[id]; n != nil && n.probing && n.opening == 0 && len(n.all) == 0 {
+				n.open()
+			}
+		}
+	}
 	c.group = r.read
 	since := rules.Tenth(0)
 	switch {
--- a/internal/headstock/headstock.go
+++ b/internal/headstock/headstock.go
@@ -18,6 +18,7 @@
 
 	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/belt"
+	"ferrypitch/internal/collet"
 	"ferrypitch/internal/feeler"
 	"ferrypitch/internal/gauge"
 	"ferrypitch/internal/jig"
@@ -98,7 +99,8 @@
 	set   int64
 	gauge gauge.Gauge
 	lead  rack.Lead
-	conns int // the most at each host, of all routers
+	conns int  // the most at each host, of all routers
+	used  bool // a session has asked for it
 }
 
 // route is one of the configuration in force.
@@ -130,13 +132,13 @@
 // inTouch says that the configuration held is known to be in force.
 func (h *Headstock) inTouch() bool { return h.plan != nil && h.screw.Tight(h.clock.Now()) }
 
-// share is how many connections this router may have to a host.
-func (h *Headstock) share(n *host) int {
+// share is this router's of a host's connections.
+func (h *Headstock) share(n *host) collet.Share {
 	routers := h.routers
 	if h.feeler != nil {
 		routers = max(routers, len(h.feeler.Live()))
 	}
-	return max(1, (n.service.conns-2)/(routers+1))
+	return collet.Of(n.service.conns, routers)
 }
 
 // Run lives until a signal to stop.
@@ -347,10 +349,12 @@
 // Probe has the module learn whether a host is there, and where it stands: a connection is opened, or one is there.
 func (h *Headstock) Probe(n *rules.Node) {
 	k := h.nodes[n]
+	if k.probing = true; h.share(k).Scarce() && !k.service.used {
+		return // all routers at once would take more than there are: it is opened with the first that needs the service
+	}
 	if k.opening == 0 {
 		k.open()
 	}
-	k.probing = true
 }
 
 // Close closes a host's idle connections.
--- a/internal/headstock/hosts.go
+++ b/internal/headstock/hosts.go
@@ -57,7 +57,7 @@
 		return
 	}
 	n.waiting = append(n.waiting, c)
-	if len(n.all)+n.opening < n.h.share(n) && n.opening < len(n.waiting) {
+	if len(n.all)+n.opening < n.h.share(n).Most() && n.opening < len(n.waiting) {
 		n.open()
 	}
 }
@@ -254,7 +254,7 @@
 
 // refill opens connections for what waits.
 func (n *host) refill() {
-	for !n.gone && n.opening < len(n.waiting) && len(n.all)+n.opening < n.h.share(n) {
+	for !n.gone && n.opening < len(n.waiting) && len(n.all)+n.opening < n.h.share(n).Most() {
 		n.open()
 	}
 }
@@ -315,9 +315,17 @@
 	}
 }
 
-// trim gives back connections that a host is to spare: over this router's share, or idle for long.
+// trim gives back connections that a host is to spare: over this router's share, or at rest for long.
 func (n *host) trim(now time.Time) {
-	for len(n.idle) > 0 && (len(n.all)+n.opening > n.h.share(n) || now.Sub(n.idle[0].since) > idleFor) {
-		n.h.close(n.idle[0])
+	if len(n.idle) == 0 {
+		return
+	}
+	share := n.h.share(n)
+	for len(n.idle) > 0 {
+		first := n.idle[0]
+		if len(n.all)+n.opening <= share.Most() && now.Sub(first.since).Milliseconds() <= share.Rest(len(n.idle)-1) {
+			return
+		}
+		n.h.close(first)
 	}
 }
