--- a/internal/headstock/headstock.go
+++ b/internal/headstock/headstock.go
@@ -138,7 +138,11 @@
 	if h.feeler != nil {
 		routers = max(routers, len(h.feeler.Live()))
 	}
-	return collet.Of(n.service.conns, routers)
+	share := collet.Of(n.service.conns, routers)
+	if h.clock.Since().Milliseconds() < collet.Young {
+		share = share.Halved()
+	}
+	return share
 }
 
 // Run lives until a signal to stop.
