A replica that is gone need not be waited for; a primary that leaves is left in time

Cause, by reading DRAIN and fail-over once more: a replica that never returns would keep its service without a primary for good once that is lost, too; a primary that drains while no successor can be had would be sent statements past DrainMs. Change: a replica whose machine refuses for 3 s, or whose address is another's, while another replica has reached where the primary stood after that, is noted as missing in the log and need not be asked, until it beats again (a silent one never is); routers stop sending to a host that drains 1.5 s before DrainMs is over, whether it leads or not. Ruled out: counting silent replicas as gone, which may be cut off from the control plane alone.

--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -296,6 +296,8 @@
 	case !f.leads:
 	case c.Recall != nil:
 		f.hoist.Applied(c.Recall.Service)
+	case c.Missing != "":
+		f.hoist.Applied(f.state.Hosts[c.Missing].Service)
 	case c.Named != nil:
 		f.hoist.Applied(c.Named.Service)
 	case c.Lead != nil:
--- a/internal/forge/tongs.go
+++ b/internal/forge/tongs.go
@@ -89,7 +89,8 @@
 		switch {
 		case errors.As(err, &code):
 			r.Code = code.code
-			r.Silent = true
+			r.Refused = code.code == scribe.WrongNode // another uses its address: it is gone
+			r.Silent = !r.Refused
 		case err != nil:
 			r.Refused = errors.Is(err, syscall.ECONNREFUSED)
 			r.Silent = !r.Refused
--- a/internal/headstock/defence_test.go
+++ b/internal/headstock/defence_test.go
@@ -32,6 +32,9 @@
 	}{
 		"a lead passes on while others still act on the old one": {"STALE LOST", func(w *world) {
 			w.control.clear = func(uint64) bool { return true }
+			w.In(1500*ms, func() { w.routers[0].cut = true })
+			w.In(1600*ms, w.drain)
+			w.In(5*s, func() { w.routers[0].cut = false })
 		}},
 		"a lease that never ends": {"STALE LOST", func(w *world) {
 			every(w, func(r *router) { r.h.screw.Granted(1 << 50) })
--- a/internal/headstock/headstock.go
+++ b/internal/headstock/headstock.go
@@ -321,6 +321,9 @@
 	for _, id := range slices.Sorted(maps.Keys(h.hosts)) {
 		h.hosts[id].trim(now)
 		h.hosts[id].listen(now)
+		if n := h.hosts[id]; n.standing == rules.In && n.drained(now) {
+			h.settleHosts()
+		}
 	}
 	if h.inTouch() {
 		h.touchedAt = now
--- a/internal/headstock/hosts.go
+++ b/internal/headstock/hosts.go
@@ -12,6 +12,7 @@
 	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/belt"
 	"ferrypitch/internal/chuck"
+	"ferrypitch/internal/nameplate"
 	"ferrypitch/internal/rack"
 	"ferrypitch/internal/scribe"
 	"ferrypitch/rules"
@@ -30,6 +31,7 @@
 	gone     bool
 	heardAt  time.Time // when it last answered anything
 	told     int64     // when it was last told to be suspect
+	drainAt  time.Time // when this router learned that it drains
 	probing  bool      // the module waits for word of it
 	listed   bool
 	standing rules.Standing
@@ -302,6 +304,12 @@
 	return slices.SortedFunc(maps.Keys(n.all), func(a, b *hostConn) int { return cmp.Compare(a.serial, b.serial) })
 }
 
+// drained says that a host which leaves may be sent nothing more, whether it leads or not.
+func (n *host) drained(now time.Time) bool {
+	bound := nameplate.Duration(n.h.plate.Bounds.DrainMs)
+	return n.Draining && bound > 0 && now.Sub(n.drainAt) > max(bound/2, bound-1500*time.Millisecond)
+}
+
 // listen has a primary that owes answers and gives none suspected.
 func (n *host) listen(now time.Time) {
 	if n.service.lead.Host != n.ID || n.service.lead.Moving {
--- a/internal/headstock/news.go
+++ b/internal/headstock/news.go
@@ -312,7 +312,10 @@
 		}
 		n.Host = want
 		standing := rules.In
-		if want.Draining && h.state.Leads[want.Service].Host != id { // one that leads goes on until another does
+		if want.Draining && n.drainAt.IsZero() {
+			n.drainAt = h.clock.Time()
+		}
+		if want.Draining && (h.state.Leads[want.Service].Host != id || n.drained(h.clock.Time())) { // one that leads goes on until another does
 			standing = rules.Draining
 		}
 		if n.standing != standing || !n.listed {
--- a/internal/headstock/world_test.go
+++ b/internal/headstock/world_test.go
@@ -67,7 +67,13 @@
 
 func (w *world) told(h *database.Host) {
 	leader := h.Leader
-	w.In(w.Between(1*ms, 4*ms), func() { w.control.hoist.Beat(h.ID, leader, w.control.millis()) })
+	w.In(w.Between(1*ms, 4*ms), func() {
+		w.control.hoist.Beat(h.ID, leader, w.control.millis())
+		if is := w.control.state.Hosts[h.ID]; is.Missing {
+			is.Missing = false
+			w.control.apply(rack.Change{Enter: &is})
+		}
+	})
 }
 
 func (w *world) time() time.Time { return w.epoch.Add(time.Duration(w.Now) * 100 * time.Microsecond) }
@@ -118,6 +124,8 @@
 	switch {
 	case x.Recall != nil:
 		c.hoist.Applied("db")
+	case x.Missing != "":
+		c.hoist.Applied("db")
 	case x.Named != nil:
 		c.w.Note("named in the log: %s", x.Named.Host)
 		c.hoist.Applied("db")
@@ -732,6 +740,25 @@
 	c.watch(life, a, 4*s)
 }
 
+// drain has the primary leave, and come back under its name.
+func (w *world) drain() {
+	if l := w.control.state.Leads["db"]; l.Host != "" && !l.Moving && !w.control.state.Hosts[l.Host].Draining {
+		w.Note("%s drains", l.Host)
+		drained := w.control.state.Hosts[l.Host]
+		drained.Draining = true
+		w.control.apply(rack.Change{Enter: &drained})
+		w.In(3*s, func() { // it is replaced: the same machine serves again under its name
+			w.control.apply(rack.Change{Leave: drained.ID})
+			w.control.state.Gone = nil
+			drained.Draining = false
+			w.control.apply(rack.Change{Enter: &drained})
+			for _, r := range w.routers { // they forget who left, too
+				r.run(r.life, func(h *Headstock) { h.state.Gone = nil })
+			}
+		})
+	}
+}
+
 // strike is one fault.
 func (w *world) strike() {
 	if w.Now > w.Zero+8*s {
@@ -756,7 +783,11 @@
 		}
 	case 2:
 		if down == 0 {
-			h.Crash(w.Odds(2), w.Between(500*ms, 4*s))
+			back, dark := w.Between(500*ms, 4*s), w.Odds(2)
+			if !dark && !h.Leader && w.Odds(2) {
+				back = 6 * s // long enough to count as gone
+			}
+			h.Crash(dark, back)
 		}
 	case 3:
 		if deaf == 0 && !h.Leader {
@@ -777,20 +808,6 @@
 		w.Note("%s stands still", h.ID)
 		w.frozen[h.ID] = w.Now + w.Between(20*ms, 1200*ms)
 	case 8:
-		if l := w.control.state.Leads["db"]; l.Host != "" && !l.Moving && !w.control.state.Hosts[l.Host].Draining {
-			w.Note("%s drains", l.Host)
-			drained := w.control.state.Hosts[l.Host]
-			drained.Draining = true
-			w.control.apply(rack.Change{Enter: &drained})
-			w.In(3*s, func() { // it is replaced: the same machine serves again under its name
-				w.control.apply(rack.Change{Leave: drained.ID})
-				w.control.state.Gone = nil
-				drained.Draining = false
-				w.control.apply(rack.Change{Enter: &drained})
-				for _, r := range w.routers { // they forget who left, too
-					r.run(r.life, func(h *Headstock) { h.state.Gone = nil })
-				}
-			})
-		}
+		w.drain()
 	}
 }
--- a/internal/hoist/hoist.go
+++ b/internal/hoist/hoist.go
@@ -122,6 +122,7 @@
 	resumed   bool
 	started   int64
 	rejected  map[string]int64
+	refuses   map[string]int64 // replicas whose machines refuse, since when
 	why       string
 }
 
@@ -153,7 +154,8 @@
 	s := h.services[name]
 	if s == nil {
 		s = &service{name: name, suspect: map[string]int64{}, questions: map[string]*asked{}, rows: map[string]told{},
-			paused: map[string]bool{}, rejected: map[string]int64{}}
+			paused: map[string]bool{}, rejected: map[string]int64{},
+			refuses: map[string]int64{}}
 		h.services[name] = s
 	}
 	return s
@@ -314,6 +316,7 @@
 		}
 		h.ask(do, s, m, Stat, 0, 4*again, now)
 	}
+	h.missing(do, state, s, lead, members, now)
 	if primary.Draining {
 		if to := h.successor(state, s, lead, members, now); to != "" {
 			h.Counts.Planned++
@@ -323,6 +326,48 @@
 	}
 }
 
+// missing finds replicas whose processes are gone, so that the loss of the primary need not wait for them. One counts as
+// gone once its machine has refused for a while; what it alone had received others must have since: another replica has
+// reached where the primary stood after that. A replica that is silent is never taken for gone.
+func (h *Hoist) missing(do *Todo, state *rack.State, s *service, lead rack.Lead, members []string, now int64) {
+	for _, m := range members {
+		if m == lead.Host || state.Hosts[m].Missing || now < max(h.beats[m].At, h.since)+2*h.beatMs+patience {
+			delete(s.refuses, m)
+			continue
+		}
+		h.ask(do, s, m, Stat, 0, 4*again, now)
+		r, ok := s.rows[m]
+		if !ok || !r.reply.Refused || now > r.at+8*again {
+			delete(s.refuses, m)
+			continue
+		}
+		since := s.refuses[m]
+		if since == 0 {
+			s.refuses[m] = now
+			continue
+		}
+		if now < since+believed {
+			continue
+		}
+		h.ask(do, s, lead.Host, Stat, 0, 4*again, now)
+		at, ok := s.answered(lead.Host, Stat, since)
+		if !ok || !at.Leader {
+			continue
+		}
+		for _, o := range members {
+			if o == m || o == lead.Host || state.Hosts[o].Missing {
+				continue
+			}
+			h.ask(do, s, o, Stat, 0, 4*again, now)
+			if st, ok := s.answered(o, Stat, since); ok && !st.Received.Before(at.Received) && s.rows[o].sent >= s.rows[lead.Host].sent {
+				h.Log(s.name, "a replica is gone, and others have all that it had", m)
+				s.propose(do, rack.Change{Missing: m}, now)
+				return
+			}
+		}
+	}
+}
+
 // settle forgets a move that is over.
 func (s *service) settle() {
 	s.called, s.calling, s.resumed, s.started = "", false, false, 0
@@ -376,7 +421,7 @@
 	best := ""
 	for _, m := range members {
 		host := state.Hosts[m]
-		if m == lead.Host || host.Draining || now > h.beats[m].At+2*h.beatMs+patience || now < s.rejected[m]+2*patience && s.rejected[m] > 0 {
+		if m == lead.Host || host.Draining || host.Missing || now > h.beats[m].At+2*h.beatMs+patience || now < s.rejected[m]+2*patience && s.rejected[m] > 0 {
 			continue
 		}
 		if best == "" || host.Zone == state.Hosts[lead.Host].Zone && state.Hosts[best].Zone != host.Zone {
@@ -440,6 +485,9 @@
 			continue
 		}
 		st, ok := s.answered(m, Pause, s.started)
+		if !ok && state.Hosts[m].Missing && s.rows[m].verb == Pause && s.rows[m].reply.Refused {
+			continue
+		}
 		if !ok {
 			h.ask(do, s, m, Pause, lead.Term+1, again, now)
 			ready = false // one that is not running may be back before the successor leads
@@ -530,7 +578,7 @@
 		st, ok := s.answered(m, Pause, s.started)
 		if !ok {
 			h.ask(do, s, m, Pause, term, again, now)
-			complete = false
+			complete = complete && state.Hosts[m].Missing
 			continue
 		}
 		s.paused[m] = true
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -28,6 +28,7 @@
 	Generation                 string
 	Capacity                   int64
 	Draining                   bool
+	Missing                    bool   // its process is gone, and others hold all that it had received
 	Since                      uint64 // the change that brought it
 }
 
@@ -78,6 +79,7 @@
 	Named     *Named
 	Lead      *NewLead
 	Router    *Router
+	Missing   string // a host that fail-over need not ask, until it says that it is there
 }
 
 // Router brings a router before it is granted its first lease, or takes out one that holds none any more.
@@ -332,6 +334,11 @@
 			l.Holder, l.Fence = c.Named.Holder, index
 		}
 		s.lead(c.Named.Service, l)
+	case c.Missing != "":
+		if h, known := s.Hosts[c.Missing]; known {
+			h.Missing = true
+			s.host(h)
+		}
 	case c.Router != nil && c.Router.Gone:
 		delete(s.Routers, c.Router.Node)
 	case c.Router != nil:
--- a/internal/ratchet/ratchet_test.go
+++ b/internal/ratchet/ratchet_test.go
@@ -26,8 +26,8 @@
 	acked      []string
 	proposed   int
 	calm       bool
-	slow       bool // disks
-	fault      string
+	slow       bool   // disks
+	out        string // a defence taken out
 }
 
 type member struct {
@@ -73,7 +73,22 @@
 	m.up, m.frozen, m.held, m.waiting = true, false, nil, map[uint64]string{}
 	kept := m.disk
 	kept.Entries = slices.Clone(kept.Entries)
-	m.core = New(m.id, Usual(w.lost), kept, m.founder, w.Chance.Float64, w.Now)
+	terms := Usual(w.lost)
+	m.core = New(m.id, terms, kept, m.founder, w.Chance.Float64, w.Now)
+	if w.out == "promise" { // its leader counts on what it does not keep
+		life := m.life
+		var forget func()
+		forget = func() {
+			if m.up && m.life == life {
+				m.core.heardAt, m.core.startedAt = 0, 0
+				if w.Odds(20) && !m.core.IsLeader() {
+					m.core.askAt = w.Now
+				}
+				w.In(10, forget)
+			}
+		}
+		w.In(10, forget)
+	}
 	m.tick(m.life)
 }
 
@@ -106,9 +121,12 @@
 			took = w.Between(0, 900)
 		}
 		seq := x.Seq
+		if w.out == "sync" { // it is told of as stored before it is
+			took = 0
+		}
 		w.In(took, func() {
 			m.do(life, func() {
-				for len(m.queue) > 0 && m.queue[0].Seq <= seq {
+				for w.out != "sync" && len(m.queue) > 0 && m.queue[0].Seq <= seq {
 					m.sync(m.queue[0])
 					m.queue = m.queue[1:]
 				}
@@ -275,7 +293,7 @@
 		return
 	}
 	m := w.members[w.Chance.IntN(len(w.members))]
-	if w.fault == "leader" || w.Odds(3) {
+	if w.Odds(3) {
 		for _, l := range w.members {
 			if l.up && l.core.IsLeader() {
 				m = l
@@ -297,6 +315,11 @@
 		m.crash(true)
 		w.In(back, func() {
 			m.disk, m.founder = Restored{}, nil
+			if w.out == "name" {
+				m.founder = []ID{"m0", "m1", "m2"}
+				m.start()
+				return
+			}
 			m.id = ID(fmt.Sprintf("%s+%d", m.address, m.life))
 			if w.Odds(2) { // for good, and another takes its place elsewhere
 				m.address = fmt.Sprintf("%s-%d", m.address, m.life)
@@ -480,3 +503,34 @@
 	}
 	return *seeds
 }
+
+// Each defence, taken out, must be caught.
+func TestTheWorldsCatchEachDefenceTakenOut(t *testing.T) {
+	for _, out := range []string{"sync", "name", "promise"} {
+		caught := ""
+		for seed := 0; seed < 300 && caught == ""; seed++ {
+			w := newWorld(uint64(seed), 3, 1)
+			w.out = out
+			for _, m := range w.members {
+				m.crash(true)
+				m.disk = Restored{}
+				m.start()
+			}
+			func() {
+				defer func() {
+					if p := recover(); p != nil { // an assertion of the log itself
+						w.Broke("%v", p)
+					}
+				}()
+				w.run(9000)
+			}()
+			for _, b := range w.Broken {
+				if strings.Contains(b, "gone") || strings.Contains(b, "both hold") || strings.Contains(b, "delivers") || strings.Contains(b, "ratchet:") {
+					caught = fmt.Sprintf("seed %d: %s", seed, b)
+				}
+			}
+		}
+		require.NotEmpty(t, caught, "%s: 300 worlds saw nothing", out)
+		t.Logf("%s: caught by %s", out, caught)
+	}
+}
