The log's file is synced by our own hand, and read anew after a write that broke off

Cause, by reading buntdb: with SyncPolicy Always a sync that fails is passed over, and a write that breaks off and can't be cut off again panics; on a disk that refuses writes the first would acknowledge what may be lost, the second end the process again and again. Change: buntdb syncs never, the drawer syncs the same file by a handle of its own; after a sync that failed the file is written anew beside its place; after a panic it is closed, cut to what is whole and opened again, and the write is tried once more. Ruled out: trusting a later sync, which need not cover what a failed one did. Tests: a broken-off write before each step.

--- a/internal/drawer/drawer.go
+++ b/internal/drawer/drawer.go
@@ -23,7 +23,9 @@
 // Drawer is an open file. Its calls are made by one goroutine.
 type Drawer struct {
 	db   *buntdb.DB
+	file *os.File // the same file, to sync it: buntdb passes over a sync that fails
 	path string
+	torn bool   // a write broke off in a way that buntdb can't take back
 	last uint64 // the last entry that is held
 	size int64  // of the file after it was last made small
 }
@@ -57,9 +59,7 @@
 		id, kept, err = d.read()
 	}
 	if err != nil || id.ID == "" {
-		if d.db != nil {
-			d.db.Close()
-		}
+		d.close()
 		if _, bad := os.Stat(path); bad == nil { // what can't be read whole counts for nothing
 			if bad := os.Rename(path, path+".broken"); bad != nil {
 				return nil, id, kept, trace.ConvertSystemError(bad)
@@ -69,7 +69,7 @@
 			return nil, id, kept, err
 		}
 		id, kept = fresh(), ratchet.Restored{}
-		err := d.db.Update(func(tx *buntdb.Tx) error { return put(tx, keyIdentity, id) })
+		err := d.update(func(tx *buntdb.Tx) error { return put(tx, keyIdentity, id) })
 		if err != nil {
 			return nil, id, kept, trace.Wrap(err)
 		}
@@ -85,12 +85,61 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	d.db = db
-	return trace.Wrap(db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Always, AutoShrinkDisabled: true}))
+	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true}); err != nil {
+		db.Close()
+		return trace.Wrap(err)
+	}
+	file, err := os.OpenFile(d.path, os.O_RDWR, 0o600)
+	if err != nil {
+		db.Close()
+		return trace.ConvertSystemError(err)
+	}
+	d.db, d.file = db, file
+	return nil
+}
+
+func (d *Drawer) close() {
+	if d.db != nil {
+		d.db.Close()
+		d.file.Close()
+		d.db = nil
+	}
 }
 
 // Close closes the file.
-func (d *Drawer) Close() error { return d.db.Close() }
+func (d *Drawer) Close() error {
+	d.close()
+	return nil
+}
+
+// update makes one change and returns once it is on disk. A change that fails may be made again.
+func (d *Drawer) update(do func(*buntdb.Tx) error) (err error) {
+	if d.torn || d.db == nil {
+		d.close()
+		if err := salvage(d.path); err != nil {
+			return err
+		}
+		if err := d.open(); err != nil {
+			return err
+		}
+		d.torn = false
+		if _, _, err := d.read(); err != nil {
+			return err
+		}
+	}
+	defer func() {
+		if p := recover(); p != nil { // a write broke off, and what of it is there could not be cut off
+			d.torn, err = true, trace.Errorf("%v", p)
+		}
+	}()
+	if err := d.db.Update(do); err != nil {
+		return err
+	}
+	if d.file.Sync() == nil {
+		return nil
+	}
+	return d.rewrite() // what a failed sync covered may never reach the disk, even if a later one does not fail
+}
 
 func put(tx *buntdb.Tx, key string, v any) error {
 	var b bytes.Buffer
@@ -156,7 +205,7 @@
 		}
 		todo := sets
 		sets = nil
-		return d.db.Update(func(tx *buntdb.Tx) error {
+		return d.update(func(tx *buntdb.Tx) error {
 			for _, do := range todo {
 				if err := do(tx); err != nil {
 					return err
@@ -216,7 +265,7 @@
 	if err != nil || len(keys) == 0 {
 		return err
 	}
-	return d.db.Update(func(tx *buntdb.Tx) error {
+	return d.update(func(tx *buntdb.Tx) error {
 		for _, key := range keys {
 			if _, err := tx.Delete(key); err != nil {
 				return err
@@ -233,6 +282,11 @@
 	if err != nil || info.Size() < least || info.Size() < 3*d.size {
 		return trace.ConvertSystemError(err)
 	}
+	return d.rewrite()
+}
+
+// rewrite puts a copy of all that is held in the file's place.
+func (d *Drawer) rewrite() error {
 	beside := d.path + ".new"
 	f, err := os.OpenFile(beside, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
@@ -253,14 +307,15 @@
 		return trace.Wrap(err)
 	}
 	if err := (store.Disk{}).SyncFolder(filepath.Dir(d.path)); err != nil {
+		d.torn = true // what is open has no name any more
 		return trace.ConvertSystemError(err)
 	}
-	old := d.db
+	d.close()
 	if err := d.open(); err != nil {
 		return err
 	}
-	old.Close()
-	if info, err = os.Stat(d.path); err == nil {
+	info, err := os.Stat(d.path)
+	if err == nil {
 		d.size = info.Size()
 	}
 	return trace.ConvertSystemError(err)
--- a/internal/drawer/drawer_test.go
+++ b/internal/drawer/drawer_test.go
@@ -119,6 +119,28 @@
 	return false
 }
 
+func TestAfterAWriteThatBrokeOffTheFileIsReadAnewAndServesOn(t *testing.T) {
+	for n := range steps[:len(steps)-1] {
+		folder := t.TempDir()
+		d, _, _, err := Open(folder, fresh)
+		require.NoError(t, err)
+		for _, s := range steps[:n+1] {
+			require.NoError(t, d.Store([]ratchet.Write{s.write}))
+		}
+		f, err := os.OpenFile(filepath.Join(folder, "ratchet.db"), os.O_APPEND|os.O_WRONLY, 0)
+		require.NoError(t, err)
+		_, err = f.WriteString("*3\r\n$3\r\nset\r\n$4\r\nme")
+		require.NoError(t, err)
+		require.NoError(t, f.Close())
+		d.torn = true
+		require.NoError(t, d.Store([]ratchet.Write{steps[n+1].write}))
+		require.NoError(t, d.Close())
+		got, id := held(t, folder)
+		require.EqualValues(t, "a", id)
+		require.Equal(t, steps[n+1].want, got)
+	}
+}
+
 func TestAFileThatIsNotOursMakesAStranger(t *testing.T) {
 	folder := t.TempDir()
 	require.NoError(t, os.WriteFile(filepath.Join(folder, "ratchet.db"), []byte("*2\r\n$3\r\nset\r\n"), 0o600))
