A router that ends answers what is out; changes are applied in their order

Cause, by reading once more: at three quarters of the grace a router closed sessions whose statements were out, which is a cut and not an answer; and whoever was told of a change while several were being applied could have had a later one applied first (no way there is known). Change: giveUp answers each: RETRY where nothing went out, ABORTED inside a transaction, INDOUBT for a write or COMMIT that was sent; forge applies from a queue. Ruled out: leaving it to clients' own time.

--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -50,6 +50,9 @@
 	serial  uint64
 	seqs    map[string]int64 // the newest call of each host
 	ending  bool
+	arrived []ratchet.Delivery // not applied yet
+
+	delivering bool
 
 	Counts
 }
@@ -196,8 +199,15 @@
 			f.mesh.Send(f.plate.Link(ip), &belt.Frame{Core: &m})
 		}
 	}
-	if len(o.Delivered) > 0 {
-		f.deliver(o.Delivered)
+	f.arrived = append(f.arrived, o.Delivered...)
+	if !f.delivering { // whoever is told of one change may propose another: all are applied in their order
+		f.delivering = true
+		for len(f.arrived) > 0 {
+			all := f.arrived
+			f.arrived = nil
+			f.deliver(all)
+		}
+		f.delivering = false
 	}
 	f.lead()
 }
--- a/internal/headstock/headstock.go
+++ b/internal/headstock/headstock.go
@@ -18,6 +18,7 @@
 
 	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/belt"
+	"ferrypitch/internal/chuck"
 	"ferrypitch/internal/collet"
 	"ferrypitch/internal/feeler"
 	"ferrypitch/internal/gauge"
@@ -353,6 +354,28 @@
 	return slices.SortedFunc(maps.Keys(h.sessions), func(a, b *session) int { return cmp.Compare(a.serial, b.serial) })
 }
 
+// giveUp answers all that is out, as this router ends: what had not gone out has not run.
+func (h *Headstock) giveUp() {
+	for _, s := range h.all() {
+		c := s.call
+		if c == nil {
+			continue
+		}
+		kind := telltale.NotSent
+		switch {
+		case c.step.Do == chuck.Pinned && c.step.Commit && c.sent && !s.ReadOnly, c.name != "" && (c.sent || c.maybe) && c.step.Writes && !c.step.Begins:
+			kind = telltale.Doubt
+		case c.step.Do == chuck.Pinned:
+			kind = telltale.RolledBack
+		}
+		if s.At() != 'I' {
+			s.Drop()
+		}
+		s.ending, s.parted = true, true
+		h.reply(c, h.tell(kind, 0))
+	}
+}
+
 // Probe has the module learn whether a host is there, and where it stands: a connection is opened, or one is there.
 func (h *Headstock) Probe(n *rules.Node) {
 	k := h.nodes[n]
@@ -429,6 +452,9 @@
 				})
 				n := <-left
 				if spent := time.Since(began); spent > grace*3/4 || n == 0 && spent > min(2500*time.Millisecond, grace/2) {
+					done := make(chan struct{})
+					h.queue.Put(arbor.Lists, func() { h.giveUp(); close(done) })
+					<-done
 					return
 				}
 			}
