--- a/rules/hold.go
+++ b/rules/hold.go
@@ -5,8 +5,6 @@
 	"slices"
 )
 
-// Commands that wait, and how dispatches and commands end: hold, repeats.
-
 // hold keeps a command until it has a place, worthiest then newest first. Guards against jams of old ones.
 func (c *Cmd) hold() {
 	s := c.set
--- a/rules/hosts.go
+++ b/rules/hosts.go
@@ -6,8 +6,6 @@
 	"strings"
 )
 
-// What is held of hosts, and when one may be sent a command: caps and shares, silence, cold budget.
-
 // Host introduces a host of the list.
 func (r *Router) Host(name string, set int64) *Node {
 	s := r.set(set)
--- a/rules/route.go
+++ b/rules/route.go
@@ -5,8 +5,6 @@
 	"slices"
 )
 
-// The ordinary path: which host a command goes to, by the tokens of sessions.
-
 // Take is the ordinary path of a command, up to its first dispatch.
 func (r *Router) Take(name string, g *CmdGroup, set int64, session string, timeout, since Tenth,
 	again bool) *Cmd {
--- a/rules/word.go
+++ b/rules/word.go
@@ -7,8 +7,6 @@
 	"strings"
 )
 
-// What routers and hosts tell of hosts: words, reports, views, probes.
-
 // id is what routers call a host among themselves.
 func (n *Node) id() string { return strconv.FormatUint(uint64(crc32.ChecksumIEEE([]byte(n.Name))), 36) }
 
