--- a/cmd/ferrypitch/program_test.go
+++ b/cmd/ferrypitch/program_test.go
@@ -687,6 +687,11 @@
 
 // begin starts hosts a (the primary), b, c..., discovery and the program.
 func begin(t *testing.T, hosts int, change func(map[string]any)) *stand {
+	return prepared(t, hosts, change, func(*stand) {})
+}
+
+// prepared has its hosts as the test wants them before the program can ask where they stand.
+func prepared(t *testing.T, hosts int, change func(map[string]any), ready func(*stand)) *stand {
 	s := &stand{t: t, lines: make(chan string), watches: make(chan string, 99), ended: make(chan bool, 99)}
 	for i := range hosts {
 		s.hosts = append(s.hosts, s.host(string(rune('a'+i))))
@@ -708,6 +713,7 @@
 		b, _ := json.Marshal(c)
 		s.config = string(b)
 	}
+	ready(s)
 	s.start()
 	return s
 }
--- a/cmd/ferrypitch/shape_test.go
+++ b/cmd/ferrypitch/shape_test.go
@@ -21,7 +21,7 @@
 }
 
 func TestSettingsThatAreWatchedAreCountedAndChangeNothing(t *testing.T) {
-	s := begin(t, 3, func(c map[string]any) {
+	s := prepared(t, 3, func(c map[string]any) {
 		b, _ := json.Marshal(c["settings"])
 		var next map[string]any
 		json.Unmarshal(b, &next)
@@ -31,10 +31,11 @@
 		rules["ask_within"], rules["drain_binds_alone"] = 10000, true
 		next["family_info"].(map[string]any)["class_read"] = []string{"eventual", "causal", "mutate"}
 		c["next_settings"] = next
+	}, func(s *stand) {
+		for _, h := range s.hosts[1:] {
+			h.behind(10_000_000_000) // past the bound: today each read asks one, then goes to the primary
+		}
 	})
-	for _, h := range s.hosts[1:] {
-		h.behind(10_000_000_000) // past the bound: today each read asks one, then goes to the primary
-	}
 	c := s.client()
 	for range 10 {
 		if code, value, _ := c.ask(look("list", "800", "")); code != "" || value != "from a" {
