--- /dev/null
+++ b/internal/hoist/holds.go
@@ -0,0 +1,35 @@
+package hoist
+
+import (
+	"ferrypitch/internal/rack"
+)
+
+// resume has the replicas that a move PAUSEd receive again; true once it need not be waited for. One that is not running
+// receives when it starts; one that gives no answer is asked on, and holds up a planned move for a while only.
+func (h *Hoist) resume(do *Todo, state *rack.State, s *service, lead rack.Lead, members []string, now int64) bool {
+	if s.resuming != lead.At {
+		s.resuming, s.resumeAt = lead.At, now
+	}
+	all := true
+	for _, m := range members {
+		if m == lead.Host || state.Hosts[m].Since > lead.At {
+			continue
+		}
+		r, ok := s.rows[m]
+		if ok && r.verb == Resume && r.sent >= s.resumeAt && (r.reply.Refused || !r.reply.Silent && r.reply.Code == "" && r.reply.Status.Held == 0) {
+			continue
+		}
+		all = false
+		every := int64(again)
+		if now > s.resumeAt+handing { // it may be gone for long
+			every *= 8
+		}
+		h.ask(do, s, m, Resume, 0, every, now)
+	}
+	if all {
+		h.Counts.Resumed++
+		s.propose(do, rack.Change{Resumed: s.name}, now)
+		return false
+	}
+	return now > s.resumeAt+handing
+}
--- /dev/null
+++ b/internal/hoist/planned.go
@@ -0,0 +1,107 @@
+package hoist
+
+import (
+	"ferrypitch/internal/rack"
+	"ferrypitch/internal/scribe"
+)
+
+// successor is the replica that takes over from a primary that leaves: one that stays, beats, and stands in order of id.
+func (h *Hoist) successor(state *rack.State, s *service, lead rack.Lead, members []string, now int64) string {
+	best := ""
+	for _, m := range members {
+		host := state.Hosts[m]
+		if m == lead.Host || host.Draining || host.Missing || now > h.beats[m].At+2*h.beatMs+patience || now < s.rejected[m]+2*patience && s.rejected[m] > 0 {
+			continue
+		}
+		if best == "" || host.Zone == state.Hosts[lead.Host].Zone && state.Hosts[best].Zone != host.Zone {
+			best = m
+		}
+	}
+	return best
+}
+
+// handOver carries out a planned move up to the moment at which the successor leads.
+func (h *Hoist) handOver(do *Todo, state *rack.State, s *service, lead rack.Lead, members []string, now int64) {
+	if s.started == 0 {
+		s.started = now
+		h.Log(s.name, "a lead is handed over", lead.To)
+	}
+	recall := rack.Change{Recall: &rack.Recall{Service: s.name, Holder: h.self}}
+	to, there := state.Hosts[lead.To]
+	if h.lost(do, s, lead, now) || !there {
+		s.propose(do, recall, now) // what follows finds out where it had come to
+		return
+	}
+	if lead.Holder != h.self {
+		s.propose(do, rack.Change{Named: &rack.Named{Service: s.name, Host: lead.To, Holder: h.self}}, now)
+		return
+	}
+	if st, ok := s.answered(lead.To, Stat, s.started); ok && st.Leader && st.Term > lead.Term || h.beats[lead.To].Leader && h.beats[lead.To].At >= s.started {
+		s.propose(do, recall, now)
+		return
+	}
+	if s.called == "" && now > s.started+2*settles || to.Draining {
+		s.propose(do, recall, now)
+		return
+	}
+	if s.called != "" {
+		for _, m := range members { // one that started anew receives again, and would have more than the successor
+			if m != lead.Host && m != lead.To {
+				h.ask(do, s, m, Pause, lead.Term+1, quick, now)
+			}
+		}
+		h.look(do, state, s, now)
+		if !s.calling && now > s.callEnded+settles {
+			s.propose(do, recall, now)
+		}
+		return
+	}
+	if r, ok := s.rows[lead.To]; ok && r.sent >= s.started && (r.reply.Refused || r.reply.Silent) { // another, if there is one
+		s.rejected[lead.To] = now
+		s.named = h.successor(state, s, lead, members, now)
+		s.propose(do, rack.Change{Named: &rack.Named{Service: s.name, Host: s.named, Holder: h.self}}, now)
+		return
+	}
+	h.attend(do, s, lead.To, now)
+	// Nothing is acknowledged that the successor has not received, from here on.
+	ready, most := true, scribe.Position{}
+	for _, m := range members {
+		if m == lead.Host || m == lead.To {
+			continue
+		}
+		st, ok := s.answered(m, Pause, s.started)
+		if !ok {
+			if r, ok := s.rows[m]; ok && r.verb == Pause && r.sent >= s.started {
+				s.propose(do, recall, now) // it may be back before the successor leads, and acknowledge: writes are stopped first
+				return
+			}
+			h.ask(do, s, m, Pause, lead.Term+1, again, now)
+			ready = false
+			continue
+		}
+		if s.paused[m] = true; most.Before(st.Received) {
+			most = st.Received
+		}
+	}
+	if !ready {
+		if now > s.started+handing { // then with writes stopped first
+			s.propose(do, recall, now)
+		}
+		return
+	}
+	st, ok := s.answered(lead.To, Stat, s.started)
+	if !ok || st.Received.Before(most) {
+		h.ask(do, s, lead.To, Stat, 0, 30, now)
+		return
+	}
+	h.call(do, s, lead, lead.To, now)
+}
+
+// attend asks a successor where it stands, and has it receive where an earlier try PAUSEd it.
+func (h *Hoist) attend(do *Todo, s *service, to string, now int64) {
+	if st, ok := s.answered(to, Stat, s.started); ok && st.Held > 0 {
+		h.ask(do, s, to, Resume, 0, closing, now)
+		return
+	}
+	h.ask(do, s, to, Stat, 0, closing, now)
+}
--- /dev/null
+++ b/internal/hoist/unplanned.go
@@ -0,0 +1,167 @@
+package hoist
+
+import (
+	"slices"
+
+	"ferrypitch/internal/rack"
+	"ferrypitch/internal/scribe"
+)
+
+// move carries out a move whose lead was taken back.
+func (h *Hoist) move(do *Todo, state *rack.State, s *service, lead rack.Lead, members []string, clear func(uint64) bool, now int64) {
+	if lead.Holder != h.self {
+		s.propose(do, rack.Change{Recall: &rack.Recall{Service: s.name, Holder: h.self}}, now)
+		return
+	}
+	if s.started == 0 {
+		s.started = now
+		h.Log(s.name, "a lead is taken back", lead.Host)
+	}
+	term := lead.Term + 1
+	for _, r := range s.rows {
+		if r.sent >= s.started && sane(r.reply.Status.Term, lead) {
+			term = max(term, r.reply.Status.Term+1)
+		}
+	}
+	if _, there := state.Hosts[s.called]; !there && !s.calling {
+		s.called = "" // it has left: whoever is at its address now has another id
+	}
+	// One that was named, by whomever, may lead by now.
+	least := lead.Term + 1
+	if _, there := state.Hosts[lead.Host]; !there {
+		least = lead.Term // a new host at its address leads on with its log
+	}
+	if to, st := s.leading(least, members); to != "" {
+		h.ask(do, s, lead.Host, StepDown, st.Term, again, now)
+		r, ok := s.rows[lead.Host]
+		silent := ok && (r.reply.Silent || r.reply.Refused) || !ok && now >= s.started+patience
+		if !clear(lead.At) || !silent && (r.verb != StepDown || r.sent < s.started) {
+			return
+		}
+		// Where the new one was out of reach at once the old primary may have gone on and been acknowledged. Nothing was
+		// acknowledged by the new one, since nobody was granted its lead.
+		if old, ok := s.answered(lead.Host, StepDown, s.started); !ok || old.Leader || !s.gaveNone || st.Received.Number >= old.Received.Number {
+			h.Log(s.name, "leads", to)
+			new := rack.NewLead{Service: s.name, Host: to, Term: st.Term}
+			if s.called == to {
+				new.Took = max(1, s.rows[to].sent-s.calledAt)
+			}
+			s.propose(do, rack.Change{Lead: &new}, now)
+			return
+		}
+	}
+	if s.called != "" && (s.calling || now < s.callEnded+settles) {
+		h.look(do, state, s, now) // none other is named before it is clear what became of the call
+		return
+	}
+	if !clear(lead.At) {
+		return
+	}
+	// A planned move with writes stopped: the successor has all once it has what the old primary, where it leads on, has now.
+	if s.named != "" && s.named == lead.To && s.called == "" && now < s.started+handing {
+		old, lives := s.rows[lead.Host]
+		if !lives || !old.reply.Silent && !old.reply.Refused {
+			if s.clearAt == 0 {
+				s.clearAt = now
+			}
+			h.ask(do, s, lead.Host, Stat, 0, closing, now)
+			h.attend(do, s, lead.To, now)
+			at, ok := s.answered(lead.Host, Stat, s.clearAt)
+			if st, has := s.answered(lead.To, Stat, s.clearAt); ok && has && at.Leader && st.Received.Number >= at.Received.Number {
+				h.call(do, s, lead, lead.To, now)
+			}
+			return
+		}
+	}
+	// The old primary, where it can be reached, leads no more after this, and its log lacks nothing.
+	h.ask(do, s, lead.Host, StepDown, term, again, now)
+	old, oldKnown := s.answered(lead.Host, StepDown, s.started)
+	if oldKnown && old.Leader {
+		oldKnown = false
+	}
+	s.lacking = nil
+	complete, best, most := true, "", scribe.Position{}
+	consider := func(m string, at scribe.Position) {
+		at.Term = min(at.Term, lead.Term) // nothing was acknowledged in a term that nobody was granted
+		// One that drains is taken only where no other has as much: what it alone received was acknowledged.
+		if best == "" || most.Before(at) || most == at && (state.Hosts[best].Draining && !state.Hosts[m].Draining || m == lead.To) {
+			best, most = m, at
+		}
+	}
+	for _, m := range members {
+		if m == lead.Host {
+			continue
+		}
+		st, ok := s.answered(m, Pause, s.started)
+		if !ok {
+			h.ask(do, s, m, Pause, term, again, now)
+			if !state.Hosts[m].Missing {
+				s.lacking, complete = append(s.lacking, m), false
+			}
+			continue
+		}
+		s.paused[m] = true
+		consider(m, st.Received)
+	}
+	if owed := state.OwedOf(s.name); len(owed) > 0 {
+		s.lacking, complete = append(s.lacking, owed...), false
+	}
+	if oldKnown && (!complete || best == "") { // its log will do in place of those that don't answer
+		if _, there := state.Hosts[lead.Host]; there {
+			consider(lead.Host, old.Received)
+		}
+		complete = best != "" && most.Number >= old.Received.Number
+	}
+	if !complete || best == "" || s.rejected[best] > 0 && now < s.rejected[best]+2*patience {
+		h.Counts.Waiting++
+		return
+	}
+	if best != lead.To {
+		if _, there := state.Hosts[lead.To]; there && s.named != lead.To && now < s.started+2*patience {
+			return // an earlier holder may have called: whether that one leads is seen before another is named
+		}
+		s.named = best
+		s.propose(do, rack.Change{Named: &rack.Named{Service: s.name, Host: best, Holder: h.self}}, now)
+		return
+	}
+	h.call(do, s, lead, best, now)
+}
+
+// sane says that a term may follow a lead's. A host that tells of one beyond all reason is not believed.
+func sane(term uint64, lead rack.Lead) bool { return term < lead.Term+farOff }
+
+// leading is the host that was seen to lead in a term of at least so much, the greatest of all.
+func (s *service) leading(least uint64, members []string) (to string, at scribe.Status) {
+	for _, m := range members {
+		r, ok := s.rows[m]
+		if ok && r.sent >= s.started-2*settles && r.reply.Code == "" && !r.reply.Silent && !r.reply.Refused &&
+			r.reply.Status.Leader && r.reply.Status.Term >= max(least, at.Term+1) && r.reply.Status.Term < least+farOff {
+			to, at = m, r.reply.Status
+		}
+	}
+	return to, at
+}
+
+// Move is a service's move as it stands.
+type Move struct {
+	From, Named string
+	ForMs       int64    // since this member carries it out
+	Called      string   // whom the platform was told to promote
+	Lacking     []string // hosts that must say what they received, or whose logs are owed, before one can be named
+	Handed      bool     // the old primary serves on meanwhile
+}
+
+// Moves are the services on the move, by name.
+func (h *Hoist) Moves(state *rack.State, now int64) map[string]Move {
+	all := map[string]Move{}
+	for name, l := range state.Leads {
+		if s := h.services[name]; s != nil && (l.Moving || l.To != "") {
+			m := Move{From: l.Host, Named: l.To, Called: s.called, Lacking: slices.Clone(s.lacking), Handed: !l.Moving}
+			if s.started > 0 {
+				m.ForMs = now - s.started
+			}
+			all[name] = m
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/ratchet/election.go
@@ -0,0 +1,217 @@
+package ratchet
+
+import (
+	"slices"
+)
+
+type role uint8
+
+const (
+	follower role = iota
+	candidate
+	leader
+)
+
+// Holds says that no other view can have begun by now, and that all that was delivered in older ones was delivered
+// here. Only then may anything be granted or acknowledged.
+func (c *Core) Holds(now int64) bool {
+	return c.role == leader && !c.ceded && c.began > 0 && c.commit >= c.began && now < c.heldUntil()
+}
+
+// heldUntil is when the first promise of the majority that held out longest ends, less a tenth for clocks that drift.
+func (c *Core) heldUntil() int64 {
+	until := int64(1<<62 - 1)
+	for _, g := range c.active() {
+		var at []int64
+		for _, m := range g.members {
+			switch p := c.peers[m]; {
+			case m == c.id:
+				at = append(at, c.now)
+			case p != nil:
+				at = append(at, p.echo)
+			default:
+				at = append(at, 0)
+			}
+		}
+		slices.SortFunc(at, func(a, b int64) int { return int(max(-1, min(1, b-a))) })
+		if len(at) == 0 {
+			return 0
+		}
+		until = min(until, at[len(at)/2]+c.Promise*9/10)
+	}
+	return until
+}
+
+// rest draws when to ask for votes, should no leader be heard by then.
+func (c *Core) rest() {
+	c.askAt = c.now + c.Promise + 50 + int64(c.chance()*float64(c.Jitter))
+	if c.last() < c.commit { // nobody with less is to go first
+		c.askAt += c.Jitter
+	}
+}
+
+func (c *Core) lead() {
+	if c.now > max(c.heldUntil(), c.ledAt)+2*c.Promise || c.ceded && c.now > c.silenced+c.Promise {
+		c.fall("")
+		return
+	}
+	beat := c.now >= c.beatAt
+	if beat {
+		c.beatAt = c.now + c.Beat
+	}
+	for _, id := range c.others() {
+		p := c.peers[id]
+		if beat && !c.ceded {
+			c.pulse(id)
+		}
+		c.feed(id, p)
+		if p.stranger && c.now > p.heardAt+4*c.Promise {
+			delete(c.peers, id)
+		}
+	}
+	c.adopt()
+}
+
+func (c *Core) pulse(id ID) {
+	p := c.peers[id]
+	c.send(Message{Kind: Pulse, To: id, Sent: c.now, Commit: min(c.commit, p.match)})
+}
+
+// ask begins an election: first whether votes would be had, then for them.
+func (c *Core) ask(try, yielded bool) {
+	c.role, c.leader, c.try, c.yielded = candidate, "", try, yielded
+	c.votes, c.fresh = map[ID]bool{c.id: try}, map[ID]bool{c.id: !c.heard}
+	if c.rounds++; try { // asking whether votes would be had harms nobody
+		c.askAt = c.now + c.Beat/2 + int64(c.chance()*float64(c.Jitter)/2)
+	} else { // two at once may take each other's votes; slow disks need longer each time
+		c.tries = min(c.tries+1, 8)
+		c.askAt = c.now + int64(c.tries)*c.Beat + int64(c.chance()*float64(c.Jitter))
+	}
+	view, _ := c.viewAt(c.last())
+	m := Message{Kind: Ask, Index: c.last(), Prev: view, Try: try, Yielded: yielded, Fresh: c.allFresh && !try}
+	to := map[ID]bool{}
+	for _, g := range c.active() {
+		for _, id := range g.members {
+			if id != c.id {
+				to[id] = true
+			}
+		}
+	}
+	var all []ID
+	for id := range to {
+		all = append(all, id)
+	}
+	slices.Sort(all)
+	if try {
+		for _, id := range all {
+			m.To = id
+			c.send(m)
+		}
+		c.elected()
+		return
+	}
+	c.meta.View, c.meta.Vote = c.meta.View+1, c.id
+	meta := c.meta
+	messages := []Message{{Kind: Vote, To: c.id, Granted: true}}
+	for _, id := range all {
+		m.To = id
+		messages = append(messages, m)
+	}
+	c.write(Write{Meta: &meta}, messages...)
+}
+
+func (c *Core) elected() {
+	// Where all members are in lives in which none has heard a leader, none leads: there is no promise to wait out.
+	c.allFresh = c.try && c.all(func(id ID) bool { return c.fresh[id] })
+	if c.role == candidate && c.allFresh {
+		c.ask(false, false)
+		return
+	}
+	if c.role != candidate || !c.majority(func(id ID) bool { return c.votes[id] }) {
+		return
+	}
+	if c.try {
+		c.ask(false, c.yielded)
+		return
+	}
+	c.heard = true
+	c.role, c.leader, c.ceded, c.beatAt, c.ledAt = leader, c.id, false, c.now, c.now
+	c.peers = map[ID]*progress{}
+	c.follow()
+	c.peers[c.id].match = c.saved
+	c.append(Entry{View: c.meta.View})
+	c.began = c.last()
+	c.lead()
+}
+
+// fall has a member follow again.
+func (c *Core) fall(to ID) {
+	c.role, c.leader, c.peers, c.votes, c.began, c.ceded = follower, to, nil, nil, 0, false
+	c.rest()
+}
+
+// Cede hands the view over to the member that has most, if this one leads. Nothing is granted here any more.
+func (c *Core) Cede(now int64) Out {
+	c.clock(now)
+	if c.role != leader || c.ceded {
+		return c.take()
+	}
+	best := ID("")
+	for _, id := range c.others() {
+		if p := c.peers[id]; !p.stranger && c.now < p.heardAt+c.Promise && (best == "" || p.match > c.peers[best].match) {
+			best = id
+		}
+	}
+	if best != "" {
+		c.ceded, c.silenced = true, c.now
+		c.send(Message{Kind: Yield, To: best})
+	}
+	return c.take()
+}
+
+// asked answers a candidate. A member that has promised itself to a view, by hearing its leader or by an earlier life
+// that may have, gives no vote until that is over, and takes part in nothing newer meanwhile.
+func (c *Core) asked(m Message) {
+	view, _ := c.viewAt(c.last())
+	upToDate := m.Prev > view || m.Prev == view && m.Index >= c.last()
+	bound := c.now < max(c.heardAt, c.startedAt)+c.Promise || c.role == leader && c.now < c.heldUntil()+c.Promise/5
+	if m.Yielded && m.From != "" && c.role == follower && c.now >= c.startedAt+c.Promise {
+		bound = false
+	}
+	if m.Yielded && c.role == leader && c.ceded || m.Fresh && !c.heard {
+		bound = false
+	}
+	if m.Try {
+		newer := m.View+1 > c.meta.View
+		// Two that try at once would take each other's votes. With as much each, the one that comes first by name goes on, for
+		// as long as it may yet get through.
+		if c.role == candidate && c.try && c.rounds <= 2 && upToDate && newer && !bound && m.Prev == view && m.Index == c.last() {
+			if c.id < m.From {
+				newer = false
+			} else {
+				c.fall("")
+				c.askAt = c.now + 2*c.Beat + int64(c.chance()*float64(c.Jitter))
+			}
+		}
+		c.send(Message{Kind: Vote, To: m.From, Try: true, Granted: !bound && upToDate && newer, Fresh: !c.heard && upToDate})
+		return
+	}
+	if bound || m.View < c.meta.View {
+		return
+	}
+	if m.View > c.meta.View {
+		c.meta.View, c.meta.Vote = m.View, ""
+		c.fall("")
+	} else if c.meta.Vote != "" && c.meta.Vote != m.From || c.role == leader {
+		return
+	}
+	if !upToDate {
+		meta := c.meta
+		c.write(Write{Meta: &meta})
+		return
+	}
+	c.meta.Vote = m.From
+	c.rest()
+	meta := c.meta
+	c.write(Write{Meta: &meta}, Message{Kind: Vote, To: m.From, Granted: true})
+}
