Terms of the field in the ordered log: learner, pre-vote, heartbeat, lease, transfer

Need: stranger, Try, Pulse, Echo, Cede and Promise hid standard concepts. Change: names and comments only; fields of messages between members are renamed with them, so members of this and of the version before do not understand each other's votes. Two tests carry the new words, their assertions stay.

--- a/cmd/anvil/status.go
+++ b/cmd/anvil/status.go
@@ -15,8 +15,8 @@
 var status = &haft.Status[forge.Status]{Program: "anvil", What: "show a running member's view, leads, moves and counters",
 	Path: "/Member.Status", Text: func(w io.Writer, shown forge.Status) {
 		g := shown.Standing
-		fmt.Fprintf(w, "member %s, view %d, leader %s, holds %v\nmembers %v, strangers %v\ndelivered %d of %d, on disk %d\n",
-			g.ID, g.View, g.Leader, g.Holds, g.Members, g.Strangers, g.Commit, g.Last, g.Saved)
+		fmt.Fprintf(w, "member %s, view %d, leader %s, holds %v\nmembers %v, learners %v\ndelivered %d of %d, on disk %d\n",
+			g.ID, g.View, g.Leader, g.Holds, g.Members, g.Learners, g.Commit, g.Last, g.Saved)
 		fmt.Fprintf(w, "version %d, %d hosts, %d routers\n", shown.Version, shown.Hosts, shown.Routers)
 		for _, name := range slices.Sorted(maps.Keys(shown.Leads)) {
 			l := shown.Leads[name]
--- a/internal/drawer/drawer.go
+++ b/internal/drawer/drawer.go
@@ -1,6 +1,6 @@
 // Package drawer (where a workshop keeps what must not be lost) holds a member's part of the ordered log on disk, in
 // buntdb. What is acknowledged was synced; a file that can't be read whole is put aside, and its member starts as a
-// stranger.
+// learner.
 //
 //	Open -> Restored       Store(writes) returns when they are on disk
 package drawer
--- a/internal/drawer/drawer_test.go
+++ b/internal/drawer/drawer_test.go
@@ -44,7 +44,7 @@
 
 func held(t *testing.T, folder string) (string, ratchet.ID) {
 	t.Helper()
-	d, id, kept, err := Open(folder, func() Identity { return Identity{ID: "stranger"} })
+	d, id, kept, err := Open(folder, func() Identity { return Identity{ID: "learner"} })
 	require.NoError(t, err)
 	defer d.Close()
 	return show(kept), id.ID
@@ -141,12 +141,12 @@
 	}
 }
 
-func TestAFileThatIsNotOursMakesAStranger(t *testing.T) {
+func TestAFileThatIsNotOursMakesALearner(t *testing.T) {
 	folder := t.TempDir()
 	require.NoError(t, os.WriteFile(filepath.Join(folder, "ratchet.db"), []byte("*2\r\n$3\r\nset\r\n"), 0o600))
 	got, id := held(t, folder)
 	require.Equal(t, "v0  s0 []", got)
-	require.EqualValues(t, "stranger", id)
+	require.EqualValues(t, "learner", id)
 }
 
 func TestTheFileStaysSmallAndKeepsAll(t *testing.T) {
--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -461,7 +461,7 @@
 				f.ending = true
 				if f.core.IsLeader() {
 					f.log.Info("hands its view over")
-					f.carry(f.core.Cede(f.clock.Now()))
+					f.carry(f.core.TransferLeadership(f.clock.Now()))
 				}
 				close(handed)
 			})
--- a/internal/ratchet/election.go
+++ b/internal/ratchet/election.go
@@ -15,10 +15,10 @@
 // Holds says that no other view can have begun by now, and that all that was delivered in older ones was delivered
 // here. Only then may anything be granted or acknowledged.
 func (c *Core) Holds(now int64) bool {
-	return c.role == leader && !c.ceded && c.began > 0 && c.commit >= c.began && now < c.heldUntil()
+	return c.role == leader && !c.transferring && c.began > 0 && c.commit >= c.began && now < c.heldUntil()
 }
 
-// heldUntil is when the first promise of the majority that held out longest ends, less a tenth for clocks that drift.
+// heldUntil is when the first lease of the majority that held out longest ends, less a tenth for clocks that drift.
 func (c *Core) heldUntil() int64 {
 	until := int64(1<<62 - 1)
 	for _, g := range c.active() {
@@ -28,7 +28,7 @@
 			case m == c.id:
 				at = append(at, c.now)
 			case p != nil:
-				at = append(at, p.echo)
+				at = append(at, p.confirmed)
 			default:
 				at = append(at, 0)
 			}
@@ -37,21 +37,21 @@
 		if len(at) == 0 {
 			return 0
 		}
-		until = min(until, at[len(at)/2]+c.Promise*9/10)
+		until = min(until, at[len(at)/2]+c.Lease*9/10)
 	}
 	return until
 }
 
 // rest draws when to ask for votes, should no leader be heard by then.
 func (c *Core) rest() {
-	c.askAt = c.now + c.Promise + 50 + int64(c.chance()*float64(c.Jitter))
+	c.askAt = c.now + c.Lease + 50 + int64(c.chance()*float64(c.Jitter))
 	if c.last() < c.commit { // nobody with less is to go first
 		c.askAt += c.Jitter
 	}
 }
 
 func (c *Core) lead() {
-	if c.now > max(c.heldUntil(), c.ledAt)+2*c.Promise || c.ceded && c.now > c.silenced+c.Promise {
+	if c.now > max(c.heldUntil(), c.ledAt)+2*c.Lease || c.transferring && c.now > c.silenced+c.Lease {
 		c.fall("")
 		return
 	}
@@ -61,34 +61,34 @@
 	}
 	for _, id := range c.others() {
 		p := c.peers[id]
-		if beat && !c.ceded {
-			c.pulse(id)
+		if beat && !c.transferring {
+			c.heartbeat(id)
 		}
 		c.feed(id, p)
-		if p.stranger && c.now > p.heardAt+4*c.Promise {
+		if p.learner && c.now > p.heardAt+4*c.Lease {
 			delete(c.peers, id)
 		}
 	}
 	c.adopt()
 }
 
-func (c *Core) pulse(id ID) {
+func (c *Core) heartbeat(id ID) {
 	p := c.peers[id]
-	c.send(Message{Kind: Pulse, To: id, Sent: c.now, Commit: min(c.commit, p.match)})
+	c.send(Message{Kind: Heartbeat, To: id, Sent: c.now, Commit: min(c.commit, p.match)})
 }
 
 // ask begins an election: first whether votes would be had, then for them.
-func (c *Core) ask(try, yielded bool) {
-	c.role, c.leader, c.try, c.yielded = candidate, "", try, yielded
-	c.votes, c.fresh = map[ID]bool{c.id: try}, map[ID]bool{c.id: !c.heard}
-	if c.rounds++; try { // asking whether votes would be had harms nobody
+func (c *Core) ask(preVote, transferred bool) {
+	c.role, c.leader, c.preVote, c.transferred = candidate, "", preVote, transferred
+	c.votes, c.fresh = map[ID]bool{c.id: preVote}, map[ID]bool{c.id: !c.heard}
+	if c.rounds++; preVote { // asking whether votes would be had harms nobody
 		c.askAt = c.now + c.Beat/2 + int64(c.chance()*float64(c.Jitter)/2)
 	} else { // two at once may take each other's votes; slow disks need longer each time
 		c.tries = min(c.tries+1, 8)
 		c.askAt = c.now + int64(c.tries)*c.Beat + int64(c.chance()*float64(c.Jitter))
 	}
 	view, _ := c.viewAt(c.last())
-	m := Message{Kind: Ask, Index: c.last(), Prev: view, Try: try, Yielded: yielded, Fresh: c.allFresh && !try}
+	m := Message{Kind: VoteRequest, Index: c.last(), Prev: view, PreVote: preVote, Transferred: transferred, Fresh: c.allFresh && !preVote}
 	to := map[ID]bool{}
 	for _, g := range c.active() {
 		for _, id := range g.members {
@@ -102,7 +102,7 @@
 		all = append(all, id)
 	}
 	slices.Sort(all)
-	if try {
+	if preVote {
 		for _, id := range all {
 			m.To = id
 			c.send(m)
@@ -121,8 +121,8 @@
 }
 
 func (c *Core) elected() {
-	// Where all members are in lives in which none has heard a leader, none leads: there is no promise to wait out.
-	c.allFresh = c.try && c.all(func(id ID) bool { return c.fresh[id] })
+	// Where all members are in lives in which none has heard a leader, none leads: there is no lease to wait out.
+	c.allFresh = c.preVote && c.all(func(id ID) bool { return c.fresh[id] })
 	if c.role == candidate && c.allFresh {
 		c.ask(false, false)
 		return
@@ -130,12 +130,12 @@
 	if c.role != candidate || !c.majority(func(id ID) bool { return c.votes[id] }) {
 		return
 	}
-	if c.try {
-		c.ask(false, c.yielded)
+	if c.preVote {
+		c.ask(false, c.transferred)
 		return
 	}
 	c.heard = true
-	c.role, c.leader, c.ceded, c.beatAt, c.ledAt = leader, c.id, false, c.now, c.now
+	c.role, c.leader, c.transferring, c.beatAt, c.ledAt = leader, c.id, false, c.now, c.now
 	c.peers = map[ID]*progress{}
 	c.follow()
 	c.peers[c.id].match = c.saved
@@ -146,25 +146,25 @@
 
 // fall has a member follow again.
 func (c *Core) fall(to ID) {
-	c.role, c.leader, c.peers, c.votes, c.began, c.ceded = follower, to, nil, nil, 0, false
+	c.role, c.leader, c.peers, c.votes, c.began, c.transferring = follower, to, nil, nil, 0, false
 	c.rest()
 }
 
-// Cede hands the view over to the member that has most, if this one leads. Nothing is granted here any more.
-func (c *Core) Cede(now int64) Out {
+// TransferLeadership hands the view over to the member that has most, if this one leads. Nothing is granted here any more.
+func (c *Core) TransferLeadership(now int64) Out {
 	c.clock(now)
-	if c.role != leader || c.ceded {
+	if c.role != leader || c.transferring {
 		return c.take()
 	}
 	best := ID("")
 	for _, id := range c.others() {
-		if p := c.peers[id]; !p.stranger && c.now < p.heardAt+c.Promise && (best == "" || p.match > c.peers[best].match) {
+		if p := c.peers[id]; !p.learner && c.now < p.heardAt+c.Lease && (best == "" || p.match > c.peers[best].match) {
 			best = id
 		}
 	}
 	if best != "" {
-		c.ceded, c.silenced = true, c.now
-		c.send(Message{Kind: Yield, To: best})
+		c.transferring, c.silenced = true, c.now
+		c.send(Message{Kind: Transfer, To: best})
 	}
 	return c.take()
 }
@@ -174,18 +174,18 @@
 func (c *Core) asked(m Message) {
 	view, _ := c.viewAt(c.last())
 	upToDate := m.Prev > view || m.Prev == view && m.Index >= c.last()
-	bound := c.now < max(c.heardAt, c.startedAt)+c.Promise || c.role == leader && c.now < c.heldUntil()+c.Promise/5
-	if m.Yielded && m.From != "" && c.role == follower && c.now >= c.startedAt+c.Promise {
+	bound := c.now < max(c.heardAt, c.startedAt)+c.Lease || c.role == leader && c.now < c.heldUntil()+c.Lease/5
+	if m.Transferred && m.From != "" && c.role == follower && c.now >= c.startedAt+c.Lease {
 		bound = false
 	}
-	if m.Yielded && c.role == leader && c.ceded || m.Fresh && !c.heard {
+	if m.Transferred && c.role == leader && c.transferring || m.Fresh && !c.heard {
 		bound = false
 	}
-	if m.Try {
+	if m.PreVote {
 		newer := m.View+1 > c.meta.View
 		// Two that try at once would take each other's votes. With as much each, the one that comes first by name goes on, for
 		// as long as it may yet get through.
-		if c.role == candidate && c.try && c.rounds <= 2 && upToDate && newer && !bound && m.Prev == view && m.Index == c.last() {
+		if c.role == candidate && c.preVote && c.rounds <= 2 && upToDate && newer && !bound && m.Prev == view && m.Index == c.last() {
 			if c.id < m.From {
 				newer = false
 			} else {
@@ -193,7 +193,7 @@
 				c.askAt = c.now + 2*c.Beat + int64(c.chance()*float64(c.Jitter))
 			}
 		}
-		c.send(Message{Kind: Vote, To: m.From, Try: true, Granted: !bound && upToDate && newer, Fresh: !c.heard && upToDate})
+		c.send(Message{Kind: Vote, To: m.From, PreVote: true, Granted: !bound && upToDate && newer, Fresh: !c.heard && upToDate})
 		return
 	}
 	if bound || m.View < c.meta.View {
--- a/internal/ratchet/log.go
+++ b/internal/ratchet/log.go
@@ -76,7 +76,7 @@
 // Propose appends a change, if this member leads; index is its place.
 func (c *Core) Propose(body []byte, now int64) (index uint64, o Out) {
 	c.clock(now)
-	if c.role != leader || c.ceded {
+	if c.role != leader || c.transferring {
 		return 0, c.take()
 	}
 	c.append(Entry{View: c.meta.View, Body: body})
@@ -135,7 +135,7 @@
 		if c.majority(func(id ID) bool { p := c.peers[id]; return p != nil && p.match >= n }) {
 			c.commitTo(n)
 			for _, id := range c.others() { // they are to deliver it soon, too
-				c.pulse(id)
+				c.heartbeat(id)
 			}
 			return
 		}
@@ -173,8 +173,8 @@
 	}
 	p.heardAt = c.now
 	switch m.Kind {
-	case Echo:
-		p.echo = max(p.echo, min(m.Sent, c.now))
+	case HeartbeatReply:
+		p.confirmed = max(p.confirmed, min(m.Sent, c.now))
 	case Accept:
 		p.sentAt = 0
 		p.match = max(p.match, min(m.Index, c.last()))
--- a/internal/ratchet/membership.go
+++ b/internal/ratchet/membership.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// ID names a member in one life of its disk: its address, and for a stranger a mark behind "+".
+// ID names a member in one life of its disk: its address, and for a learner a mark behind "+".
 type ID string
 
 // Address is where a member is reached.
@@ -19,9 +19,9 @@
 type progress struct {
 	next, match uint64
 	sentAt      int64 // when entries were sent that are not acknowledged; 0: none
-	echo        int64 // the newest pulse that came back
+	confirmed   int64 // the newest heartbeat that came back
 	heardAt     int64
-	stranger    bool
+	learner     bool
 }
 
 // Members are who counts, by the newest entry held.
@@ -82,11 +82,11 @@
 			if c.peers[m] == nil {
 				c.peers[m] = &progress{next: c.last() + 1, heardAt: c.now}
 			}
-			c.peers[m].stranger = false
+			c.peers[m].learner = false
 		}
 	}
 	for id, p := range c.peers {
-		if !c.member(id) && !p.stranger {
+		if !c.member(id) && !p.learner {
 			delete(c.peers, id)
 		}
 	}
@@ -103,7 +103,7 @@
 	return all
 }
 
-// adopt makes a stranger that holds all that was delivered a member, in the place of one at its address, or of one that
+// adopt makes a learner that holds all that was delivered a member, in the place of one at its address, or of one that
 // is silent, or beside the others while they are fewer than must be there. More than that would only make majorities
 // greater: a member that is gone for good would count in them. One change at a time.
 func (c *Core) adopt() {
@@ -113,7 +113,7 @@
 	members := c.Members()
 	for _, id := range c.others() {
 		p := c.peers[id]
-		if !p.stranger || p.match < c.commit || c.now > p.heardAt+c.Promise {
+		if !p.learner || p.match < c.commit || c.now > p.heardAt+c.Lease {
 			continue
 		}
 		next := slices.DeleteFunc(slices.Clone(members), func(m ID) bool { return m != c.id && m.Address() == id.Address() })
@@ -135,15 +135,15 @@
 	}
 }
 
-// joined has a leader call a stranger.
+// joined has a leader call a learner.
 func (c *Core) joined(m Message) {
-	if c.role != leader || c.member(m.From) || c.ceded {
+	if c.role != leader || c.member(m.From) || c.transferring {
 		return
 	}
 	if c.peers[m.From] == nil {
-		c.peers[m.From] = &progress{next: min(m.Index, c.last()) + 1, heardAt: c.now, stranger: true}
+		c.peers[m.From] = &progress{next: min(m.Index, c.last()) + 1, heardAt: c.now, learner: true}
 	}
 	p := c.peers[m.From]
-	c.pulse(m.From)
+	c.heartbeat(m.From)
 	c.feed(m.From, p)
 }
--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -27,33 +27,33 @@
 
 // Kinds.
 const (
-	Pulse   Kind = iota + 1 // by a leader: this view is held; Sent comes back
-	Echo                    // a member will take part in no other view for a while
-	Append                  // entries behind Index of View Prev
-	Accept                  // they are on disk up to Index
-	Refuse                  // they do not fit; Index is where to try
-	Install                 // a snapshot
-	Ask                     // for a vote; Try: whether one would be had
-	Vote                    // Granted
-	Yield                   // a leader hands its view over
-	Join                    // a stranger, or a member that nobody calls, asks to be called
+	Heartbeat      Kind = iota + 1 // by a leader: this view is held; Sent comes back
+	HeartbeatReply                 // a member will take part in no other view for a while
+	Append                         // entries behind Index of View Prev
+	Accept                         // they are on disk up to Index
+	Refuse                         // they do not fit; Index is where to try
+	Install                        // a snapshot
+	VoteRequest                    // for a vote; PreVote: whether one would be had
+	Vote                           // Granted
+	Transfer                       // a leader hands its view over
+	Join                           // a learner, or a member that nobody calls, asks to be called
 )
 
 // Message is what members say to each other.
 type Message struct {
-	Kind     Kind
-	From, To ID
-	View     uint64
-	Index    uint64
-	Prev     uint64
-	Commit   uint64
-	Sent     int64
-	Entries  []Entry
-	Snapshot *Snapshot
-	Try      bool // of Ask and Vote
-	Yielded  bool // of Ask: the leader that was promised to has handed over
-	Granted  bool
-	Fresh    bool // of Vote: no leader was heard in this life; of Ask: all members have said so
+	Kind        Kind
+	From, To    ID
+	View        uint64
+	Index       uint64
+	Prev        uint64
+	Commit      uint64
+	Sent        int64
+	Entries     []Entry
+	Snapshot    *Snapshot
+	PreVote     bool // of VoteRequest and Vote
+	Transferred bool // of VoteRequest: the leader that was promised to has handed over
+	Granted     bool
+	Fresh       bool // of Vote: no leader was heard in this life; of VoteRequest: all members have said so
 }
 
 // Out is what a call asks for. Messages that wait for a disk come out of Saved.
@@ -73,17 +73,17 @@
 
 // Terms are times in milliseconds, and how many members may be lost.
 type Terms struct {
-	Promise int64 // a member that hears a leader takes part in no other view for so long
-	Beat    int64 // between pulses
-	Jitter  int64 // the most that is added to Promise before a member asks for votes
-	Again   int64 // after which entries are sent again
-	Gone    int64 // a member silent for so long makes way for a stranger
-	Most    int   // how many members there are at most; others stand by
+	Lease  int64 // a member that hears a leader takes part in no other view for so long
+	Beat   int64 // between heartbeats
+	Jitter int64 // the most that is added to Lease before a member asks for votes
+	Again  int64 // after which entries are sent again
+	Gone   int64 // a member silent for so long makes way for a learner
+	Most   int   // how many members there are at most; others stand by
 }
 
 // Usual are terms for a network of a few milliseconds, where so many members may be lost at once.
 func Usual(lost int) Terms {
-	return Terms{Promise: 700, Beat: 130, Jitter: 200, Again: 400, Gone: 2000, Most: 2*max(lost, 1) + 1}
+	return Terms{Lease: 700, Beat: 130, Jitter: 200, Again: 400, Gone: 2000, Most: 2*max(lost, 1) + 1}
 }
 
 // Core is one member. It is not safe for use by several goroutines.
@@ -104,29 +104,29 @@
 	waiting []pending
 	configs []config // the newest delivered, and those behind it
 
-	role     role
-	leader   ID
-	heardAt  int64 // from a leader
-	askAt    int64
-	joinAt   int64
-	try      bool
-	yielded  bool
-	votes    map[ID]bool
-	fresh    map[ID]bool // members that have heard no leader in their present lives
-	heard    bool        // a leader was, in this life, or this one led
-	allFresh bool
-	tries    int64 // elections since a leader was heard
-	rounds   int   // and times that this member asked at all
-	peers    map[ID]*progress
-	began    uint64 // the index of this leader's first entry
-	beatAt   int64
-	ceded    bool
-	ledAt    int64 // when it began to lead
-	silenced int64
-	out      Out
+	role         role
+	leader       ID
+	heardAt      int64 // from a leader
+	askAt        int64
+	joinAt       int64
+	preVote      bool
+	transferred  bool
+	votes        map[ID]bool
+	fresh        map[ID]bool // members that have heard no leader in their present lives
+	heard        bool        // a leader was, in this life, or this one led
+	allFresh     bool
+	tries        int64 // elections since a leader was heard
+	rounds       int   // and times that this member asked at all
+	peers        map[ID]*progress
+	began        uint64 // the index of this leader's first entry
+	beatAt       int64
+	transferring bool
+	ledAt        int64 // when it began to lead
+	silenced     int64
+	out          Out
 }
 
-// New starts a member. founders are the first members, for a first start with an empty disk; a stranger has none.
+// New starts a member. founders are the first members, for a first start with an empty disk; a learner has none.
 func New(id ID, t Terms, kept Restored, founders []ID, chance func() float64, now int64) *Core {
 	c := &Core{Terms: t, id: id, now: now, startedAt: now, heardAt: now, chance: chance, meta: kept.Meta, base: kept.Snapshot,
 		log: kept.Entries}
@@ -181,9 +181,9 @@
 		c.lead()
 	case c.now >= c.askAt && c.member(c.id):
 		c.ask(true, false)
-	case !c.member(c.id) || c.leader == "" && c.now > c.heardAt+3*c.Promise:
+	case !c.member(c.id) || c.leader == "" && c.now > c.heardAt+3*c.Lease:
 		if c.now >= c.joinAt {
-			c.joinAt = c.now + c.Promise/2
+			c.joinAt = c.now + c.Lease/2
 			c.send(Message{Kind: Join, Index: c.last()})
 		}
 	}
@@ -202,11 +202,11 @@
 		c.joined(m)
 		return
 	}
-	if m.Kind == Ask {
+	if m.Kind == VoteRequest {
 		c.asked(m)
 		return
 	}
-	if m.Kind == Vote && m.Try {
+	if m.Kind == Vote && m.PreVote {
 		if m.View > c.meta.View { // else one with less, in a newer view, would stop one with more for good
 			c.meta.View, c.meta.Vote = m.View, ""
 			meta := c.meta
@@ -215,7 +215,7 @@
 			c.askAt = c.now
 			return
 		}
-		if c.role == candidate && c.try {
+		if c.role == candidate && c.preVote {
 			c.votes[m.From] = c.votes[m.From] || m.Granted
 			c.fresh[m.From] = m.Fresh
 			c.elected()
@@ -224,7 +224,7 @@
 	}
 	switch {
 	case m.View < c.meta.View:
-		if m.Kind == Append || m.Kind == Pulse || m.Kind == Install {
+		if m.Kind == Append || m.Kind == Heartbeat || m.Kind == Install {
 			c.send(Message{Kind: Refuse, To: m.From, Index: c.last()}) // its view is over
 		}
 		return
@@ -235,11 +235,11 @@
 		c.fall("")
 	}
 	switch m.Kind {
-	case Pulse, Append, Install, Yield:
+	case Heartbeat, Append, Install, Transfer:
 		if c.role == leader {
 			return // no view has two leaders; this is an echo of one's own
 		}
-		if m.Kind == Yield {
+		if m.Kind == Transfer {
 			if m.From == c.leader && c.member(c.id) {
 				c.ask(false, true)
 			}
@@ -252,19 +252,19 @@
 		c.rest()
 	}
 	switch m.Kind {
-	case Pulse:
-		c.send(Message{Kind: Echo, To: m.From, Sent: m.Sent})
+	case Heartbeat:
+		c.send(Message{Kind: HeartbeatReply, To: m.From, Sent: m.Sent})
 		c.commitTo(m.Commit)
 	case Append:
 		c.appended(m)
 	case Install:
 		c.installed(m)
 	case Vote:
-		if c.role == candidate && !c.try && m.Granted {
+		if c.role == candidate && !c.preVote && m.Granted {
 			c.votes[m.From] = true
 			c.elected()
 		}
-	case Echo, Accept, Refuse:
+	case HeartbeatReply, Accept, Refuse:
 		c.replied(m)
 	}
 }
@@ -276,7 +276,7 @@
 	Base, Commit uint64
 	Last, Saved  uint64
 	Members      []ID
-	Strangers    []ID
+	Learners     []ID
 	Holds        bool
 }
 
@@ -285,10 +285,10 @@
 	s := Standing{ID: c.id, Leader: c.leader, View: c.meta.View, Base: c.base.Index, Commit: c.commit, Last: c.last(), Saved: c.saved,
 		Members: slices.Clone(c.Members()), Holds: c.Holds(now)}
 	for id, p := range c.peers {
-		if p.stranger {
-			s.Strangers = append(s.Strangers, id)
+		if p.learner {
+			s.Learners = append(s.Learners, id)
 		}
 	}
-	sort.Slice(s.Strangers, func(i, j int) bool { return s.Strangers[i] < s.Strangers[j] })
+	sort.Slice(s.Learners, func(i, j int) bool { return s.Learners[i] < s.Learners[j] })
 	return s
 }
--- a/internal/ratchet/ratchet_test.go
+++ b/internal/ratchet/ratchet_test.go
@@ -75,7 +75,7 @@
 	kept.Entries = slices.Clone(kept.Entries)
 	terms := Usual(w.lost)
 	m.core = New(m.id, terms, kept, m.founder, w.Chance.Float64, w.Now)
-	if w.out == "promise" { // its leader counts on what it does not keep
+	if w.out == "lease" { // its leader counts on what it does not keep
 		life := m.life
 		var forget func()
 		forget = func() {
@@ -337,7 +337,7 @@
 	case 5:
 		w.Note("%s hands over", m.id)
 		m.outAt = 0
-		m.carry(m.core.Cede(w.Now))
+		m.carry(m.core.TransferLeadership(w.Now))
 	}
 }
 
@@ -422,7 +422,7 @@
 	require.Greater(t, acked, 60*worlds(), "too little was acknowledged for this to prove anything")
 }
 
-func TestAStrangerOfAWipedDiskHasNoVoteUntilItHoldsAll(t *testing.T) {
+func TestALearnerOfAWipedDiskHasNoVoteUntilItHoldsAll(t *testing.T) {
 	w := newWorld(1, 3, 1)
 	w.calm = true
 	w.In(500, w.propose)
@@ -445,7 +445,7 @@
 	clear(lag.cut)
 	before := len(w.order)
 	w.Play(5000)
-	require.Len(t, w.order, before, "two of three, one of them a stranger, went on")
+	require.Len(t, w.order, before, "two of three, one of them a learner, went on")
 	for _, m := range w.members[2:] {
 		m.start()
 	}
@@ -463,7 +463,7 @@
 		m.crash(true)
 		m.start()
 	}
-	w.Play(400) // well within the promise that a leader of the lives before may have had
+	w.Play(400) // well within the lease that a leader of the lives before may have had
 	held := false
 	for _, m := range w.members {
 		held = held || m.core.Holds(w.Now)
@@ -491,7 +491,7 @@
 
 // Each defence, taken out, must be caught.
 func TestTheWorldsCatchEachDefenceTakenOut(t *testing.T) {
-	for _, out := range []string{"sync", "name", "promise"} {
+	for _, out := range []string{"sync", "name", "lease"} {
 		caught := ""
 		for seed := 0; seed < 300 && caught == ""; seed++ {
 			w := newWorld(uint64(seed), 3, 1)
