TestMoreClientsThanDescriptors waits until the 24 commands are read, not only sent

It failed on a busy machine (12 cores, load 25): "42601" where busy was expected. The test was wrong, not the program: it awaited the first of 24 commands at the host and asked once more, while the program may not have read all 24 from their sockets. Then fewer than all connections are busy, the last command is rightly taken in, and since it bore the id 1, which is one of the 24's, it was refused as open (42601).

Now the program's own counts are awaited (24 more taken), the last command has an id of its own, and it is asserted besides that one more command was shed and that all 24 were still out when it was, so nothing else can have refused it. The 24 may be out for 20 s in place of 3, so that a slow machine does not end them meanwhile.

--- a/cmd/ferrypitch/program_test.go
+++ b/cmd/ferrypitch/program_test.go
@@ -464,7 +464,10 @@
 }
 
 func TestMoreClientsThanDescriptors(t *testing.T) {
-	s := begin(t, 1, func(c map[string]any) { within(c, "limits")["sockets"] = 64 })
+	s := begin(t, 1, func(c map[string]any) {
+		within(c, "limits")["sockets"] = 64
+		within(c, "settings")["classes"].([]any)[2].(map[string]any)["give_up"] = 20000 // those that are out stay so until the end
+	})
 	var silent []*client
 	for range 24 { // all that there are
 		silent = append(silent, s.client())
@@ -502,16 +505,26 @@
 		<-let
 		b.row("x", "leader")
 	})
+	before, _ := s.counted()
 	for i := range 24 { // as many as it serves; the module has no more than four out at once
 		c := s.client()
-		c.send(as(i, write("order", "3000")))
+		c.send(as(i, write("order", "20000")))
 		defer c.answer()
 	}
 	defer close(let)
 	<-asked
-	if code, _, err := s.client().ask(look("list", "800", "")); code != protocol.TooMany || err != nil {
+	for got := before; got["taken"] < before["taken"]+24; { // a command that was sent may not have been read yet
+		var line string
+		if got, line = s.counted(); got["failed"]+got["refused"]+got["left"] > before["failed"]+before["refused"]+before["left"] {
+			t.Fatal(line)
+		}
+	}
+	if code, _, err := s.client().ask(as(99, look("list", "800", ""))); code != protocol.TooMany || err != nil {
 		t.Errorf("with all connections busy: %q, %v", code, err)
 	}
+	if got, line := s.counted(); got["out"] < 24 || got["commands_shed"] != before["commands_shed"]+1 {
+		t.Error("with all connections busy: ", line)
+	}
 }
 
 func TestWhatIsOwedWhenTheTimeAfterSIGTERMIsUpFails(t *testing.T) {
