--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -45,6 +46,7 @@
 	leads   bool // this member has begun to act as the one that leads
 	mesh    *belt.Mesh
 	routers map[*Router]struct{}
+	met     uint64            // routers, in this life
 	waiting map[uint64]waiter // proposals, by index
 	passed  map[uint64]passed
 	serial  uint64
@@ -291,14 +293,15 @@
 	case !f.core.IsLeader() && f.leads:
 		f.leads = false
 		f.log.Info("leads no more", "view", f.core.View())
-		for r := range f.routers {
+		for _, r := range f.served() {
 			r.close()
 		}
 		clear(f.routers)
-		for _, w := range f.waiting {
-			w.done(errUnclear)
+		waiting := f.waiting
+		f.waiting = map[uint64]waiter{}
+		for _, index := range slices.Sorted(maps.Keys(waiting)) {
+			waiting[index].done(errUnclear)
 		}
-		clear(f.waiting)
 	}
 }
 
@@ -336,7 +339,7 @@
 			w.done(err)
 		}
 	}
-	for r := range f.routers {
+	for _, r := range f.served() {
 		r.news(f, news)
 	}
 	if standing := f.core.Standing(0); f.state.Index-standing.Base > 400 {
--- a/internal/forge/routers.go
+++ b/internal/forge/routers.go
@@ -1,6 +1,9 @@
 package forge
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"ferrypitch/internal/arbor"
@@ -14,6 +17,7 @@
 type Router struct {
 	node   string
 	life   uint64
+	serial uint64 // by when it came
 	remote string
 	index  uint64                 // sent up to here
 	send   func(*belt.Frame) bool // false: it does not read
@@ -23,6 +27,11 @@
 	entering bool // the change that brings it is under way
 }
 
+// served are the routers in the order in which they came, so that a member does the same each time it is given the same.
+func (f *Forge) served() []*Router {
+	return slices.SortedFunc(maps.Keys(f.routers), func(a, b *Router) int { return cmp.Compare(a.serial, b.serial) })
+}
+
 func (r *Router) close() {
 	if !r.over {
 		r.over = true
@@ -143,12 +152,13 @@
 
 // Meet greets a router, and serves it if this member leads. send never waits.
 func (f *Forge) Meet(h *belt.Hello, remote string, send func(*belt.Frame) bool, shut func()) *Router {
-	r := &Router{node: h.Node, life: h.Life, remote: remote, index: h.From, send: send, shut: shut}
+	f.met++
+	r := &Router{node: h.Node, life: h.Life, serial: f.met, remote: remote, index: h.From, send: send, shut: shut}
 	w := &belt.Welcome{Node: f.plate.Node, Leads: f.leads && f.core.Holds(f.clock.Now()), Members: f.members()}
 	if l := f.core.Leader(); l != "" && l != f.id {
 		w.Leader = l.Address()
 	}
-	for other := range f.routers {
+	for _, other := range f.served() {
 		if len(w.Routers) < 5 {
 			w.Routers = append(w.Routers, other.remote)
 		}
--- a/internal/headstock/council_test.go
+++ b/internal/headstock/council_test.go
@@ -1,8 +1,10 @@
 package headstock
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -34,6 +36,7 @@
 	calls    int
 	draining map[string]bool
 	renamed  int
+	ties     int
 
 	takes func() int64 // of a promotion at the platform; nil: by chance
 
@@ -379,7 +382,8 @@
 		}
 	}
 	m.queue = nil
-	for l := range m.links {
+	links := slices.SortedFunc(maps.Keys(m.links), func(a, b *tie) int { return cmp.Compare(a.opened, b.opened) })
+	for _, l := range links {
 		if !power {
 			l.part()
 		}
@@ -415,6 +419,7 @@
 	torn   bool
 	leads  bool
 	heard  int64
+	opened int // by when
 	serial uint64
 	asked  map[uint64]int64
 	there  int64 // order of what goes to the member
@@ -433,7 +438,8 @@
 
 func (r *router) open(life int, m *member) {
 	w := r.w
-	l := &tie{r: r, life: life, m: m, mlife: m.life, asked: map[uint64]int64{}, heard: w.Now}
+	w.council.ties++
+	l := &tie{r: r, opened: w.council.ties, life: life, m: m, mlife: m.life, asked: map[uint64]int64{}, heard: w.Now}
 	r.link = l
 	if !m.up || m.frozen || r.cut {
 		w.In(200*ms, l.part)
--- a/internal/headstock/world_run_test.go
+++ b/internal/headstock/world_run_test.go
@@ -88,15 +88,20 @@
 }
 
 func TestASeedPlaysTheSameEachTime(t *testing.T) {
-	play := func() (string, int) {
-		w := newWorld(11, 3, 9)
-		w.play()
-		return w.report(), w.Served
+	for _, build := range []func(uint64, int, int) *world{newWorld, newCouncilWorld} {
+		for seed := range uint64(4) {
+			play := func() (string, int, int) {
+				w := build(seed+11, 3, 9)
+				w.play()
+				return w.report(), w.Served, w.Serial
+			}
+			report, served, events := play()
+			again, servedAgain, eventsAgain := play()
+			require.Equal(t, report, again)
+			require.Equal(t, served, servedAgain)
+			require.Equal(t, events, eventsAgain)
+		}
 	}
-	report, served := play()
-	again, servedAgain := play()
-	require.Equal(t, report, again)
-	require.Equal(t, served, servedAgain)
 }
 
 func TestNoSeedBreaksARuleWithAControlPlaneThatFails(t *testing.T) {
--- a/internal/headstock/world_test.go
+++ b/internal/headstock/world_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -502,8 +504,8 @@
 	if r.link != nil {
 		r.link.part()
 	}
-	for _, n := range r.h.hosts {
-		for k := range n.all {
+	for _, id := range slices.Sorted(maps.Keys(r.h.hosts)) {
+		for _, k := range r.h.hosts[id].conns() {
 			k.out.close()
 		}
 	}
@@ -543,12 +545,13 @@
 
 // owner is whose statement an id names, and whether the session that sent it is there.
 func (w *world) owner(id string) (c *client, now bool) {
-	for _, c := range w.clients {
-		if strings.HasPrefix(id, fmt.Sprintf("c%d.", c.i)) {
-			return c, strings.HasPrefix(id, fmt.Sprintf("c%d.%d.", c.i, c.life))
-		}
+	who, rest, _ := strings.Cut(strings.TrimPrefix(id, "c"), ".")
+	i, err := strconv.Atoi(who)
+	if err != nil || i >= len(w.clients) {
+		return nil, false
 	}
-	return nil, false
+	life, _, _ := strings.Cut(rest, ".")
+	return w.clients[i], life == strconv.Itoa(w.clients[i].life)
 }
 
 // wire of a client's connection, at the router.
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -3,7 +3,6 @@
 package stage
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 )
@@ -32,32 +31,65 @@
 	do     func()
 }
 
+// events are a heap; its own, since container/heap boxes each event, and worlds have millions.
 type events []event
 
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].serial < e[j].serial
+func (e event) before(o event) bool { return e.at < o.at || e.at == o.at && e.serial < o.serial }
+
+func (e *events) push(v event) {
+	*e = append(*e, v)
+	all := *e
+	at := len(all) - 1
+	for at > 0 {
+		up := (at - 1) / 2
+		if !v.before(all[up]) {
+			break
+		}
+		all[at] = all[up]
+		at = up
+	}
+	all[at] = v
 }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(v any)   { *e = append(*e, v.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	(*e)[len(*e)-1] = event{}
-	*e = (*e)[:len(*e)-1]
-	return last
+
+func (e *events) pop() event {
+	all := *e
+	first, last := all[0], all[len(all)-1]
+	all[len(all)-1] = event{}
+	all = all[:len(all)-1]
+	*e = all
+	if len(all) == 0 {
+		return first
+	}
+	at := 0
+	for {
+		down := 2*at + 1
+		if down >= len(all) {
+			break
+		}
+		if down+1 < len(all) && all[down+1].before(all[down]) {
+			down++
+		}
+		if !all[down].before(last) {
+			break
+		}
+		all[at] = all[down]
+		at = down
+	}
+	all[at] = last
+	return first
 }
 
 // In has something done after a span.
 func (w *Stage) In(after int64, do func()) {
 	w.Serial++
-	heap.Push(&w.events, event{w.Now + max(0, after), w.Serial, do})
+	w.events.push(event{w.Now + max(0, after), w.Serial, do})
 }
 
 // Play goes on for a span.
 func (w *Stage) Play(span int64) {
 	end := w.Now + span
 	for len(w.events) > 0 && w.events[0].at <= end {
-		e := heap.Pop(&w.events).(event)
+		e := w.events.pop()
 		w.Now = e.at
 		e.do()
 	}
--- a/internal/standin/database/database.go
+++ b/internal/standin/database/database.go
@@ -151,7 +151,7 @@
 	for same > 0 && h.Log[same-1].Term != from.Log[same-1].Term {
 		same--
 	}
-	h.Log = append(h.Log[:same:same], from.Log[same:]...)
+	h.Log = append(h.Log[:same], from.Log[same:]...)
 	h.Applied = min(h.Applied, same)
 	n, term := len(h.Log), from.Term
 	g.In(h.Lag, func() {
@@ -437,10 +437,10 @@
 // Same says whether a connection has just these values.
 func (c *Conn) Same(values map[string]string) bool { return maps.Equal(c.Values, values) }
 
-// Find is where a datum stands, in the first log that holds it.
+// Find is where a datum stands last, in the first log that holds it.
 func (g *Group) Find(data string) (scribe.Position, bool) {
 	for _, h := range g.Hosts {
-		for i, e := range h.Log {
+		for i, e := range slices.Backward(h.Log) { // it is asked for what was written just now
 			if slices.Contains(e.Data, data) {
 				return h.At(i + 1), true
 			}
