A candidate keeps its own promise; old fresh answers don't count; joining by a follower

Need: a member that is cut off, or was restarted, must not help to a second leader while the first one's lease runs. Found by review of who may count on whose promise: - A candidate counted its own vote whatever it had promised. One that had just acknowledged a heartbeat and started anew asks within 165 ms, and with one follower that was out of the leader's reach led beside it: both held for some 400 ms. Its own vote is now bound like any other's (heardAt and startedAt). - A pre-vote's answer carried no round. "No leader was heard in this life" could come late, from lives that have since voted, promised and ended; with two of these a candidate passed over the promise of restarted members. An answer now brings back the round, counted from where chance put it in each life; other rounds say nothing of who is fresh. - A learner asks all that it knows to be called, its seeds; only a leader heard it. Where the leader is no seed, or is cut off from the new machine's seeds' side, it never joined. A follower passes a Join on, once.

--- /dev/null
+++ b/internal/ratchet/cutoff_test.go
@@ -0,0 +1,153 @@
+package ratchet
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// bare is members with instant disks and a network whose messages wait until a test brings them.
+type bare struct {
+	t     *testing.T
+	now   int64
+	cores map[ID]*Core
+	disks map[ID]*Restored
+	wire  []Message
+	round float64
+}
+
+func newBare(t *testing.T, ids ...ID) *bare {
+	b := &bare{t: t, now: 1 << 30, cores: map[ID]*Core{}, disks: map[ID]*Restored{}}
+	for _, id := range ids {
+		b.disks[id] = &Restored{}
+	}
+	for _, id := range ids {
+		b.start(id, ids...)
+	}
+	return b
+}
+
+func (b *bare) start(id ID, founders ...ID) {
+	b.round += 0.01
+	kept := *b.disks[id]
+	b.cores[id] = New(id, Usual(1), kept, founders, func() float64 { return b.round }, b.now)
+}
+
+func (b *bare) carry(id ID, o Out) {
+	b.wire = append(b.wire, o.Messages...)
+	for _, w := range o.Writes {
+		b.disks[id].Put(w)
+		b.carry(id, b.cores[id].Saved(w.Seq, b.now))
+	}
+}
+
+func (b *bare) tick(id ID) { b.carry(id, b.cores[id].Tick(b.now)) }
+
+// bring brings what goes from one to another, or between all where from is empty, until nothing more does.
+func (b *bare) bring(may func(m Message) bool) {
+	for again := true; again; {
+		again = false
+		all := b.wire
+		b.wire = nil
+		for _, m := range all {
+			if !may(m) {
+				b.wire = append(b.wire, m)
+				continue
+			}
+			again = true
+			b.carry(m.To, b.cores[m.To].Step(m, b.now))
+		}
+	}
+}
+
+func between(x, y ID) func(Message) bool {
+	return func(m Message) bool { return m.From == x && m.To == y || m.From == y && m.To == x }
+}
+
+func (b *bare) holders() (all []ID) {
+	for _, id := range []ID{"a", "b", "c"} {
+		if b.cores[id].Holds(b.now) {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
+// elect has one lead with the vote of another.
+func (b *bare) elect(id, with ID) {
+	b.now += 800
+	for range 20 {
+		b.tick(id)
+		b.bring(between(id, with))
+		b.now += 20
+	}
+	require.Equal(b.t, []ID{id}, b.holders())
+	b.wire = nil
+}
+
+// A member that starts anew has a vote of its own, and is bound by what it promised in its life before.
+func TestACandidateIsBoundByItsOwnPromise(t *testing.T) {
+	b := newBare(t, "a", "b", "c")
+	b.elect("c", "a") // b has heard nothing of it
+	b.now += 20
+	b.start("a", "a", "b", "c")
+	for range 20 {
+		b.now += 20
+		b.tick("a")
+		b.bring(between("a", "b"))
+		require.LessOrEqual(t, len(b.holders()), 1, "%v hold a view", b.holders())
+	}
+	for range 40 { // and no longer than that
+		b.now += 20
+		b.tick("a")
+		b.bring(between("a", "b"))
+	}
+	require.Equal(t, []ID{"a"}, b.holders())
+}
+
+// An answer that says that its member has heard no leader yet may be late: by then it has, and has started anew since.
+func TestAnOldAnswerOfAFreshMemberIsNoWordOfItsNextLife(t *testing.T) {
+	b := newBare(t, "a", "b", "c")
+	b.now += 200
+	b.tick("a")
+	b.bring(func(m Message) bool { return m.From == "a" })
+	old := b.wire // fresh, both
+	require.Len(t, old, 2)
+	require.True(t, old[0].Fresh && old[1].Fresh)
+	b.wire = nil
+	b.elect("c", "b")
+	b.cores["c"].beatAt = 0
+	b.tick("c")
+	b.bring(func(m Message) bool { return true })
+	b.start("a", "a", "b", "c")
+	b.start("b", "a", "b", "c")
+	b.now += 200
+	b.tick("a")
+	b.wire = old
+	for range 15 {
+		b.bring(func(m Message) bool { return m.From != "c" && m.To != "c" || m.From == "c" && m.PreVote })
+		require.LessOrEqual(t, len(b.holders()), 1, "%v hold a view", b.holders())
+		b.now += 20
+		b.tick("a")
+	}
+}
+
+// Who joins knows its seeds only: the one that leads need not be among them.
+func TestALearnerJoinsByAFollower(t *testing.T) {
+	b := newBare(t, "a", "b", "c")
+	b.elect("c", "a")
+	b.now += 140
+	b.tick("c")
+	b.bring(func(Message) bool { return true })
+	b.disks["d+1"] = &Restored{}
+	b.start("d+1")
+	b.tick("d+1")
+	require.Len(t, b.wire, 1)
+	join := b.wire[0]
+	require.Equal(t, Join, join.Kind)
+	b.wire = nil
+	b.carry("b", b.cores["b"].Step(join, b.now)) // its only seed in reach, which follows
+	b.bring(func(m Message) bool { return true })
+	require.Equal(t, b.cores["c"].Commit(), b.cores["d+1"].Commit())
+	require.Equal(t, ID("c"), b.cores["d+1"].Leader())
+}
--- a/internal/ratchet/election.go
+++ b/internal/ratchet/election.go
@@ -80,7 +80,8 @@
 // ask begins an election: first whether votes would be had, then for them.
 func (c *Core) ask(preVote, transferred bool) {
 	c.role, c.leader, c.preVote, c.transferred = candidate, "", preVote, transferred
-	c.votes, c.fresh = map[ID]bool{c.id: preVote}, map[ID]bool{c.id: !c.heard}
+	free := !c.promised() // its own vote is bound like any other's
+	c.votes, c.fresh = map[ID]bool{c.id: preVote && free}, map[ID]bool{c.id: !c.heard}
 	if c.rounds++; preVote { // asking whether votes would be had harms nobody
 		c.askAt = c.now + c.Beat/2 + int64(c.chance()*float64(c.Jitter)/2)
 	} else { // two at once may take each other's votes; slow disks need longer each time
@@ -102,7 +103,9 @@
 		all = append(all, id)
 	}
 	slices.Sort(all)
-	if preVote {
+	if preVote { // an answer of another round may be old: whoever was fresh then may have promised itself since
+		c.round++
+		m.Round = c.round
 		for _, id := range all {
 			m.To = id
 			c.send(m)
@@ -112,7 +115,7 @@
 	}
 	c.meta.View, c.meta.Vote = c.meta.View+1, c.id
 	meta := c.meta
-	messages := []Message{{Kind: Vote, To: c.id, Granted: true}}
+	messages := []Message{{Kind: Vote, To: c.id, Granted: free || transferred || m.Fresh}}
 	for _, id := range all {
 		m.To = id
 		messages = append(messages, m)
@@ -169,12 +172,15 @@
 	return c.take()
 }
 
-// asked answers a candidate. A member that has promised itself to a view, by hearing its leader or by an earlier life
-// that may have, gives no vote until that is over, and takes part in nothing newer meanwhile.
+// promised says that a leader may count on this member: one that it has heard, or that an earlier life may have heard.
+func (c *Core) promised() bool { return c.now < max(c.heardAt, c.startedAt)+c.Lease }
+
+// asked answers a candidate. A member that has promised itself to a view gives no vote until that is over, and takes
+// part in nothing newer meanwhile.
 func (c *Core) asked(m Message) {
 	view, _ := c.viewAt(c.last())
 	upToDate := m.Prev > view || m.Prev == view && m.Index >= c.last()
-	bound := c.now < max(c.heardAt, c.startedAt)+c.Lease || c.role == leader && c.now < c.heldUntil()+c.Lease/5
+	bound := c.promised() || c.role == leader && c.now < c.heldUntil()+c.Lease/5
 	if m.Transferred && m.From != "" && c.role == follower && c.now >= c.startedAt+c.Lease {
 		bound = false
 	}
@@ -193,7 +199,7 @@
 				c.askAt = c.now + 2*c.Beat + int64(c.chance()*float64(c.Jitter))
 			}
 		}
-		c.send(Message{Kind: Vote, To: m.From, PreVote: true, Granted: !bound && upToDate && newer, Fresh: !c.heard && upToDate})
+		c.send(Message{Kind: Vote, To: m.From, PreVote: true, Granted: !bound && upToDate && newer, Fresh: !c.heard && upToDate, Round: m.Round})
 		return
 	}
 	if bound || m.View < c.meta.View {
--- a/internal/ratchet/membership.go
+++ b/internal/ratchet/membership.go
@@ -135,8 +135,14 @@
 	}
 }
 
-// joined has a leader call a learner.
+// joined has a leader call a learner. Who joins knows its seeds only, and the leader need be none of them, nor be in
+// reach of it: a follower passes on, once, what was sent to all.
 func (c *Core) joined(m Message) {
+	if c.role == follower && c.leader != "" && m.To == "" {
+		m.To = c.leader
+		c.out.Messages = append(c.out.Messages, m)
+		return
+	}
 	if c.role != leader || c.member(m.From) || c.transferring {
 		return
 	}
--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -53,7 +53,8 @@
 	PreVote     bool // of VoteRequest and Vote
 	Transferred bool // of VoteRequest: the leader that was promised to has handed over
 	Granted     bool
-	Fresh       bool // of Vote: no leader was heard in this life; of VoteRequest: all members have said so
+	Fresh       bool   // of Vote: no leader was heard in this life; of VoteRequest: all members have said so
+	Round       uint64 // of a pre-vote: which one; an answer brings it back, and counts for no other
 }
 
 // Out is what a call asks for. Messages that wait for a disk come out of Saved.
@@ -115,8 +116,9 @@
 	fresh        map[ID]bool // members that have heard no leader in their present lives
 	heard        bool        // a leader was, in this life, or this one led
 	allFresh     bool
-	tries        int64 // elections since a leader was heard
-	rounds       int   // and times that this member asked at all
+	tries        int64  // elections since a leader was heard
+	rounds       int    // and times that this member asked at all
+	round        uint64 // of this life's pre-votes, counted from where chance put it
 	peers        map[ID]*progress
 	began        uint64 // the index of this leader's first entry
 	beatAt       int64
@@ -141,7 +143,9 @@
 			c.configs = append(c.configs, config{c.base.Index + uint64(i) + 1, e.Members})
 		}
 	}
-	c.askAt = now + c.Beat/2 + int64(c.chance()*float64(c.Jitter)/2)
+	drawn := c.chance()
+	c.askAt = now + c.Beat/2 + int64(drawn*float64(c.Jitter)/2)
+	c.round = uint64(drawn*(1<<50)) << 13
 	return c
 }
 
@@ -217,7 +221,7 @@
 		}
 		if c.role == candidate && c.preVote {
 			c.votes[m.From] = c.votes[m.From] || m.Granted
-			c.fresh[m.From] = m.Fresh
+			c.fresh[m.From] = m.Fresh && m.Round == c.round
 			c.elected()
 		}
 		return
