Router leases bear clocks that run a tenth apart; an older life takes none from the next

Need: the design says that a tenth of drift is what breaks it; a router's lease bore a fiftieth. Also what an older life of a router said may come late: a hello whose segments the kernel of a killed process still sends after a cut, or a renewal that was on its way. Either reset the account of the life that is there, so that the control plane counted its lease as none and could name another primary beside it. Change: the control plane counts 1,760 ms from when it answered, a router nine tenths of that (1,584 ms, 1,568 before) from when it asked. A hello takes nothing from a lease that runs, only a renewal does (a life that never got an answer sends none), and lives that were met before the one that renews are over. Ruled out: 1,440 ms at the router and 1,600 at the control plane. A router renews every 0.3 s and a change of the view takes 1.0 s and more, so leases would end in it. The older test of lives said that a hello voids the lease of the life before; that is the fault. It now says that a hello does not, and that the renewal behind it does, granted or not: as strict, one round trip later.

--- a/internal/forge/routers.go
+++ b/internal/forge/routers.go
@@ -156,7 +156,7 @@
 	r.put(&belt.Frame{Welcome: w})
 	if w.Leads {
 		f.routers[r] = struct{}{}
-		f.jaw.Heard(h.Node, h.Life, h.From)
+		f.jaw.Heard(h.Node, h.Life, h.From, f.clock.Now())
 		r.catchUp(f)
 	}
 	return r
@@ -210,7 +210,7 @@
 	default:
 		f.LeasesRefused.Add(1)
 		if f.jaw != nil {
-			f.jaw.Heard(r.node, r.life, n.Applied)
+			f.jaw.Heard(r.node, r.life, n.Applied, now)
 		}
 	}
 	r.put(&belt.Frame{Lease: l})
--- /dev/null
+++ b/internal/vise/cutoff_test.go
@@ -0,0 +1,58 @@
+package vise
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// What an older life said may come after its successor was granted a lease: a hello, or a renewal that was on its way.
+func TestAnOlderLifeTakesNothingFromTheNext(t *testing.T) {
+	known := []string{"a"}
+	for name, late := range map[string]func(j *Jaw){
+		"a hello of a life never met": func(j *Jaw) { j.Heard("a", 9, 50, 10100) },
+		"a hello of the life before":  func(j *Jaw) { j.Heard("a", 1, 50, 10100) },
+		"a renewal":                   func(j *Jaw) { require.False(t, j.Renew("a", 1, 50, 0, 10100)) },
+		"one of a life that was met only": func(j *Jaw) {
+			require.False(t, j.Renew("a", 2, 50, 0, 10100))
+		},
+	} {
+		j := New(0)
+		require.True(t, j.Renew("a", 1, 5, 0, 9900))
+		j.Heard("a", 2, 5, 9950)
+		j.Heard("a", 3, 5, 9990)
+		require.True(t, j.Renew("a", 3, 5, 0, 10000))
+		late(j)
+		for now := int64(10100); now < 10000+Span; now += 100 {
+			require.False(t, j.Clear(6, known, now), "%s: the lease of the life that is there is passed over", name)
+		}
+		require.True(t, j.Clear(6, known, 10000+Span), name)
+		require.True(t, j.Renew("a", 3, 6, 6, 20000), name)
+	}
+}
+
+// Clocks may run apart by a tenth: whichever way, a router's lease is over when the control plane counts it as such.
+func TestTheLeaseBearsClocksThatRunApart(t *testing.T) {
+	over := func(router, control float64) (early bool) { // rates
+		for at := range int64(40) { // when it is granted, after it was asked for
+			asked, granted := int64(1000), 1000+at
+			var s Screw
+			s.Granted(int64(float64(asked) * router))
+			j := New(-10 * Span)
+			j.Renew("a", 1, 1, 0, int64(float64(granted)*control))
+			for now := granted; now < granted+2*Span; now++ {
+				if j.Clear(2, []string{"a"}, int64(float64(now)*control)) {
+					early = early || s.Tight(int64(float64(now)*router))
+					break
+				}
+			}
+		}
+		return early
+	}
+	for _, rates := range [][2]float64{{1, 1}, {0.95, 1.05}, {1.05, 0.95}, {0.97, 1.07}, {1, 1.1}, {0.91, 1}} {
+		require.False(t, over(rates[0], rates[1]), "rates %v", rates)
+	}
+	for _, rates := range [][2]float64{{0.93, 1.07}, {1, 1.13}, {0.88, 1}} {
+		require.True(t, over(rates[0], rates[1]), "rates %v: more than a tenth is not borne, and this test sees it", rates)
+	}
+}
--- a/internal/vise/vise.go
+++ b/internal/vise/vise.go
@@ -9,12 +9,15 @@
 // Pure: times are milliseconds of each process's own steady clock.
 package vise
 
-// Span is how long a lease holds, in milliseconds. Longer rides out a change of the control plane's view; shorter lets
-// a lead pass on sooner when a router can't be heard.
-const Span = 1600
+import "slices"
 
-// drift is taken off at the router, for clocks that run apart.
-const drift = Span / 50
+// Span is how long the control plane counts on a lease that it granted, in milliseconds. Longer rides out a change of
+// its view; shorter lets a lead pass on sooner when a router can't be heard.
+const Span = 1760
+
+// held is how long a router acts under one: a tenth less, so that its clock may run slower than the control plane's, by
+// as much as a view's leases allow.
+const held = Span * 9 / 10
 
 // Jaw is the control plane's side. Its zero value is not of use; New.
 type Jaw struct {
@@ -26,6 +29,8 @@
 	life    uint64
 	until   int64
 	applied uint64
+	met     []uint64        // other lives that said hello while the lease of this one ran
+	past    map[uint64]bool // lives before this one
 }
 
 // New starts the account of a member that begins to lead now: others may have granted until then.
@@ -35,7 +40,21 @@
 // life has no leases of the one before. One that has not applied what takes a lead back, at need, is granted none: else
 // one that hears no news, and yet asks, would hold up fail-over for good.
 func (j *Jaw) Renew(router string, life, applied, need uint64, now int64) bool {
-	j.Heard(router, life, applied)
+	h := j.holders[router]
+	if h != nil && h.past[life] {
+		return false // it was on its way when that life ended
+	}
+	if h != nil && h.life != life {
+		next := &holder{life: life, past: map[uint64]bool{h.life: true}}
+		for old := range h.past {
+			next.past[old] = true
+		}
+		for _, old := range h.met {
+			next.past[old] = old != life
+		}
+		j.holders[router] = next
+	}
+	j.Heard(router, life, applied, now)
 	if applied < need {
 		return false
 	}
@@ -43,12 +62,21 @@
 	return true
 }
 
-// Heard notes how far a router has come, without a lease.
-func (j *Jaw) Heard(router string, life, applied uint64) {
+// Heard notes how far a router has come, without a lease. A hello may be an old life's that comes late, and takes
+// nothing from a lease that runs: only who was met here asks for one.
+func (j *Jaw) Heard(router string, life, applied uint64, now int64) {
 	h := j.holders[router]
-	if h == nil || h.life != life {
+	switch {
+	case h == nil:
 		h = &holder{life: life}
 		j.holders[router] = h
+	case h.life != life && (h.past[life] || now < h.until):
+		if !h.past[life] && !slices.Contains(h.met, life) {
+			h.met = append(h.met, life)
+		}
+		return
+	case h.life != life:
+		h.life, h.applied = life, 0
 	}
 	h.applied = max(h.applied, applied)
 }
@@ -97,7 +125,7 @@
 type Screw struct{ until int64 }
 
 // Granted takes in a lease that was asked for at a time.
-func (s *Screw) Granted(askedAt int64) { s.until = max(s.until, askedAt+Span-drift) }
+func (s *Screw) Granted(askedAt int64) { s.until = max(s.until, askedAt+held) }
 
 // Until is when the lease ends.
 func (s *Screw) Until() int64 { return s.until }
--- a/internal/vise/vise_test.go
+++ b/internal/vise/vise_test.go
@@ -32,7 +32,7 @@
 			case 1: // another member leads
 				jaw = New(now)
 			case 2:
-				jaw.Heard(name, 1, r.applied)
+				jaw.Heard(name, 1, r.applied, now)
 			case 3:
 				r.applied = index
 			default: // a renewal, its answer late or lost
@@ -58,7 +58,9 @@
 	j := New(0)
 	require.True(t, j.Renew("a", 1, 5, 0, 10000))
 	require.False(t, j.Clear(6, []string{"a"}, 10001))
-	j.Heard("a", 2, 6)
+	j.Heard("a", 2, 6, 10001)
+	require.False(t, j.Clear(6, []string{"a"}, 10001), "a hello may be an older life's")
+	require.False(t, j.Renew("a", 2, 6, 7, 10001), "it asks, so the life before is over, whether it is granted one or not")
 	require.True(t, j.Clear(6, []string{"a"}, 10001))
 	require.Equal(t, 0, j.Live(10001))
 }
