--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -50,6 +50,7 @@
 	serial  uint64
 	seqs    map[string]int64 // the newest call of each host
 	ending  bool
+	astray  bool               // the state here is not the one that the log builds; it is restored from the leader's
 	arrived []ratchet.Delivery // not applied yet
 
 	delivering bool
@@ -74,7 +75,7 @@
 
 // Counts are what a member did.
 type Counts struct {
-	Calls, Refusals, Beats, Passed, Proposals, Leases, LeasesRefused, LeasesHeld, Questions, Promotions, Views, DiskFaults atomic.Int64
+	Calls, Refusals, Beats, Passed, Proposals, Leases, LeasesRefused, LeasesHeld, Questions, Promotions, Views, DiskFaults, Diverged atomic.Int64
 }
 
 // counts are by name, with those of fail-over while this member leads.
@@ -83,6 +84,8 @@
 		"proposals": f.Proposals.Load(), "leases": f.Leases.Load(), "leases_refused": f.LeasesRefused.Load(), "leases_held_back": f.LeasesHeld.Load(),
 		"questions":  f.Questions.Load(),
 		"promotions": f.Promotions.Load(), "views_led": f.Views.Load(), "disk_faults": f.DiskFaults.Load(),
+		"state_diverged": f.Diverged.Load(), "snapshots_begun": f.core.Transfers, "snapshots_installed": f.core.Installed,
+		"snapshot_parts_sent": f.core.PartsSent, "snapshot_parts_ignored": f.core.PartsIgnored,
 		"link_bytes_sent": belt.Sent.Load(), "link_bytes_received": belt.Received.Load()}
 	if f.mesh != nil {
 		all["frames_dropped"] = f.mesh.Drops.Load()
@@ -282,13 +285,15 @@
 func (f *Forge) lead() {
 	now := f.clock.Now()
 	switch holds := f.core.Holds(now); {
+	case holds && f.astray:
+		f.carry(f.core.TransferLeadership(now))
 	case holds && !f.leads:
 		f.leads = true
 		f.Views.Add(1)
 		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.plate.BeatMs, now)
 		f.hoist.Log = func(service, what, host string) { f.log.Info(what, "service", service, "host", host) }
 		f.log.Info("leads", "view", f.core.View(), "members", f.core.Members())
-	case !f.core.IsLeader() && f.leads:
+	case (!f.core.IsLeader() || f.astray) && f.leads:
 		f.leads = false
 		f.log.Info("leads no more", "view", f.core.View())
 		for r := range f.routers {
@@ -309,24 +314,30 @@
 			s, err := rack.Restore(d.Snapshot.State)
 			if err != nil {
 				f.log.Error("a snapshot can't be read", "error", err)
+				f.stray()
 				continue
 			}
 			s.Index = d.Index
-			f.state = s
+			f.state, f.astray = s, false
 			news.Snapshot, news.Entries, news.Index = d.Snapshot.State, nil, d.Index
 			continue
 		}
-		var err error
-		if len(d.Body) > 0 {
-			var c rack.Change
-			if c, err = rack.Decode(d.Body); err == nil {
-				err = f.state.Apply(d.Index, c)
-				f.note(c)
-			} else {
-				f.log.Error("a change can't be read", "index", d.Index, "error", err)
+		if f.astray {
+			continue
+		}
+		c, err := f.apply(f.state, d)
+		if errors.Is(err, rack.ErrDiverged) {
+			f.Diverged.Add(1)
+			f.log.Error("this member's state is not what a change builds on; it is built anew", "index", d.Index)
+			var built bool
+			if err, built = f.rebuild(d.Index); !built {
+				f.stray()
+				continue
 			}
 		}
-		f.state.Index = max(f.state.Index, d.Index)
+		if c != nil {
+			f.note(*c)
+		}
 		news.Entries, news.Index = append(news.Entries, d.Body), d.Index
 		if w, ok := f.waiting[d.Index]; ok {
 			delete(f.waiting, d.Index)
@@ -336,14 +347,63 @@
 			w.done(err)
 		}
 	}
+	if f.astray {
+		return
+	}
 	for r := range f.routers {
 		r.news(f, news)
 	}
-	if standing := f.core.Standing(0); f.state.Index-standing.Base > 400 {
+	entries, bytes := f.core.Logged()
+	if base := f.core.Base(); entries > logEntries || bytes > max(logBytes, 2*len(base.State)) {
 		f.carry(f.core.Compact(f.state.Index, f.state.Snapshot(), 200, f.clock.Now()))
 	}
 }
 
+// A snapshot takes the place of the log once it has so many entries, or so many bytes and twice those of the last one.
+const (
+	logEntries = 400
+	logBytes   = 512 << 10
+)
+
+// apply has a state take in an entry, if it holds a change.
+func (f *Forge) apply(s *rack.State, d ratchet.Delivery) (*rack.Change, error) {
+	if len(d.Body) == 0 {
+		s.Index = max(s.Index, d.Index)
+		return nil, nil
+	}
+	c, err := rack.Decode(d.Body)
+	if err != nil {
+		f.log.Error("a change can't be read", "index", d.Index, "error", err)
+		s.Index = max(s.Index, d.Index)
+		return nil, err
+	}
+	return &c, s.Apply(d.Index, c)
+}
+
+// rebuild makes the state up to an entry anew of this member's own snapshot and log; err is what that entry met.
+func (f *Forge) rebuild(to uint64) (err error, built bool) {
+	base := f.core.Base()
+	bodies, ok := f.core.Entries(base.Index)
+	s, bad := rack.Restore(base.State)
+	if bad != nil || !ok {
+		return bad, false
+	}
+	s.Index = base.Index
+	for i, body := range bodies[:to-base.Index] {
+		if _, err = f.apply(s, ratchet.Delivery{Index: base.Index + uint64(i) + 1, Body: body}); errors.Is(err, rack.ErrDiverged) {
+			return err, false
+		}
+	}
+	f.state = s
+	return err, true
+}
+
+// stray has this member lead no more, and asks for the state of the one that does.
+func (f *Forge) stray() {
+	f.astray = true
+	f.carry(f.core.Refetch(f.clock.Now()))
+}
+
 // note tells fail-over and hosts' accounts of a change.
 func (f *Forge) note(c rack.Change) {
 	switch {
--- a/internal/forge/operators.go
+++ b/internal/forge/operators.go
@@ -35,7 +35,7 @@
 		f.answer(err, answer)
 		return
 	}
-	f.propose(rack.Change{Configure: change}, func(err error) {
+	f.propose(rack.Change{Configure: f.state.Pack(change, plan)}, func(err error) {
 		if err == nil {
 			f.log.Info("a configuration is taken", "version", plan.Generation, "routes", len(plan.Routes))
 		}
--- a/internal/headstock/headstock.go
+++ b/internal/headstock/headstock.go
@@ -71,6 +71,7 @@
 	past       bool // the platform knows: sessions end as soon as they rest
 	trimAt     time.Time
 	touchedAt  time.Time // when this router was last in touch
+	astray     bool      // the state here is not the one that the log builds; a snapshot is asked for
 	handedBack bool      // a lead was, since it was last told how far the log was applied
 
 	link           *link
@@ -89,7 +90,7 @@
 type Counts struct {
 	Accepted, Torn, NoDB, Taken, Dispatched, Refused, Throttled, Failed, Gone                             atomic.Int64
 	Opened, Broken, ConnsRefused, Setups, SetupFaults, Stray, Lapsed, TakenBack, Overdue, Held, Floorless atomic.Int64
-	Suspects, Renewals, Leases, Links, Versions, Gaps                                                     atomic.Int64
+	Suspects, Renewals, Leases, Links, Versions, Gaps, Diverged                                           atomic.Int64
 	Outcomes                                                                                              [rules.Missed + 1]atomic.Int64
 	Told                                                                                                  [telltale.Kinds]atomic.Int64 // answers of its own
 }
--- a/internal/headstock/news.go
+++ b/internal/headstock/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -102,7 +103,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
 	from := make(chan uint64, 1)
-	if !h.queue.Put(arbor.Lists, func() { from <- h.state.Index }) {
+	if !h.queue.Put(arbor.Lists, func() { from <- h.from() }) {
 		return false
 	}
 	var index uint64
@@ -244,12 +245,13 @@
 		s, err := rack.Restore(n.Snapshot)
 		if err != nil {
 			h.log.Error("a snapshot can't be read", "error", err)
+			h.Diverged.Add(1)
 			return false
 		}
 		if s.Index = max(s.Index, n.Index); s.Index < h.state.Index {
 			return true // never back
 		}
-		h.state = s
+		h.state, h.astray = s, false
 	default:
 		first := n.Index - uint64(len(n.Entries)) + 1
 		if first > h.state.Index+1 {
@@ -262,8 +264,11 @@
 				continue
 			}
 			if len(body) > 0 {
-				if c, err := rack.Decode(body); err == nil {
-					h.state.Apply(index, c) // what it refuses all refuse
+				if c, err := rack.Decode(body); err == nil && errors.Is(h.state.Apply(index, c), rack.ErrDiverged) { // what else it refuses all refuse
+					h.log.Error("the state here is not what a change builds on; a snapshot is asked for", "index", index)
+					h.Diverged.Add(1)
+					h.astray = true
+					return false
 				}
 			}
 			h.state.Index = index
@@ -273,6 +278,14 @@
 	return true
 }
 
+// from is up to where the log is applied here; 0: a snapshot is wanted.
+func (h *Headstock) from() uint64 {
+	if h.astray {
+		return 0
+	}
+	return h.state.Index
+}
+
 // settleState works out the difference between what the state wants and what is.
 func (h *Headstock) settleState() {
 	h.moment()
@@ -401,16 +414,16 @@
 	h.plan = p
 	h.Versions.Add(1)
 	h.log.Info("a configuration is in force here", "version", p.Generation, "routes", len(p.Routes))
-	routes := make(map[string]*route, len(p.Routes))
-	for _, r := range p.Routes {
-		was := h.routes[r.Host]
-		if was != nil && was.Route == r {
-			routes[r.Host] = was
-			continue
+	last := make(map[string]int, len(p.Routes)) // of those at one host the last counts
+	for i, r := range p.Routes {
+		last[r.Host] = i
+	}
+	for i, r := range p.Routes {
+		if was := h.routes[r.Host]; last[r.Host] == i && (was == nil || was.Route != r) {
+			h.routes[r.Host] = h.route(r)
 		}
-		routes[r.Host] = h.route(r)
 	}
-	h.routes = routes
+	maps.DeleteFunc(h.routes, func(host string, _ *route) bool { _, stays := last[host]; return !stays })
 	for _, s := range h.all() { // one whose database is no more ends as soon as it rests
 		if s.call == nil && s.At() == 'I' && h.routes[s.database] == nil {
 			h.end(s)
--- a/internal/headstock/status.go
+++ b/internal/headstock/status.go
@@ -86,7 +86,7 @@
 		"setups": c.Setups.Load(), "setup_faults": c.SetupFaults.Load(), "stray_answers": c.Stray.Load(),
 		"beliefs_lapsed": c.Lapsed.Load(), "floors_unknown": c.Floorless.Load(), "leads_taken_back": c.TakenBack.Load(),
 		"answers_overdue": c.Overdue.Load(), "primaries_suspected": c.Suspects.Load(), "renewals": c.Renewals.Load(),
-		"leases": c.Leases.Load(), "links": c.Links.Load(), "news_gaps": c.Gaps.Load(), "versions": c.Versions.Load(),
+		"leases": c.Leases.Load(), "links": c.Links.Load(), "news_gaps": c.Gaps.Load(), "state_diverged": c.Diverged.Load(), "versions": c.Versions.Load(),
 		"link_bytes_sent": belt.Sent.Load(), "link_bytes_received": belt.Received.Load(),
 	}
 	for o := range c.Outcomes {
--- a/internal/jig/jig.go
+++ b/internal/jig/jig.go
@@ -13,6 +13,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -32,6 +34,8 @@
 	Services   []Service
 	Limits     Limits
 	Body       []byte `json:"-"`
+
+	at layout
 }
 
 // Route says which service a database's sessions go to, and how. Times in milliseconds.
@@ -66,25 +70,39 @@
 var check = validator.New(validator.WithRequiredStructEnabled())
 
 // Read reads a whole configuration; the error names the fault.
-func Read(body []byte) (*Plan, error) {
+func Read(body []byte) (*Plan, error) { return Next(nil, body) }
+
+// whole reads a configuration of any shape.
+func whole(body []byte) (*Plan, error) {
+	if len(body) > Most {
+		return nil, tooLong(len(body))
+	}
 	p := &Plan{Body: body}
+	if err := top(body, p); err != nil {
+		return nil, err
+	}
+	return p, p.check()
+}
+
+// top reads an object into a plan.
+func top(body []byte, p *Plan) error {
 	d := json.NewDecoder(bytes.NewReader(body))
 	if err := d.Decode(p); err != nil {
-		return nil, fault(err)
+		return fault(err)
 	}
 	if rest, _ := d.Token(); rest != nil || d.More() {
-		return nil, errors.New("the body: more behind the configuration")
+		return errors.New("the body: more behind the configuration")
 	}
-	var top map[string]json.RawMessage
-	if err := json.Unmarshal(body, &top); err != nil {
-		return nil, fault(err)
+	var keys map[string]json.RawMessage
+	if err := json.Unmarshal(body, &keys); err != nil {
+		return fault(err)
 	}
 	for _, key := range []string{"Generation", "Routes", "Services"} {
-		if _, ok := top[key]; !ok {
-			return nil, fmt.Errorf("%s: missing", key)
+		if _, ok := keys[key]; !ok {
+			return fmt.Errorf("%s: missing", key)
 		}
 	}
-	return p, p.check()
+	return nil
 }
 
 func fault(err error) error {
@@ -106,35 +124,17 @@
 	if err := tags("Limits.", &p.Limits); err != nil {
 		return err
 	}
-	services := map[string]bool{}
 	for i := range p.Services {
-		s := &p.Services[i]
-		if err := tags(fmt.Sprintf("Services[%d].", i), s); err != nil {
+		if err := tags(fmt.Sprintf("Services[%d].", i), &p.Services[i]); err != nil {
 			return err
 		}
-		if services[s.Name] {
-			return fmt.Errorf("Services[%d].Name: %q: named twice", i, s.Name)
-		}
-		services[s.Name] = true
 	}
-	places, names := map[[2]string]bool{}, map[string]bool{}
 	for i := range p.Routes {
-		r := &p.Routes[i]
-		if err := tags(fmt.Sprintf("Routes[%d].", i), r); err != nil {
+		if err := tags(fmt.Sprintf("Routes[%d].", i), &p.Routes[i]); err != nil {
 			return err
 		}
-		switch place := [2]string{r.Host, r.PathPrefix}; {
-		case !services[r.Service]:
-			return fmt.Errorf("Routes[%d].Service: %q: no such service", i, r.Service)
-		case places[place]:
-			return fmt.Errorf("Routes[%d].Host: %q with %q: another route is there", i, r.Host, r.PathPrefix)
-		case names[r.Name]:
-			return fmt.Errorf("Routes[%d].Name: %q: named twice", i, r.Name)
-		default:
-			places[place], names[r.Name] = true, true
-		}
 	}
-	return nil
+	return p.cross()
 }
 
 func tags(at string, v any) error {
@@ -156,7 +156,11 @@
 
 // Amend puts items into a configuration, or in the place of those of the same name, and takes out those that are
 // named. All other bytes of the items stay as they were sent.
-func Amend(current []byte, body []byte) (*Plan, error) {
+func Amend(current []byte, body []byte) (*Plan, error) { return (&Plan{Body: current}).Amend(body) }
+
+// Amend is a plan's own: items that stay are not read and checked again.
+func (p *Plan) Amend(body []byte) (*Plan, error) {
+	current := p.Body
 	var a amendment
 	if err := json.Unmarshal(body, &a); err != nil {
 		return nil, fault(err)
@@ -176,7 +180,7 @@
 	for list := range a.Remove {
 		lists[list] = true
 	}
-	for list := range lists {
+	for _, list := range slices.Sorted(maps.Keys(lists)) { // in one order, whoever works it out
 		var items []json.RawMessage
 		if raw, ok := top[list]; ok {
 			if err := json.Unmarshal(raw, &items); err != nil {
@@ -185,12 +189,11 @@
 		} else {
 			keys = append(keys, list)
 		}
-		if items, err = amend(list, items, a.Upsert[list], a.Remove[list]); err != nil {
-			return nil, err
-		}
-		if top[list], err = json.Marshal(items); err != nil {
+		kept, err := amend(list, items, a.Upsert[list], a.Remove[list])
+		if err != nil {
 			return nil, err
 		}
+		top[list] = append(append([]byte{'['}, bytes.Join(kept, []byte(","))...), ']')
 	}
 	whole := []byte{'{'}
 	for i, k := range keys {
@@ -200,7 +203,7 @@
 		name, _ := json.Marshal(k)
 		whole = append(append(append(whole, name...), ':'), top[k]...)
 	}
-	return Read(append(whole, '}'))
+	return Next(p, append(whole, '}'))
 }
 
 func name(item json.RawMessage) (string, error) {
@@ -211,7 +214,7 @@
 	return named.Name, nil
 }
 
-func amend(list string, items, upsert []json.RawMessage, remove []string) ([]json.RawMessage, error) {
+func amend(list string, items, upsert []json.RawMessage, remove []string) ([][]byte, error) {
 	at := map[string]int{}
 	for i, item := range items {
 		n, err := name(item)
@@ -237,7 +240,7 @@
 		}
 		at[n], items = len(items), append(items, item)
 	}
-	kept := make([]json.RawMessage, 0, len(items))
+	kept := make([][]byte, 0, len(items))
 	for _, item := range items {
 		if item != nil {
 			kept = append(kept, item)
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -68,6 +68,7 @@
 	Routers map[string]uint64
 
 	plan *jig.Plan
+	sum  [16]byte // of Config
 }
 
 // Most remembered of configurations taken, and of hosts that left.
@@ -95,11 +96,13 @@
 	Gone bool
 }
 
-// Configure is an operator's configuration: a whole one, or an amendment.
+// Configure is an operator's configuration: a whole one, or an amendment. As it was sent, it has a Body; Pack makes of it
+// what the log carries.
 type Configure struct {
 	Base  int64
 	Amend bool
 	Body  []byte
+	Packed
 }
 
 // Recall takes the lead of a service back: whoever had it sends nothing more that only a primary can do.
@@ -121,10 +124,16 @@
 	ErrOther   = errors.New("another version is in place")
 	ErrInvalid = errors.New("not valid")
 	ErrUnknown = errors.New("not known")
+	// ErrDiverged says that the state itself is not the one that a change builds on: it takes in nothing more, and is to be
+	// restored from a snapshot.
+	ErrDiverged = errors.New("this state is not what the change builds on")
 )
 
 // Encode is a change as the log holds it.
 func Encode(c Change) []byte {
+	if c.Configure != nil {
+		return c.Configure.encode()
+	}
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(c); err != nil {
 		panic(err) // its types are fixed
@@ -134,11 +143,15 @@
 
 // Decode reads a change.
 func Decode(b []byte) (c Change, err error) {
+	if len(b) > 0 && b[0] == packed {
+		c.Configure, err = decodeConfigure(b)
+		return c, err
+	}
 	err = gob.NewDecoder(bytes.NewReader(b)).Decode(&c)
 	return c, err
 }
 
-// Snapshot is the state as bytes; maps are written in order, so equal states give equal bytes.
+// Snapshot is the state as bytes behind their digest; maps are written in order, so equal states give equal bytes.
 func (s *State) Snapshot() []byte {
 	flat := flatState{Index: s.Index, Config: s.Config, Gen: s.Gen, Taken: s.Taken, Gone: s.Gone, Took: s.Took}
 	for _, id := range slices.Sorted(maps.Keys(s.Hosts)) {
@@ -154,9 +167,13 @@
 		flat.Routers, flat.Since = append(flat.Routers, name), append(flat.Since, s.Routers[name])
 	}
 	var b bytes.Buffer
+	b.Write(make([]byte, len(marked)+16))
 	if err := gob.NewEncoder(&b).Encode(flat); err != nil {
 		panic(err)
 	}
+	sum := digestOf(b.Bytes()[len(marked)+16:])
+	copy(b.Bytes(), marked)
+	copy(b.Bytes()[len(marked):], sum[:])
 	return b.Bytes()
 }
 
@@ -182,6 +199,12 @@
 	if len(b) == 0 {
 		return s, nil
 	}
+	if rest, ok := bytes.CutPrefix(b, []byte(marked)); ok { // those of older versions have none
+		if len(rest) < 16 || digestOf(rest[16:]) != [16]byte(rest[:16]) {
+			return nil, errors.New("a snapshot: its digest is another")
+		}
+		b = rest[16:]
+	}
 	var flat flatState
 	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(&flat); err != nil {
 		return nil, err
@@ -207,7 +230,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("a snapshot: its configuration: %w", err)
 		}
-		s.plan = p
+		s.plan, s.sum = p, digestOf(s.Config)
 	}
 	return s, nil
 }
@@ -296,12 +319,14 @@
 	var plan *jig.Plan
 	var err error
 	switch {
+	case c.isPacked():
+		plan, err = s.unpack(c)
 	case c.Amend && len(s.Config) == 0:
 		err = errors.New("nothing to amend")
 	case c.Amend:
-		plan, err = jig.Amend(s.Config, c.Body)
+		plan, err = s.plan.Amend(c.Body)
 	default:
-		plan, err = jig.Read(c.Body)
+		plan, err = jig.Next(s.plan, c.Body)
 	}
 	if err == nil && (plan.Generation <= s.Gen) {
 		err = fmt.Errorf("Generation: %d: not above %d", plan.Generation, s.Gen)
@@ -313,6 +338,9 @@
 }
 
 func digest(c *Configure) (sum [16]byte) {
+	if c.isPacked() {
+		return c.Sent
+	}
 	h := blake3.New()
 	if c.Amend {
 		h.Write([]byte{1})
@@ -328,6 +356,9 @@
 	if index <= s.Index {
 		return nil
 	}
+	if c.Configure != nil && s.diverged(c.Configure) {
+		return ErrDiverged
+	}
 	s.Index = index
 	switch {
 	case c.Configure != nil:
@@ -335,7 +366,7 @@
 		if err != nil || plan == nil {
 			return err
 		}
-		s.plan, s.Config, s.Gen = plan, plan.Body, plan.Generation
+		s.plan, s.Config, s.Gen, s.sum = plan, plan.Body, plan.Generation, digestOf(plan.Body)
 		s.Taken = append(s.Taken, Digest{c.Configure.Base, plan.Generation, digest(c.Configure)})
 		s.Taken = s.Taken[max(0, len(s.Taken)-remembered):]
 	case c.Enter != nil:
--- a/internal/ratchet/log.go
+++ b/internal/ratchet/log.go
@@ -18,13 +18,33 @@
 
 func (c *Core) last() uint64 { return c.base.Index + uint64(len(c.log)) }
 
+// floor is the place behind which all entries are held.
+func (c *Core) floor() uint64 { return c.base.Index - uint64(len(c.old)) }
+
+// entries are those from a place on, up to one that is held.
+func (c *Core) entries(from, to uint64) []Entry {
+	all := make([]Entry, 0, to-from)
+	for i := from; i < to; i++ {
+		if i < c.base.Index {
+			all = append(all, c.old[i-c.floor()])
+		} else {
+			all = append(all, c.log[i-c.base.Index])
+		}
+	}
+	return all
+}
+
 // viewAt gives the view of an entry; ok false where it is not held.
 func (c *Core) viewAt(i uint64) (uint64, bool) {
 	switch {
 	case i == c.base.Index:
 		return c.base.View, true
-	case i < c.base.Index || i > c.last():
+	case i < c.floor() || i > c.last():
 		return 0, false
+	case i == c.floor():
+		return c.oldView, true
+	case i < c.base.Index:
+		return c.old[i-c.floor()-1].View, true
 	}
 	return c.log[i-c.base.Index-1].View, true
 }
@@ -104,25 +124,23 @@
 	if p.sentAt != 0 && c.now < p.sentAt+c.Again {
 		return
 	}
-	if p.next > c.last() && p.match == c.last() {
+	if p.transfer != nil || p.refetch || p.next <= c.floor() {
+		c.sendPart(id, p)
 		return
 	}
-	if p.next <= c.base.Index {
-		p.sentAt = c.now
-		s := c.base
-		c.send(Message{Kind: Install, To: id, Snapshot: &s, Commit: c.commit})
+	if p.next > c.last() && p.match == c.last() {
 		return
 	}
 	prev := min(p.next, c.last()+1) - 1
 	view, _ := c.viewAt(prev)
 	size, to := 0, prev
 	for to < c.last() && size < 256<<10 {
-		size += 64 + len(c.log[to-c.base.Index].Body)
 		to++
+		size += 64 + len(c.entries(to-1, to)[0].Body)
 	}
 	p.sentAt = c.now
 	c.send(Message{Kind: Append, To: id, Index: prev, Prev: view, Commit: c.commit,
-		Entries: slices.Clone(c.log[prev-c.base.Index : to-c.base.Index])})
+		Entries: c.entries(prev, to)})
 }
 
 // advance delivers what a majority has on disk.
@@ -177,6 +195,9 @@
 		p.confirmed = max(p.confirmed, min(m.Sent, c.now))
 	case Accept:
 		p.sentAt = 0
+		if p.transfer != nil && m.Index >= p.transfer.Index {
+			p.transfer, p.refetch = nil, false
+		}
 		p.match = max(p.match, min(m.Index, c.last()))
 		p.next = max(p.next, p.match+1)
 		c.advance()
@@ -187,6 +208,11 @@
 		p.sentAt = 0
 		p.next = max(p.match+1, min(m.Index+1, p.next-1), 1)
 		c.feed(m.From, p)
+	case InstallReply:
+		c.taken(m, p)
+	case Refetch:
+		p.sentAt, p.transfer, p.refetch = 0, nil, true
+		c.feed(m.From, p)
 	}
 }
 
@@ -196,7 +222,7 @@
 	if m.Index < c.base.Index { // what a snapshot stands for was delivered, so it is the same
 		skip := c.base.Index - m.Index
 		if uint64(len(m.Entries)) < skip {
-			c.send(Message{Kind: Accept, To: m.From, Index: c.base.Index})
+			c.write(Write{}, Message{Kind: Accept, To: m.From, Index: c.base.Index}) // behind what is being written
 			return
 		}
 		m.Index, m.Entries, view, held = c.base.Index, m.Entries[skip:], c.base.View, true
@@ -235,11 +261,22 @@
 
 // Entries gives the delivered entries behind an index; ok false where a snapshot stands for some of them.
 func (c *Core) Entries(after uint64) (bodies [][]byte, ok bool) {
-	if after < c.base.Index {
+	if after < c.floor() || after > c.given {
 		return nil, false
 	}
-	for i := after; i < c.given; i++ {
-		bodies = append(bodies, c.log[i-c.base.Index].Body)
+	for _, e := range c.entries(after, c.given) {
+		bodies = append(bodies, e.Body)
 	}
 	return bodies, true
 }
+
+// Base is the newest snapshot.
+func (c *Core) Base() Snapshot { return c.base }
+
+// Logged is how many entries were delivered since the newest snapshot, and their bytes.
+func (c *Core) Logged() (entries uint64, bytes int) {
+	for _, e := range c.log[:c.given-c.base.Index] {
+		bytes += len(e.Body)
+	}
+	return c.given - c.base.Index, bytes
+}
--- a/internal/ratchet/membership.go
+++ b/internal/ratchet/membership.go
@@ -22,6 +22,8 @@
 	confirmed   int64 // the newest heartbeat that came back
 	heardAt     int64
 	learner     bool
+	transfer    *transfer // a snapshot on its way there
+	refetch     bool      // it asked for one, whatever it holds
 }
 
 // Members are who counts, by the newest entry held.
--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -32,11 +32,13 @@
 	Append                         // entries behind Index of View Prev
 	Accept                         // they are on disk up to Index
 	Refuse                         // they do not fit; Index is where to try
-	Install                        // a snapshot
+	Install                        // a part of a snapshot
 	VoteRequest                    // for a vote; PreVote: whether one would be had
 	Vote                           // Granted
 	Transfer                       // a leader hands its view over
 	Join                           // a learner, or a member that nobody calls, asks to be called
+	InstallReply                   // how much of a snapshot is here
+	Refetch                        // a member whose state is wrong asks for a snapshot, whatever it holds
 )
 
 // Message is what members say to each other.
@@ -49,9 +51,9 @@
 	Commit      uint64
 	Sent        int64
 	Entries     []Entry
-	Snapshot    *Snapshot
-	PreVote     bool // of VoteRequest and Vote
-	Transferred bool // of VoteRequest: the leader that was promised to has handed over
+	Part        *Part // of Install and InstallReply
+	PreVote     bool  // of VoteRequest and Vote
+	Transferred bool  // of VoteRequest: the leader that was promised to has handed over
 	Granted     bool
 	Fresh       bool // of Vote: no leader was heard in this life; of VoteRequest: all members have said so
 }
@@ -79,11 +81,15 @@
 	Again  int64 // after which entries are sent again
 	Gone   int64 // a member silent for so long makes way for a learner
 	Most   int   // how many members there are at most; others stand by
+	Part   int   // bytes of a part of a snapshot
+	Kept   int   // bytes of entries that a snapshot stands for and that stay in memory, for members that lag a little
+	Behind int   // and of those behind a snapshot that a member is taking
 }
 
 // Usual are terms for a network of a few milliseconds, where so many members may be lost at once.
 func Usual(lost int) Terms {
-	return Terms{Lease: 700, Beat: 130, Jitter: 200, Again: 400, Gone: 2000, Most: 2*max(lost, 1) + 1}
+	return Terms{Lease: 700, Beat: 130, Jitter: 200, Again: 400, Gone: 2000, Most: 2*max(lost, 1) + 1,
+		Part: 128 << 10, Kept: 256 << 10, Behind: 4 << 20}
 }
 
 // Core is one member. It is not safe for use by several goroutines.
@@ -96,6 +102,8 @@
 
 	meta    Meta
 	base    Snapshot // Index 0: none
+	old     []Entry  // up to base.Index, for members that lag
+	oldView uint64   // of the entry before old
 	log     []Entry  // from base.Index+1 on
 	commit  uint64
 	given   uint64 // delivered
@@ -123,13 +131,18 @@
 	transferring bool
 	ledAt        int64 // when it began to lead
 	silenced     int64
+	taking       *taking // a snapshot that comes in parts
+	refetch      bool    // the state here is wrong
+	refetchAt    int64
 	out          Out
+
+	Counts
 }
 
 // New starts a member. founders are the first members, for a first start with an empty disk; a learner has none.
 func New(id ID, t Terms, kept Restored, founders []ID, chance func() float64, now int64) *Core {
 	c := &Core{Terms: t, id: id, now: now, startedAt: now, heardAt: now, chance: chance, meta: kept.Meta, base: kept.Snapshot,
-		log: kept.Entries}
+		log: kept.Entries, oldView: kept.Snapshot.View}
 	c.commit, c.given, c.saved = c.base.Index, c.base.Index, c.last()
 	c.configs = []config{{c.base.Index, c.base.Members}}
 	if c.base.Index == 0 && len(c.base.Members) == 0 {
@@ -176,6 +189,10 @@
 // Tick goes on to a time; it is to be called every Beat/3 or so.
 func (c *Core) Tick(now int64) Out {
 	c.clock(now)
+	if c.refetch && c.role == follower && c.leader != "" && c.now >= c.refetchAt {
+		c.refetchAt = c.now + c.Lease
+		c.send(Message{Kind: Refetch, To: c.leader})
+	}
 	switch {
 	case c.role == leader:
 		c.lead()
@@ -264,7 +281,7 @@
 			c.votes[m.From] = true
 			c.elected()
 		}
-	case HeartbeatReply, Accept, Refuse:
+	case HeartbeatReply, Accept, Refuse, InstallReply, Refetch:
 		c.replied(m)
 	}
 }
--- a/internal/ratchet/ratchet_test.go
+++ b/internal/ratchet/ratchet_test.go
@@ -74,6 +74,7 @@
 	kept := m.disk
 	kept.Entries = slices.Clone(kept.Entries)
 	terms := Usual(w.lost)
+	terms.Part, terms.Kept = 64, 100 // snapshots go in many parts
 	m.core = New(m.id, terms, kept, m.founder, w.Chance.Float64, w.Now)
 	if w.out == "lease" { // its leader counts on what it does not keep
 		life := m.life
--- a/internal/ratchet/snapshot.go
+++ b/internal/ratchet/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"github.com/zeebo/blake3"
 )
 
 // Snapshot stands for all entries up to Index.
@@ -32,11 +34,53 @@
 	}
 }
 
+// Part is a piece of a snapshot on its way. In a reply it has no bytes, and Offset is how many are there.
+type Part struct {
+	Index, View  uint64 // of the snapshot
+	Members      []ID
+	Sum          [16]byte // of all its bytes
+	Size, Offset uint64
+	Bytes        []byte
+}
+
+func (p *Part) of(o *Part) bool { return p.Index == o.Index && p.Sum == o.Sum && p.Size == o.Size }
+
+// Bounds of what is taken in.
+const (
+	partMost     = 1 << 20
+	snapshotMost = 24 << 20
+	membersMost  = 1 << 10
+)
+
+// sane says whether a part's lengths can be true.
+func (p *Part) sane() bool {
+	return p != nil && p.Size <= snapshotMost && p.Offset <= p.Size && len(p.Bytes) <= partMost &&
+		uint64(len(p.Bytes)) <= p.Size-p.Offset && len(p.Members) <= membersMost
+}
+
+// transfer is a snapshot on its way to a member: one part is out at a time, at Offset.
+type transfer struct {
+	Part
+	state []byte
+}
+
+// taking is a snapshot of which some parts have come.
+type taking struct {
+	Part
+	by    uint64 // the view whose leader sent of it last
+	state []byte
+}
+
+// Counts are of snapshots.
+type Counts struct {
+	PartsSent, PartsIgnored, Transfers, Installed int64
+}
+
 // Compact lets a snapshot of the state up to an index that was delivered stand for the entries before; keep of them
-// stay, for members that lag.
+// stay in memory, and Kept bytes at most, for members that lag a little.
 func (c *Core) Compact(index uint64, state []byte, keep uint64, now int64) Out {
 	c.clock(now)
-	if index > c.given || index <= c.base.Index+keep {
+	if index > c.given || index <= c.base.Index {
 		return c.take()
 	}
 	view, _ := c.viewAt(index)
@@ -46,38 +90,159 @@
 			members = e.Members
 		}
 	}
-	c.log = slices.Clone(c.log[index-c.base.Index:])
+	n := index - c.base.Index
+	c.old = append(c.old, c.log[:n]...)
+	c.log = slices.Clone(c.log[n:])
 	c.base = Snapshot{Index: index, View: view, Members: members, State: state}
+	c.forget(int(keep))
 	s := c.base
 	c.write(Write{Snapshot: &s, Keep: index})
 	return c.take()
 }
 
+// forget lets go of entries that a snapshot stands for, but for some. Those behind a snapshot that a member is taking stay
+// for longer, so that changes do not outrun it.
+func (c *Core) forget(keep int) {
+	wanted := c.base.Index
+	for _, p := range c.peers {
+		if p.transfer != nil {
+			wanted = min(wanted, p.transfer.Index)
+		}
+	}
+	bytes, drop := 0, 0
+	for i := len(c.old) - 1; i >= 0; i-- {
+		bytes += len(c.old[i].Body)
+		near := len(c.old)-i <= keep && bytes <= c.Kept
+		if taken := c.floor()+uint64(i) >= wanted && bytes <= c.Behind; !near && !taken {
+			drop = i + 1
+			break
+		}
+	}
+	if drop > 0 {
+		c.oldView = c.old[drop-1].View
+		c.old = slices.Clone(c.old[drop:])
+	}
+}
+
+// sendPart sends the next part of a snapshot, and begins anew with the newest only where entries behind it are gone.
+func (c *Core) sendPart(id ID, p *progress) {
+	if t := p.transfer; t == nil || t.Index < c.floor() {
+		c.Transfers++
+		sum := blake3.Sum256(c.base.State)
+		p.transfer = &transfer{state: c.base.State, Part: Part{Index: c.base.Index, View: c.base.View, Members: c.base.Members,
+			Sum: [16]byte(sum[:16]), Size: uint64(len(c.base.State))}}
+	}
+	part := p.transfer.Part
+	part.Bytes = p.transfer.state[part.Offset:min(part.Size, part.Offset+uint64(c.Part))]
+	p.sentAt = c.now
+	c.PartsSent++
+	c.send(Message{Kind: Install, To: id, Part: &part, Commit: c.commit})
+}
+
+// taken goes on with a transfer, from where the other side has come to. What says nothing new is not answered: parts that
+// are lost are sent again after a while.
+func (c *Core) taken(m Message, p *progress) {
+	t := p.transfer
+	if t == nil || m.Part == nil || !m.Part.of(&t.Part) || m.Part.Offset > t.Size {
+		c.PartsIgnored++
+		return
+	}
+	if m.Part.Offset == t.Offset {
+		return
+	}
+	p.sentAt, t.Offset = 0, m.Part.Offset
+	if t.Offset == t.Size { // its disk is at work
+		p.sentAt = c.now
+		return
+	}
+	c.feed(m.From, p)
+}
+
+// installed takes in a part. What is out of order, of another snapshot, or lies about its lengths changes nothing.
 func (c *Core) installed(m Message) {
-	s := m.Snapshot
-	if s == nil {
+	t := m.Part
+	if !t.sane() {
+		c.PartsIgnored++
 		return
 	}
-	if s.Index > c.commit {
-		view, held := c.viewAt(s.Index)
-		tail := []Entry(nil)
-		if held && view == s.View {
-			tail = slices.Clone(c.log[s.Index-c.base.Index:])
-		}
-		c.base, c.log = *s, tail
-		c.commit, c.given = s.Index, s.Index
-		c.configs = []config{{s.Index, s.Members}}
-		for i, e := range tail {
-			if len(e.Members) > 0 {
-				c.configs = append(c.configs, config{s.Index + uint64(i) + 1, e.Members})
+	if t.Index <= c.commit && !(c.refetch && t.Index >= c.base.Index) {
+		c.write(Write{}, Message{Kind: Accept, To: m.From, Index: c.commit}) // behind what is being written
+		return
+	}
+	reply := func(offset int) {
+		c.send(Message{Kind: InstallReply, To: m.From, Part: &Part{Index: t.Index, Sum: t.Sum, Size: t.Size, Offset: uint64(offset)}})
+	}
+	have := c.taking
+	if have == nil || !have.of(t) {
+		if have != nil && have.by == m.View && have.Index >= t.Index || t.Offset != 0 {
+			c.PartsIgnored++
+			if have == nil {
+				reply(0)
 			}
+			return
 		}
-		c.saved = max(c.saved, min(s.Index, c.last()))
-		kept := *s
-		c.write(Write{Snapshot: &kept, Keep: s.Index, From: s.Index + 1, Entries: slices.Clone(tail)},
-			Message{Kind: Accept, To: m.From, Index: s.Index})
-		c.out.Delivered = append(c.out.Delivered, Delivery{Index: s.Index, View: s.View, Snapshot: &kept})
+		have = &taking{Part: *t}
+		have.Bytes = nil
+		c.taking = have
+	}
+	have.by = m.View
+	if t.Offset != uint64(len(have.state)) {
+		c.PartsIgnored++
+		reply(len(have.state))
+		return
+	}
+	have.state = append(have.state, t.Bytes...)
+	if uint64(len(have.state)) < have.Size {
+		reply(len(have.state))
 		return
 	}
-	c.send(Message{Kind: Accept, To: m.From, Index: c.commit})
+	c.taking = nil
+	if sum := blake3.Sum256(have.state); [16]byte(sum[:16]) != have.Sum {
+		c.PartsIgnored++
+		reply(0)
+		return
+	}
+	reply(len(have.state))
+	c.install(Snapshot{Index: have.Index, View: have.View, Members: have.Members, State: have.state}, m.From)
+}
+
+// install puts a snapshot that is whole in the place of what it stands for.
+func (c *Core) install(s Snapshot, from ID) {
+	view, held := c.viewAt(s.Index)
+	tail := []Entry(nil)
+	if held = held && view == s.View; held {
+		tail = slices.Clone(c.log[s.Index-c.base.Index:])
+	}
+	again := s.Index <= c.commit // of what was delivered here already
+	if again && !held {
+		c.PartsIgnored++
+		return
+	}
+	c.Installed++
+	c.base, c.log, c.old, c.oldView, c.refetch = s, tail, nil, s.View, false
+	c.out.Delivered = append(c.out.Delivered, Delivery{Index: s.Index, View: s.View, Snapshot: &s})
+	if again {
+		c.write(Write{Snapshot: &s, Keep: s.Index}, Message{Kind: Accept, To: from, Index: c.commit})
+		for i, e := range tail[:c.given-s.Index] {
+			c.out.Delivered = append(c.out.Delivered, Delivery{Index: s.Index + uint64(i) + 1, View: e.View, Body: e.Body})
+		}
+		return
+	}
+	c.commit, c.given = s.Index, s.Index
+	c.configs = []config{{s.Index, s.Members}}
+	for i, e := range tail {
+		if len(e.Members) > 0 {
+			c.configs = append(c.configs, config{s.Index + uint64(i) + 1, e.Members})
+		}
+	}
+	c.saved = max(c.saved, min(s.Index, c.last()))
+	c.write(Write{Snapshot: &s, Keep: s.Index, From: s.Index + 1, Entries: slices.Clone(tail)},
+		Message{Kind: Accept, To: from, Index: s.Index})
+}
+
+// Refetch has this member ask for the leader's snapshot, since the state that its log built is wrong.
+func (c *Core) Refetch(now int64) Out {
+	c.clock(now)
+	c.refetch, c.refetchAt = true, 0
+	return c.take()
 }
