--- a/internal/ratchet/cutoff_test.go
+++ b/internal/ratchet/cutoff_test.go
@@ -151,3 +151,13 @@
 	require.Equal(t, b.cores["c"].Commit(), b.cores["d+1"].Commit())
 	require.Equal(t, ID("c"), b.cores["d+1"].Leader())
 }
+
+// An empty disk at a member's address is another member: what is meant for the one before says nothing to it.
+func TestWhatIsMeantForAnEarlierMemberAtTheAddressIsIgnored(t *testing.T) {
+	c := New("b+1", Usual(1), Restored{}, nil, func() float64 { return 0 }, 1000)
+	require.Empty(t, c.Step(Message{Kind: Append, From: "a", To: "b", View: 3, Entries: []Entry{{View: 3, Body: []byte("x")}}}, 1010))
+	require.Empty(t, c.Step(Message{Kind: Heartbeat, From: "a", To: "b", View: 3, Sent: 1}, 1011))
+	require.Zero(t, c.View())
+	require.EqualValues(t, 2, c.Misdirected)
+	require.NotEmpty(t, c.Step(Message{Kind: Heartbeat, From: "a", To: "b+1", View: 3, Sent: 1}, 1012).Messages)
+}
