--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -54,6 +54,9 @@
 
 	delivering bool
 
+	led    int64 // what makes this member's clock led time (rack.Change), while it leads
+	orders orders
+
 	Counts
 }
 
@@ -285,6 +288,7 @@
 	case holds && !f.leads:
 		f.leads = true
 		f.Views.Add(1)
+		f.led = f.state.Led - now
 		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.plate.BeatMs, now)
 		f.hoist.Log = func(service, what, host string) { f.log.Info(what, "service", service, "host", host) }
 		f.log.Info("leads", "view", f.core.View(), "members", f.core.Members())
@@ -375,7 +379,9 @@
 
 // propose puts a change in the log; done is told once it is delivered, or that this is not known.
 func (f *Forge) propose(c rack.Change, done func(error)) {
-	index, out := f.core.Propose(rack.Encode(c), f.clock.Now())
+	now := f.clock.Now()
+	c.Led = now + f.led
+	index, out := f.core.Propose(rack.Encode(c), now)
 	if index == 0 {
 		done(errUnclear)
 		return
--- a/internal/forge/operators.go
+++ b/internal/forge/operators.go
@@ -18,28 +18,62 @@
 var amend = Call{Method: http.MethodPost, Path: "/Config.Amend", Most: 4 << 20, Within: 4 * time.Second,
 	Handle: func(f *Forge, _ string, c call, answer func(int, []byte)) { f.configure(c, true, answer) }}
 
+// mostUnderWay bounds the bodies of orders that wait for the log: eight of the longest.
+const mostUnderWay = 8 * 4 << 20
+
+// orders are those under way here, with all who wait for each.
+type orders struct {
+	waiting map[rack.Identity][]func(error)
+	bytes   int
+}
+
+// version reads the version that an order builds on.
+func (c *call) version() (int64, error) {
+	v, err := strconv.ParseUint(c.base, 10, 63)
+	if err != nil {
+		return 0, fmt.Errorf("X-Base-Version: %.40q is no version", c.base)
+	}
+	return int64(v), nil
+}
+
 // configure takes a configuration: what is wrong with it is told before it comes into the log, and once more by the
-// log's order, since another may come before it.
+// log's order, since another may come before it. An order that is under way is not put in the log again.
 func (f *Forge) configure(c call, amend bool, answer func(int, []byte)) {
-	base := int64(0)
-	if c.base != "" {
-		var err error
-		if base, err = strconv.ParseInt(c.base, 10, 64); err != nil {
-			refuse(answer, telltale.BadBody, fmt.Errorf("X-Base-Version: %.40q is no number", c.base))
-			return
-		}
+	base, err := c.version()
+	if err != nil {
+		refuse(answer, telltale.BadBody, err)
+		return
 	}
 	change := &rack.Configure{Base: base, Amend: amend, Body: c.body}
+	id, told := change.Identity(), func(err error) { f.answer(err, answer) }
+	if others, underWay := f.orders.waiting[id]; underWay {
+		f.orders.waiting[id] = append(others, told)
+		return
+	}
 	plan, err := f.state.Check(change)
-	if err != nil || plan == nil {
-		f.answer(err, answer)
+	switch {
+	case err != nil || plan == nil:
+		told(err)
+		return
+	case f.orders.bytes+len(c.body) > mostUnderWay:
+		refuse(answer, telltale.TooMany, fmt.Errorf("orders of %d bytes are under way", f.orders.bytes))
 		return
 	}
+	if f.orders.waiting == nil {
+		f.orders.waiting = map[rack.Identity][]func(error){}
+	}
+	f.orders.waiting[id] = []func(error){told}
+	f.orders.bytes += len(c.body)
 	f.propose(rack.Change{Configure: change}, func(err error) {
 		if err == nil {
 			f.log.Info("a configuration is taken", "version", plan.Generation, "routes", len(plan.Routes))
 		}
-		f.answer(err, answer)
+		all := f.orders.waiting[id]
+		delete(f.orders.waiting, id)
+		f.orders.bytes -= len(c.body)
+		for _, told := range all {
+			told(err)
+		}
 	})
 }
 
--- /dev/null
+++ b/internal/forge/world_test.go
@@ -0,0 +1,286 @@
+package forge
+
+import (
+	"fmt"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/belt"
+	"ferrypitch/internal/drawer"
+	"ferrypitch/internal/hoist"
+	"ferrypitch/internal/lab/stage"
+	"ferrypitch/internal/nameplate"
+	"ferrypitch/internal/rack"
+	"ferrypitch/internal/ratchet"
+)
+
+const (
+	ms = int64(10) // the stage's units
+	s  = 1000 * ms
+)
+
+// A world is a control plane alone: members with disks that forget what was not synced, on a network that can be cut one
+// way, and no hosts or routers.
+type world struct {
+	*stage.Stage
+	members []*member
+	cut     map[[2]string]bool // from, to
+	calmAt  int64              // when the last trouble ended
+}
+
+type member struct {
+	w      *world
+	ip     string
+	f      *Forge
+	up     bool
+	frozen bool
+	life   int
+	id     drawer.Identity
+	disk   ratchet.Restored
+	queue  []ratchet.Write
+	held   []func()
+	order  map[string]int64 // when what was last sent to another comes
+}
+
+func newWorld(seed uint64, members int) *world {
+	w := &world{Stage: stage.New(seed, s, ms), cut: map[[2]string]bool{}}
+	var founders []ratchet.ID
+	for i := range 3 {
+		founders = append(founders, ratchet.ID(fmt.Sprintf("10.0.0.%d", i+1)))
+	}
+	for i := range members {
+		m := &member{w: w, ip: fmt.Sprintf("10.0.0.%d", i+1)}
+		m.id = drawer.Identity{ID: ratchet.ID(m.ip + "+0")}
+		if i < len(founders) {
+			m.id = drawer.Identity{ID: founders[i], Founders: founders}
+		}
+		w.members = append(w.members, m)
+	}
+	for _, m := range w.members {
+		m.start()
+	}
+	return w
+}
+
+func (w *world) time() time.Time {
+	return time.Unix(0, 0).Add(time.Duration(w.Now) * time.Millisecond / time.Duration(ms))
+}
+
+func (m *member) start() {
+	w := m.w
+	m.life++
+	m.up, m.frozen, m.held, m.queue, m.order = true, false, nil, nil, map[string]int64{}
+	plate := &nameplate.Plate{Node: "n" + m.ip, Ip: m.ip, Zone: "z", BeatMs: 1200}
+	plate.FaultBudget.Machines = 1
+	plate.Listen.Control = m.ip + ":8080"
+	for _, o := range w.members[:3] {
+		plate.SeedPeers = append(plate.SeedPeers, o.ip+":8080")
+	}
+	kept := m.disk
+	kept.Entries = slices.Clone(kept.Entries)
+	f, err := New(plate, hclog.NewNullLogger(), arbor.NewSteady(w.time), m.id, kept, w.Chance.Float64)
+	if err != nil {
+		panic(err)
+	}
+	m.f = f
+	life := m.life
+	f.Wire(Reach{
+		Send:    m.send,
+		Store:   func(x []ratchet.Write) { m.store(life, x) },
+		Ask:     func(hoist.Question, rack.Host) {},
+		Promote: func(hoist.Promotion) {},
+	})
+	m.tick(life)
+}
+
+// do runs in the member's process, later if it stands still.
+func (m *member) do(life int, what func()) {
+	switch {
+	case !m.up || m.life != life:
+	case m.frozen:
+		m.held = append(m.held, what)
+	default:
+		what()
+	}
+}
+
+func (m *member) tick(life int) {
+	m.do(life, func() {
+		m.f.Tick()
+		m.w.In(50*ms, func() { m.tick(life) })
+	})
+}
+
+func (m *member) send(ip string, f *belt.Frame) {
+	w := m.w
+	for _, to := range w.members {
+		if to.ip != ip || to == m {
+			continue
+		}
+		m.order[ip] = max(m.order[ip]+1, w.Now+w.Between(ms/2, 3*ms))
+		life := to.life
+		w.In(m.order[ip]-w.Now, func() {
+			if !w.cut[[2]string{m.ip, ip}] {
+				to.do(life, func() { to.f.Hear(f) })
+			}
+		})
+	}
+}
+
+func (m *member) store(life int, x []ratchet.Write) {
+	w := m.w
+	m.queue = append(m.queue, x...)
+	seq := x[len(x)-1].Seq
+	took := w.Between(ms/2, 8*ms)
+	if w.Odds(100) {
+		took = w.Between(50*ms, 600*ms)
+	}
+	w.In(took, func() {
+		m.do(life, func() {
+			for len(m.queue) > 0 && m.queue[0].Seq <= seq {
+				m.disk.Put(m.queue[0])
+				m.queue = m.queue[1:]
+			}
+			m.f.Saved(seq)
+		})
+	})
+}
+
+// crash ends a life. What was not synced is lost with the power, and else kept up to a write.
+func (m *member) crash(power bool) {
+	m.up = false
+	for _, x := range m.queue {
+		if power || m.w.Odds(2) {
+			break
+		}
+		m.disk.Put(x)
+	}
+	m.queue = nil
+}
+
+func (m *member) thaw(life int) {
+	if !m.up || m.life != life {
+		return
+	}
+	m.frozen = false
+	for len(m.held) > 0 && m.up && !m.frozen {
+		do := m.held[0]
+		m.held = m.held[1:]
+		do()
+	}
+}
+
+func (w *world) leader() *member {
+	for _, m := range w.members {
+		if m.up && !m.frozen && m.f.leads && m.f.core.Holds(m.f.clock.Now()) {
+			return m
+		}
+	}
+	return nil
+}
+
+// whole says that all founders' places are taken by members that run.
+func (w *world) whole() bool {
+	l := w.leader()
+	if l == nil {
+		return false
+	}
+	for _, id := range l.f.core.Members() {
+		if !slices.ContainsFunc(w.members, func(m *member) bool { return m.up && !m.frozen && m.id.ID == id }) {
+			return false
+		}
+	}
+	return len(l.f.core.Members()) >= 3
+}
+
+// strike is one fault; faults may overlap, but a disk is lost only where all are well.
+func (w *world) strike(until int64) {
+	if w.Now > until {
+		return
+	}
+	w.In(w.Between(100*ms, 2*s), func() { w.strike(until) })
+	m := w.members[w.Chance.IntN(len(w.members))]
+	if l := w.leader(); l != nil && w.Odds(2) {
+		m = l
+	}
+	if !m.up || m.frozen {
+		return
+	}
+	back := w.Between(50*ms, 3*s)
+	if w.Odds(4) {
+		back = w.Between(ms, 50*ms) // what is under way may outlive it
+	}
+	life := m.life
+	calm := w.Now > w.calmAt+3*s
+	w.calmAt = max(w.calmAt, w.Now+back)
+	switch w.Chance.IntN(9) {
+	case 0, 1:
+		power := w.Odds(2)
+		w.Note("%s dies, power %v, for %d ms", m.ip, power, back/ms)
+		m.crash(power)
+		w.In(back, m.start)
+	case 2:
+		w.Note("%s stands still for %d ms", m.ip, back/ms)
+		m.frozen = true
+		w.In(back, func() { m.thaw(life) })
+	case 3, 4:
+		way := w.Chance.IntN(3)
+		w.Note("%s is cut off for %d ms, ways %d", m.ip, back/ms, way)
+		for _, o := range w.members {
+			if way != 0 {
+				w.part(m.ip, o.ip, back)
+			}
+			if way != 1 {
+				w.part(o.ip, m.ip, back)
+			}
+		}
+	case 5:
+		if w.Odds(3) {
+			w.Note("all power is lost for %d ms", back/ms)
+			for _, o := range w.members {
+				if o.up {
+					o.crash(true)
+					w.In(back+w.Between(0, 300*ms), o.start)
+				}
+			}
+		}
+	case 6:
+		w.Note("%s hands its view over", m.ip)
+		m.f.carry(m.f.core.TransferLeadership(m.f.clock.Now()))
+	case 7:
+		w.Note("%s takes a snapshot", m.ip)
+		m.f.carry(m.f.core.Compact(m.f.state.Index, m.f.state.Snapshot(), uint64(w.Chance.IntN(20)), m.f.clock.Now()))
+	case 8:
+		if calm && w.whole() {
+			w.Note("%s loses its disk, down for %d ms", m.ip, back/ms)
+			m.crash(true)
+			m.disk = ratchet.Restored{}
+			m.id = drawer.Identity{ID: ratchet.ID(fmt.Sprintf("%s+%d", m.ip, m.life))}
+			w.calmAt += 3 * s
+			w.In(back, m.start)
+		}
+	}
+}
+
+func (w *world) part(from, to string, back int64) {
+	w.cut[[2]string{from, to}] = true
+	w.In(back, func() { delete(w.cut, [2]string{from, to}) })
+}
+
+func (w *world) play(span int64) {
+	defer func() {
+		if p := recover(); p != nil {
+			w.Broke("a panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+	w.Play(span)
+}
+
+func (w *world) report() string {
+	return strings.Join(w.Broken, "\n") + "\nafter\n" + strings.Join(w.Trace, "\n")
+}
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -17,8 +17,6 @@
 	"maps"
 	"slices"
 
-	"github.com/zeebo/blake3"
-
 	"ferrypitch/internal/jig"
 )
 
@@ -44,21 +42,16 @@
 	Paused bool   // replicas were PAUSEd for a move, and not all are known to receive again
 }
 
-// Digest names a configuration that was taken.
-type Digest struct {
-	Base, Generation int64
-	Sum              [16]byte
-}
-
 // State is what all changes up to Index have made. The zero value is the state before the first.
 type State struct {
 	Index  uint64
 	Config []byte // as Config.Read gives it; empty: none
 	Gen    int64
-	Taken  []Digest // the newest last
+	Led    int64   // led time, in milliseconds
+	Taken  []Taken // by base, so the newest last
 	Hosts  map[string]Host
 	Leads  map[string]Lead
-	Gone   []string // ids of hosts that left, the newest last
+	Gone   []Departure // the newest last
 	// Owed are hosts that left and may alone have had what was acknowledged: until a new host at the address of one has its
 	// log, or others are known to have reached all of it, the service is not given to another primary.
 	Owed map[string]Host
@@ -70,13 +63,9 @@
 	plan *jig.Plan
 }
 
-// Most remembered of configurations taken, and of hosts that left.
-const (
-	remembered = 128
-)
-
-// Change is one entry; one of its fields is set.
+// Change is one entry; one of its fields is set, beside Led.
 type Change struct {
+	Led       int64 // when it was proposed, in led time
 	Configure *Configure
 	Enter     *Host
 	Drain     string
@@ -140,7 +129,7 @@
 
 // Snapshot is the state as bytes; maps are written in order, so equal states give equal bytes.
 func (s *State) Snapshot() []byte {
-	flat := flatState{Index: s.Index, Config: s.Config, Gen: s.Gen, Taken: s.Taken, Gone: s.Gone, Took: s.Took}
+	flat := flatState{Index: s.Index, Config: s.Config, Gen: s.Gen, Led: s.Led, Orders: packTaken(s.Taken), Left: s.Gone, Took: s.Took}
 	for _, id := range slices.Sorted(maps.Keys(s.Hosts)) {
 		flat.Hosts = append(flat.Hosts, s.Hosts[id])
 	}
@@ -164,11 +153,12 @@
 	Index  uint64
 	Config []byte
 	Gen    int64
-	Taken  []Digest
+	Led    int64
+	Orders []byte
 	Hosts  []Host
 	Names  []string
 	Leads  []Lead
-	Gone   []string
+	Left   []Departure
 	Owed   []Host
 	Took   int64
 
@@ -189,7 +179,11 @@
 	if len(flat.Names) != len(flat.Leads) || len(flat.Routers) != len(flat.Since) {
 		return nil, fmt.Errorf("a snapshot: %d services with %d leads", len(flat.Names), len(flat.Leads))
 	}
-	s.Index, s.Config, s.Gen, s.Taken, s.Gone, s.Took = flat.Index, flat.Config, flat.Gen, flat.Taken, flat.Gone, flat.Took
+	s.Index, s.Config, s.Gen, s.Led, s.Gone, s.Took = flat.Index, flat.Config, flat.Gen, flat.Led, flat.Left, flat.Took
+	var err error
+	if s.Taken, err = unpackTaken(flat.Orders); err != nil {
+		return nil, err
+	}
 	for _, h := range flat.Hosts {
 		s.host(h)
 	}
@@ -284,11 +278,8 @@
 // Check says what a configuration sent now would meet, without taking it: nil and the plan; nil and none where the
 // same was taken before; or why not.
 func (s *State) Check(c *Configure) (*jig.Plan, error) {
-	sum := digest(c)
-	for _, t := range s.Taken {
-		if t.Sum == sum && t.Base == c.Base {
-			return nil, nil
-		}
+	if s.taken(c.Identity()) {
+		return nil, nil
 	}
 	if c.Base != s.Gen {
 		return nil, fmt.Errorf("%w: %d is, the change builds on %d", ErrOther, s.Gen, c.Base)
@@ -312,23 +303,13 @@
 	return plan, nil
 }
 
-func digest(c *Configure) (sum [16]byte) {
-	h := blake3.New()
-	if c.Amend {
-		h.Write([]byte{1})
-	}
-	h.Write(c.Body)
-	copy(sum[:], h.Sum(nil))
-	return sum
-}
-
 // Apply takes in the change at an index. The error tells whoever proposed it why it changed nothing; changes at or
 // before Index are passed over.
 func (s *State) Apply(index uint64, c Change) error {
 	if index <= s.Index {
 		return nil
 	}
-	s.Index = index
+	s.Index, s.Led = index, max(s.Led, c.Led)
 	switch {
 	case c.Configure != nil:
 		plan, err := s.Check(c.Configure)
@@ -336,11 +317,10 @@
 			return err
 		}
 		s.plan, s.Config, s.Gen = plan, plan.Body, plan.Generation
-		s.Taken = append(s.Taken, Digest{c.Configure.Base, plan.Generation, digest(c.Configure)})
-		s.Taken = s.Taken[max(0, len(s.Taken)-remembered):]
+		s.take(c.Configure.Identity())
 	case c.Enter != nil:
 		h := *c.Enter
-		if slices.Contains(s.Gone, h.ID) {
+		if s.hasLeft(h.ID) {
 			return fmt.Errorf("%w: %s has left", ErrUnknown, h.ID)
 		}
 		was, known := s.Hosts[h.ID]
@@ -423,8 +403,7 @@
 		s.owe(h)
 	}
 	delete(s.Hosts, id)
-	s.Gone = append(s.Gone, id)
-	s.Gone = s.Gone[max(0, len(s.Gone)-remembered):]
+	s.depart(id)
 }
 
 // Rank orders hosts of a service by id, for where nothing else does.
