--- a/internal/forge/history_test.go
+++ b/internal/forge/history_test.go
@@ -159,12 +159,12 @@
 func newHistory(seed uint64) *history {
 	members := 3 + int(seed%4/3)
 	h := &history{world: newWorld(seed, members), known: make([]int64, 4), stale: make([]bool, 4), clear: map[int]int{}}
-	h.until = h.Now + 20*s
+	h.until = h.Now + 20*second
 	for i := range h.known {
-		h.In(h.Between(100*ms, s), func() { h.act(i) })
+		h.In(h.Between(100*milli, second), func() { h.act(i) })
 	}
 	if !h.Odds(10) {
-		h.In(s, func() { h.strike(h.until) })
+		h.In(second, func() { h.strike(h.until) })
 	}
 	return h
 }
@@ -176,7 +176,7 @@
 	}
 	again := func(a answer) {
 		h.stale[i] = a.status == http.StatusPreconditionFailed
-		h.In(h.Between(0, 300*ms), func() { h.act(i) })
+		h.In(h.Between(0, 300*milli), func() { h.act(i) })
 	}
 	o := &order{base: h.known[i], gen: h.known[i] + h.Between(1, 3)}
 	for _, r := range []string{"a", "b", "c", "d"} {
@@ -228,9 +228,9 @@
 		return
 	}
 	m := h.members[h.Chance.IntN(len(h.members))]
-	there, life := h.Between(ms/2, 3*ms), m.life
+	there, life := h.Between(milli/2, 3*milli), m.life
 	if h.Odds(20) {
-		there = h.Between(3*ms, 600*ms) // it may come after others of its kind
+		there = h.Between(3*milli, 600*milli) // it may come after others of its kind
 	}
 	method, path, base, body := http.MethodGet, "/Config.Read", "", []byte(nil)
 	if c.order != nil {
@@ -245,18 +245,18 @@
 				if h.Odds(10) {
 					return // it is lost on its way
 				}
-				h.In(h.Between(ms/2, 3*ms), func() { c.told(answer{status, string(body)}) })
+				h.In(h.Between(milli/2, 3*milli), func() { c.told(answer{status, string(body)}) })
 			})
 		})
 	})
-	h.In(h.Between(200*ms, s), c.try)
+	h.In(h.Between(200*milli, second), c.try)
 }
 
 func (c *sent) told(a answer) {
 	switch {
 	case c.over:
 	case a.status >= 500 || a.status == http.StatusTooManyRequests:
-		c.w.In(c.w.Between(10*ms, 200*ms), c.try)
+		c.w.In(c.w.Between(10*milli, 200*milli), c.try)
 	default:
 		c.end(a)
 	}
@@ -288,7 +288,7 @@
 
 // judge plays a world to its end, in which all is well again, and has its history judged.
 func (h *history) judge() {
-	h.play(h.until - h.Now + 8*s)
+	h.play(h.until - h.Now + 8*second)
 	served := 0
 	for i := range h.known {
 		h.send(i, nil, func(a answer) {
@@ -297,7 +297,7 @@
 			}
 		})
 	}
-	h.play(8 * s)
+	h.play(8 * second)
 	if served < len(h.known) {
 		h.Broke("%d of %d reads were answered once all was well", served, len(h.known))
 	}
@@ -306,8 +306,8 @@
 		h.Broke("nobody leads once all is well")
 		return
 	}
-	if led := l.f.state.Led; led > (h.Now-h.Zero)/ms {
-		h.Broke("led time runs ahead: %d ms of %d", led, (h.Now-h.Zero)/ms)
+	if led := l.f.state.Led; led > (h.Now-h.Zero)/milli {
+		h.Broke("led time runs ahead: %d ms of %d", led, (h.Now-h.Zero)/milli)
 	}
 	for _, m := range h.members {
 		if m.f.state.Index == l.f.state.Index && m.f.state.Sum() != l.f.state.Sum() {
@@ -335,7 +335,7 @@
 func told(ops []porcupine.Operation) string {
 	var b strings.Builder
 	for _, op := range ops {
-		fmt.Fprintf(&b, "%d-%d operator %d %s\n", op.Call/ms, op.Return/ms, op.ClientId, model.DescribeOperation(op.Input, op.Output))
+		fmt.Fprintf(&b, "%d-%d operator %d %s\n", op.Call/milli, op.Return/milli, op.ClientId, model.DescribeOperation(op.Input, op.Output))
 	}
 	return b.String()
 }
--- a/internal/forge/operators_test.go
+++ b/internal/forge/operators_test.go
@@ -14,7 +14,7 @@
 // settled is a control plane in which a member leads and all is well.
 func settled(t *testing.T) (*world, *Forge) {
 	w := newWorld(1, 3)
-	w.play(3 * s)
+	w.play(3 * second)
 	l := w.leader()
 	require.NotNil(t, l)
 	return w, l.f
@@ -45,7 +45,7 @@
 		all, _ := replies(f, "/Config.Replace", base, whole(3), 1)
 		require.Equal(t, map[int]int{412: 1}, all, base)
 	}
-	w.play(s)
+	w.play(second)
 	require.Zero(t, f.state.Gen)
 	require.Zero(t, f.Proposals.Load(), "nothing of it came into the log")
 }
@@ -59,7 +59,7 @@
 		for _, path := range []string{"/Config.Replace", "/Config.Amend"} {
 			if path == "/Config.Amend" && f.state.Gen == 0 {
 				all, _ := replies(f, "/Config.Replace", "0", whole(1), 1)
-				w.play(s)
+				w.play(second)
 				require.Equal(t, map[int]int{200: 1}, all)
 			}
 			all, text := replies(f, path, fmt.Sprint(f.state.Gen), []byte(body), 1)
@@ -75,11 +75,11 @@
 	w, f := settled(t)
 	one, other := whole(5, route{"a", 1}), whole(5, route{"a", 2})
 	first, _ := replies(f, "/Config.Replace", "0", one, 100)
-	second, text := replies(f, "/Config.Replace", "0", other, 100)
+	beside, text := replies(f, "/Config.Replace", "0", other, 100)
 	require.Empty(t, first, "nothing is told before the log has it")
-	w.play(s)
+	w.play(second)
 	require.Equal(t, map[int]int{200: 100}, first)
-	require.Equal(t, map[int]int{412: 100}, second)
+	require.Equal(t, map[int]int{412: 100}, beside)
 	require.Contains(t, *text, "another version")
 	require.EqualValues(t, 2, f.Proposals.Load(), "one entry for each order")
 	require.Empty(t, f.orders.waiting)
@@ -100,7 +100,7 @@
 		routes = append(routes, route{fmt.Sprint("r", i), i%9 + 1})
 	}
 	all, _ := replies(f, "/Config.Replace", "0", whole(1, routes...), 100)
-	w.play(3 * s)
+	w.play(3 * second)
 	require.Equal(t, map[int]int{200: 100}, all)
 	require.EqualValues(t, 1, f.Proposals.Load())
 	for _, m := range w.members {
@@ -115,7 +115,7 @@
 		told[i], _ = replies(f, "/Config.Replace", "1", great(int64(10+i)), 2)
 	}
 	require.Equal(t, map[int]int{429: 2}, told[8])
-	w.play(10 * s)
+	w.play(10 * second)
 	require.Equal(t, map[int]int{200: 2}, told[0])
 	for _, lost := range told[1:8] {
 		require.Equal(t, map[int]int{412: 2}, lost)
@@ -134,18 +134,18 @@
 	w, f := settled(t)
 	l := w.leader()
 	for _, o := range w.members {
-		w.part(l.ip, o.ip, 4*s)
-		w.part(o.ip, l.ip, 4*s)
+		w.part(l.ip, o.ip, 4*second)
+		w.part(o.ip, l.ip, 4*second)
 	}
 	all, _ := replies(f, "/Config.Replace", "0", whole(5), 3)
-	w.play(3 * s)
+	w.play(3 * second)
 	require.Equal(t, map[int]int{503: 3}, all)
 	require.Empty(t, f.orders.waiting)
 	require.Zero(t, f.orders.bytes)
 	now := w.leader()
 	require.NotNil(t, now)
 	all, _ = replies(now.f, "/Config.Replace", "0", whole(5), 1)
-	w.play(4 * s)
+	w.play(4 * second)
 	require.Equal(t, map[int]int{200: 1}, all)
 }
 
@@ -155,20 +155,20 @@
 	gen := int64(0)
 	led := func() int64 {
 		all, _ := replies(w.leader().f, "/Config.Replace", fmt.Sprint(gen), whole(gen+1), 1)
-		w.play(s)
+		w.play(second)
 		require.Equal(t, map[int]int{200: 1}, all)
 		gen++
 		return w.leader().f.state.Led
 	}
 	before := led()
-	w.play(60 * s)
+	w.play(60 * second)
 	after := led()
 	require.InDelta(t, before+61_000, after, 100)
 	for _, m := range w.members { // nobody leads for a minute
 		m.crash(true)
-		w.In(60*s, m.start)
+		w.In(60*second, m.start)
 	}
-	w.play(70 * s)
+	w.play(70 * second)
 	require.InDelta(t, after, led(), 10_000, "a minute without a leader is no led time")
-	require.LessOrEqual(t, w.leader().f.state.Led, (w.Now-w.Zero)/ms)
+	require.LessOrEqual(t, w.leader().f.state.Led, (w.Now-w.Zero)/milli)
 }
--- a/internal/forge/orders_test.go
+++ b/internal/forge/orders_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"flag"
-	"maps"
 	"runtime"
 	"sync"
 	"testing"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 )
@@ -51,9 +51,42 @@
 		})
 	}
 	g.Wait()
-	t.Logf("answers: %v", maps.Collect(maps.All(clear)))
+	t.Logf("answers: %v", clear)
 	require.Negative(t, least, "%d of %d worlds; seed %d: %s", broken, n, least, report)
 	for _, status := range []int{200, 400, 412} {
 		require.Greater(t, clear[status], n, "what is to be judged hardly comes about: %d", status)
 	}
 }
+
+// The model tells apart what the letter of the operators' protocol allows and what it does not.
+func TestTheModelOfOrders(t *testing.T) {
+	one, other, same := &order{gen: 2, routes: []route{{"a", 1}}}, &order{gen: 2, routes: []route{{"b", 1}}}, &order{gen: 2, routes: []route{{"a", 1}}}
+	late, drop := &order{base: 2, gen: 2, routes: one.routes}, &order{base: 2, gen: 5, amend: true, remove: "a"}
+	type told = porcupine.Operation
+	at := func(call, back int64, in any, status int, body string) told {
+		return told{Call: call, Return: back, Input: in, Output: answer{status, body}}
+	}
+	first, text := at(0, 1, one, 200, ""), string(one.body())
+	for name, c := range map[string]struct {
+		ok  bool
+		ops []told
+	}{
+		"one wins":                                {true, []told{first, at(0, 1, other, 412, "")}},
+		"both win":                                {false, []told{first, at(0, 1, other, 200, "")}},
+		"sent again":                              {true, []told{first, at(2, 3, same, 200, "")}},
+		"sent again and refused":                  {false, []told{first, at(2, 3, same, 412, "")}},
+		"sent again after another":                {true, []told{first, at(2, 3, drop, 200, ""), at(4, 5, same, 200, "")}},
+		"a current base is refused":               {false, []told{first, at(2, 3, drop, 412, "")}},
+		"a valid order is called invalid":         {false, []told{first, at(2, 3, drop, 400, "")}},
+		"the same body on another base":           {true, []told{first, at(2, 3, late, 400, "")}},
+		"the same body on another base, taken":    {false, []told{first, at(2, 3, late, 200, "")}},
+		"an old read":                             {false, []told{first, at(2, 3, nil, 404, "")}},
+		"a read beside an order":                  {true, []told{first, at(0, 1, nil, 404, ""), at(0, 1, nil, 200, text)}},
+		"a read of other bytes":                   {false, []told{first, at(2, 3, nil, 200, text+" ")}},
+		"no answer, and seen later":               {true, []told{at(0, 1<<60, one, 0, ""), at(2, 3, nil, 404, ""), at(4, 5, nil, 200, text)}},
+		"no answer, seen, and gone again":         {false, []told{at(0, 1<<60, one, 0, ""), at(2, 3, nil, 200, text), at(4, 5, nil, 404, "")}},
+		"no answer, and another on its base wins": {false, []told{at(0, 1<<60, one, 0, ""), at(2, 3, other, 200, ""), at(4, 5, nil, 200, text)}},
+	} {
+		require.Equal(t, c.ok, porcupine.CheckOperations(model, c.ops), name)
+	}
+}
--- a/internal/forge/world_test.go
+++ b/internal/forge/world_test.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	ms = int64(10) // the stage's units
-	s  = 1000 * ms
+	milli  = int64(10) // the stage's units
+	second = 1000 * milli
 )
 
 // A world is a control plane alone: members with disks that forget what was not synced, on a network that can be cut one
@@ -48,7 +48,7 @@
 }
 
 func newWorld(seed uint64, members int) *world {
-	w := &world{Stage: stage.New(seed, s, ms), cut: map[[2]string]bool{}}
+	w := &world{Stage: stage.New(seed, second, milli), cut: map[[2]string]bool{}}
 	var founders []ratchet.ID
 	for i := range 3 {
 		founders = append(founders, ratchet.ID(fmt.Sprintf("10.0.0.%d", i+1)))
@@ -68,7 +68,7 @@
 }
 
 func (w *world) time() time.Time {
-	return time.Unix(0, 0).Add(time.Duration(w.Now) * time.Millisecond / time.Duration(ms))
+	return time.Unix(0, 0).Add(time.Duration(w.Now) * time.Millisecond / time.Duration(milli))
 }
 
 func (m *member) start() {
@@ -112,7 +112,7 @@
 func (m *member) tick(life int) {
 	m.do(life, func() {
 		m.f.Tick()
-		m.w.In(50*ms, func() { m.tick(life) })
+		m.w.In(50*milli, func() { m.tick(life) })
 	})
 }
 
@@ -122,7 +122,7 @@
 		if to.ip != ip || to == m {
 			continue
 		}
-		m.order[ip] = max(m.order[ip]+1, w.Now+w.Between(ms/2, 3*ms))
+		m.order[ip] = max(m.order[ip]+1, w.Now+w.Between(milli/2, 3*milli))
 		life := to.life
 		w.In(m.order[ip]-w.Now, func() {
 			if !w.cut[[2]string{m.ip, ip}] {
@@ -136,9 +136,9 @@
 	w := m.w
 	m.queue = append(m.queue, x...)
 	seq := x[len(x)-1].Seq
-	took := w.Between(ms/2, 8*ms)
+	took := w.Between(milli/2, 8*milli)
 	if w.Odds(100) {
-		took = w.Between(50*ms, 600*ms)
+		took = w.Between(50*milli, 600*milli)
 	}
 	w.In(took, func() {
 		m.do(life, func() {
@@ -203,7 +203,7 @@
 	if w.Now > until {
 		return
 	}
-	w.In(w.Between(100*ms, 2*s), func() { w.strike(until) })
+	w.In(w.Between(100*milli, 2*second), func() { w.strike(until) })
 	m := w.members[w.Chance.IntN(len(w.members))]
 	if l := w.leader(); l != nil && w.Odds(2) {
 		m = l
@@ -211,26 +211,26 @@
 	if !m.up || m.frozen {
 		return
 	}
-	back := w.Between(50*ms, 3*s)
+	back := w.Between(50*milli, 3*second)
 	if w.Odds(4) {
-		back = w.Between(ms, 50*ms) // what is under way may outlive it
+		back = w.Between(milli, 50*milli) // what is under way may outlive it
 	}
 	life := m.life
-	calm := w.Now > w.calmAt+3*s
+	calm := w.Now > w.calmAt+3*second
 	w.calmAt = max(w.calmAt, w.Now+back)
 	switch w.Chance.IntN(9) {
 	case 0, 1:
 		power := w.Odds(2)
-		w.Note("%s dies, power %v, for %d ms", m.ip, power, back/ms)
+		w.Note("%s dies, power %v, for %d ms", m.ip, power, back/milli)
 		m.crash(power)
 		w.In(back, m.start)
 	case 2:
-		w.Note("%s stands still for %d ms", m.ip, back/ms)
+		w.Note("%s stands still for %d ms", m.ip, back/milli)
 		m.frozen = true
 		w.In(back, func() { m.thaw(life) })
 	case 3, 4:
 		way := w.Chance.IntN(3)
-		w.Note("%s is cut off for %d ms, ways %d", m.ip, back/ms, way)
+		w.Note("%s is cut off for %d ms, ways %d", m.ip, back/milli, way)
 		for _, o := range w.members {
 			if way != 0 {
 				w.part(m.ip, o.ip, back)
@@ -241,11 +241,11 @@
 		}
 	case 5:
 		if w.Odds(3) {
-			w.Note("all power is lost for %d ms", back/ms)
+			w.Note("all power is lost for %d ms", back/milli)
 			for _, o := range w.members {
 				if o.up {
 					o.crash(true)
-					w.In(back+w.Between(0, 300*ms), o.start)
+					w.In(back+w.Between(0, 300*milli), o.start)
 				}
 			}
 		}
@@ -257,11 +257,11 @@
 		m.f.carry(m.f.core.Compact(m.f.state.Index, m.f.state.Snapshot(), uint64(w.Chance.IntN(20)), m.f.clock.Now()))
 	case 8:
 		if calm && w.whole() {
-			w.Note("%s loses its disk, down for %d ms", m.ip, back/ms)
+			w.Note("%s loses its disk, down for %d ms", m.ip, back/milli)
 			m.crash(true)
 			m.disk = ratchet.Restored{}
 			m.id = drawer.Identity{ID: ratchet.ID(fmt.Sprintf("%s+%d", m.ip, m.life))}
-			w.calmAt += 3 * s
+			w.calmAt += 3 * second
 			w.In(back, m.start)
 		}
 	}
