--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -459,20 +459,11 @@
 		case <-reload:
 			f.queue.Put(arbor.Lists, f.reread)
 		case <-signals:
-			handed := make(chan struct{})
-			f.queue.Put(arbor.Lists, func() {
-				f.ending = true
-				if f.core.IsLeader() {
-					f.log.Info("hands its view over")
-					f.carry(f.core.TransferLeadership(f.clock.Now()))
-				}
-				close(handed)
-			})
-			<-handed
+			f.queue.Put(arbor.Lists, f.End)
 			for range 30 { // until another leads, and what is under way is answered
 				time.Sleep(50 * time.Millisecond)
 				over := make(chan bool, 1)
-				f.queue.Put(arbor.Lists, func() { over <- !f.core.IsLeader() && len(f.passed) == 0 })
+				f.queue.Put(arbor.Lists, func() { over <- f.Ended() })
 				if <-over {
 					time.Sleep(100 * time.Millisecond)
 					return
@@ -483,6 +474,18 @@
 	}
 }
 
+// End has this member hand on what it has. It may stop once it is Ended, and serves on until then.
+func (f *Forge) End() {
+	f.ending = true
+	if f.core.IsLeader() {
+		f.log.Info("hands its view over")
+		f.carry(f.core.TransferLeadership(f.clock.Now()))
+	}
+}
+
+// Ended says that another leads, and what is under way is answered.
+func (f *Forge) Ended() bool { return !f.core.IsLeader() && len(f.passed) == 0 }
+
 // reread takes the settings in anew. Addresses of this machine stay as they were at its start.
 func (f *Forge) reread() {
 	p, err := nameplate.Read()
--- a/internal/headstock/council_test.go
+++ b/internal/headstock/council_test.go
@@ -37,6 +37,10 @@
 	draining map[string]bool
 	renamed  int
 	ties     int
+	lives    int                // of disks and machines that came after the first
+	places   map[string]*member // who is at an address; members are those that callers and routers are told of
+	operator *operator
+	struck   [12]int // faults of members, by kind
 
 	takes func() int64 // of a promotion at the platform; nil: by chance
 
@@ -57,24 +61,28 @@
 	queue  []ratchet.Write
 	held   []func()
 	cut    bool // from the other members
+	deaf   bool // hears none of them, and is heard
+	mute   bool // is heard by none of them, and hears
 	blind  bool // from hosts and the platform
+	resets int  // of its connections to members: what was on its way is lost
+	rate   int64
 	links  map[*tie]bool
 	order  map[string]int64
-	outAt  int64 // when it was last in trouble
+	outAt  int64 // when it was last in trouble, and what that cost is made good
 }
 
 func newCouncilWorld(seed uint64, routers, clients int) *world {
 	w := bareWorld(seed)
 	c := &council{w: w, fencing: w.Odds(2), fences: map[string]uint64{}, holders: map[uint64]string{}, draining: map[string]bool{},
 		address: func(id string) string { return "10.1.0.1:100" + id[1:2] }}
-	w.council = c
+	w.council, c.places, w.apart = c, map[string]*member{}, 10
 	var founders []ratchet.ID
 	for i := range 3 {
 		founders = append(founders, ratchet.ID(fmt.Sprintf("10.0.0.%d", i+1)))
 	}
 	for i := range 3 {
-		m := &member{c: c, ip: string(founders[i]), id: drawer.Identity{ID: founders[i], Founders: founders}}
-		c.members = append(c.members, m)
+		m := &member{c: c, ip: string(founders[i]), id: drawer.Identity{ID: founders[i], Founders: founders}, rate: w.rate()}
+		c.members, c.places[m.ip] = append(c.members, m), m
 		m.start()
 	}
 	for i := range 3 {
@@ -82,10 +90,11 @@
 	}
 	c.configure(0)
 	w.people(routers, clients)
+	c.operator = newOperator(c)
 	return w
 }
 
-// configure is the operator: it sends the configuration until it is taken.
+// configure is the operator at first: it sends the configuration until it is taken.
 func (c *council) configure(turn int) {
 	w, taken := c.w, false
 	w.In(100*ms, func() {
@@ -104,7 +113,7 @@
 func (m *member) start() {
 	w := m.c.w
 	m.life++
-	m.up, m.frozen, m.cut, m.blind, m.held, m.queue = true, false, false, false, nil, nil
+	m.up, m.frozen, m.cut, m.deaf, m.mute, m.blind, m.held, m.queue = true, false, false, false, false, false, nil, nil
 	m.links, m.order = map[*tie]bool{}, map[string]int64{}
 	plate := &nameplate.Plate{Node: "n" + m.ip, Ip: m.ip, Zone: "z", BeatMs: 1200}
 	plate.FaultBudget.Machines = 1
@@ -118,7 +127,7 @@
 	if *only >= 0 {
 		log = hclog.New(&hclog.LoggerOptions{Output: noting{w, m.ip}, DisableTime: true})
 	}
-	f, err := forge.New(plate, log, arbor.NewSteady(w.time), m.id, kept, w.Chance.Float64)
+	f, err := forge.New(plate, log, arbor.NewSteady(w.clock(m.rate)), m.id, kept, w.Chance.Float64)
 	if err != nil {
 		panic(err)
 	}
@@ -156,19 +165,18 @@
 
 // send brings a frame to another member; what goes over one connection keeps its order.
 func (m *member) send(ip string, f *belt.Frame) {
-	w := m.c.w
-	for _, to := range m.c.members {
-		if to.ip != ip || to == m {
-			continue
-		}
-		m.order[ip] = max(m.order[ip]+1, w.Now+w.Between(ms/2, 3*ms))
-		life := to.life
-		w.In(m.order[ip]-w.Now, func() {
-			if !m.cut && !to.cut {
-				to.do(life, func() { to.f.Hear(f) })
-			}
-		})
+	w, to := m.c.w, m.c.places[ip]
+	if to == nil || to == m {
+		return
 	}
+	m.order[ip] = max(m.order[ip]+1, w.Now+w.Between(ms/2, 3*ms))
+	life, resets, theirs := to.life, m.resets, to.resets
+	w.In(m.order[ip]-w.Now, func() {
+		if m.cut || m.mute || to.cut || to.deaf || m.resets != resets || to.resets != theirs {
+			return
+		}
+		to.do(life, func() { to.f.Hear(f) })
+	})
 }
 
 func (m *member) store(life int, x []ratchet.Write) {
@@ -285,7 +293,9 @@
 		}
 		m := c.members[turn%3]
 		m.do(m.life, func() {
-			m.f.Take(http.MethodPost, path, "", body, func(status int, _ []byte) { taken = taken || status == http.StatusOK })
+			m.f.Take(http.MethodPost, path, "", body, func(status int, _ []byte) {
+				taken = taken || status == http.StatusOK && !w.Odds(10) // else its answer is lost, and it is sent again
+			})
 		})
 		w.In(w.Between(200*ms, s), func() {
 			if !taken && tries > 0 {
@@ -317,46 +327,164 @@
 	})
 }
 
+// strikes are faults of members beside all other faults.
+func (c *council) strikes() {
+	if c.w.Now > c.w.Zero+8*s {
+		return
+	}
+	c.strike()
+	c.w.In(c.w.Between(200*ms, 1500*ms), c.strikes)
+}
+
 // strike is a fault of one member, while all others are well.
 func (c *council) strike() {
 	w := c.w
 	for _, m := range c.members {
-		if m.outAt > 0 && w.Now < m.outAt+5*s {
+		if m.outAt > 0 && w.Now < m.outAt+3*s {
 			return
 		}
 	}
-	m := c.members[w.Chance.IntN(3)]
+	at := w.Chance.IntN(3)
 	if w.Odds(2) {
-		for _, l := range c.members {
+		for i, l := range c.members {
 			if l.up && l.leads() {
-				m = l
+				at = i
 			}
 		}
 	}
+	m := c.members[at]
 	back := w.Between(50*ms, 3*s)
 	m.outAt = w.Now + back
 	life := m.life
-	switch w.Chance.IntN(5) {
+	heals := func() { m.heal(life) }
+	kind := w.Chance.IntN(len(c.struck))
+	c.struck[kind]++
+	switch kind {
 	case 0, 1:
 		power := w.Odds(2)
 		w.Note("member %s dies, power %v", m.ip, power)
 		m.crash(power)
 		w.In(back, m.start)
 	case 2:
-		w.Note("member %s stands still", m.ip)
+		if w.Odds(3) {
+			back += w.Between(s, 4*s)
+			m.outAt = w.Now + back
+		}
+		w.Note("member %s stands still for %d ms", m.ip, back/ms)
 		m.frozen = true
 		w.In(back, func() { m.thaw(life) })
 	case 3:
 		w.Note("member %s is cut off from the others", m.ip)
 		m.cut = true
-		w.In(back, func() { m.heal(life) })
+		w.In(back, heals)
 	case 4:
 		w.Note("member %s is cut off from hosts and the platform", m.ip)
 		m.blind = true
-		w.In(back, func() { m.heal(life) })
+		w.In(back, heals)
+	case 5:
+		w.Note("member %s hears no other", m.ip)
+		m.deaf = true
+		w.In(back, heals)
+	case 6:
+		w.Note("member %s is heard by no other", m.ip)
+		m.mute = true
+		w.In(back, heals)
+	case 7:
+		w.Note("connections of member %s are reset, now and then", m.ip)
+		c.reset(m, life, w.Now+back)
+	case 8:
+		w.Note("member %s is to end, and starts anew", m.ip)
+		m.end(func() {
+			m.outAt = w.Now + back
+			w.In(back, m.start)
+		})
+	case 9:
+		w.Note("member %s dies, and its disk is lost", m.ip)
+		m.crash(true)
+		m.outAt += 2 * s
+		w.In(back, func() {
+			m.disk, m.id = ratchet.Restored{}, c.newcomer(m.ip)
+			m.start()
+		})
+	case 10:
+		w.Note("member %s dies for good", m.ip)
+		m.crash(true)
+		m.outAt += 3 * s
+		w.In(back, func() { c.replace(at) })
+	case 11:
+		next := c.replace(at)
+		m.outAt = w.Now + 6*s
+		w.In(2*s+back, func() {
+			w.Note("member %s is to end, %s stands by", m.ip, next.ip)
+			m.end(func() {})
+		})
 	}
 }
 
+// newcomer is who a member with an empty disk is.
+func (c *council) newcomer(ip string) drawer.Identity {
+	c.lives++
+	return drawer.Identity{ID: ratchet.ID(fmt.Sprintf("%s+%08x", ip, c.lives))}
+}
+
+// replace starts a machine at a new address, and callers and routers are told of it in the place of another.
+func (c *council) replace(at int) *member {
+	w := c.w
+	ip := fmt.Sprintf("10.0.1.%d", c.lives+1)
+	m := &member{c: c, ip: ip, id: c.newcomer(ip), rate: w.rate(), outAt: w.Now + 5*s}
+	w.Note("member %s comes in the place of %s", ip, c.members[at].ip)
+	c.members[at], c.places[ip] = m, m
+	m.start()
+	return m
+}
+
+// end is SIGTERM: the member serves on until it says that it may stop, or for 6 s.
+func (m *member) end(then func()) {
+	w, life, until := m.c.w, m.life, m.c.w.Now+6*s
+	over := false
+	m.do(life, func() { m.f.End() })
+	var look func()
+	look = func() {
+		if !m.up || m.life != life || over {
+			return
+		}
+		m.do(life, func() { over = over || m.f.Ended() })
+		if !over && w.Now < until {
+			w.In(50*ms, look)
+			return
+		}
+		over = true
+		w.In(100*ms, func() {
+			if m.life == life && m.up {
+				w.Note("member %s ends", m.ip)
+				m.crash(false)
+				then()
+			}
+		})
+	}
+	w.In(50*ms, look)
+}
+
+// reset breaks a member's connections to others and to routers; they connect anew.
+func (c *council) reset(m *member, life int, until int64) {
+	w := c.w
+	if !m.up || m.life != life || w.Now > until {
+		return
+	}
+	m.resets++
+	for _, l := range m.served() {
+		if w.Odds(2) {
+			l.part()
+		}
+	}
+	w.In(w.Between(5*ms, 400*ms), func() { c.reset(m, life, until) })
+}
+
+// served are a member's links, the oldest first.
+func (m *member) served() []*tie {
+	return slices.SortedFunc(maps.Keys(m.links), func(a, b *tie) int { return cmp.Compare(a.opened, b.opened) })
+}
+
 func (m *member) leads() (is bool) {
 	if m.frozen {
 		return false
@@ -382,8 +510,7 @@
 		}
 	}
 	m.queue = nil
-	links := slices.SortedFunc(maps.Keys(m.links), func(a, b *tie) int { return cmp.Compare(a.opened, b.opened) })
-	for _, l := range links {
+	for _, l := range m.served() {
 		if !power {
 			l.part()
 		}
@@ -392,7 +519,7 @@
 
 func (m *member) heal(life int) {
 	if m.life == life {
-		m.cut, m.blind = false, false
+		m.cut, m.deaf, m.mute, m.blind = false, false, false, false
 	}
 }
 
--- a/internal/headstock/world_run_test.go
+++ b/internal/headstock/world_run_test.go
@@ -28,6 +28,9 @@
 
 func (w *world) play() {
 	w.In(s, w.strike)
+	if w.council != nil {
+		w.In(w.Between(s, 3*s), w.council.strikes)
+	}
 	defer func() {
 		if p := recover(); p != nil {
 			w.Broke("a panic: %v\n%s", p, debug.Stack())
@@ -38,6 +41,9 @@
 		w.Play(6 * s) // a host that is down for six, and a platform that is slow, come on top of each other
 	}
 	w.judge.Over()
+	if w.council != nil && w.council.operator != nil {
+		w.council.operator.over()
+	}
 	for _, h := range w.db.Hosts {
 		if w.council != nil && h.Up && !h.Leader && h.Paused > 0 {
 			w.Broke("PAUSED: %s was never told to go on", h.ID)
@@ -113,14 +119,20 @@
 }
 
 func TestNoSeedBreaksARuleWithAControlPlaneThatFails(t *testing.T) {
-	served, calls := 0, 0
+	served, calls, taken, again, struck := 0, 0, 0, 0, [12]int{}
 	playAll(t, worlds(), func(seed uint64) *world { return newCouncilWorld(seed, 3, 9) }, func(w *world) {
 		served, calls = served+w.Served, calls+w.council.calls
+		taken, again = taken+len(w.council.operator.kept), again+w.council.operator.again
+		for i, n := range w.council.struck {
+			struck[i] += n
+		}
 	})
 	if *only >= 0 {
 		return
 	}
 	require.Greater(t, served, 300*worlds(), "too little was served for this to prove anything")
 	require.Greater(t, calls, worlds()/2, "too few fail-overs for this to prove anything")
-	t.Logf("%d worlds, %d statements served, %d calls to the platform", worlds(), served, calls)
+	require.Greater(t, taken, 3*worlds(), "too few changes of the configuration for this to prove anything")
+	t.Logf("%d worlds, %d statements served, %d calls to the platform; faults of members by kind: %v; %d versions confirmed, %d sent once more",
+		worlds(), served, calls, struck, taken, again)
 }
--- a/internal/headstock/world_test.go
+++ b/internal/headstock/world_test.go
@@ -38,6 +38,7 @@
 	clients []*client
 	judge   *judge.Judge
 	Served  int
+	apart   int64 // how far clocks are off at most, in thousandths
 	opens   int
 	wrote   int64 // when a write was last acknowledged
 	gap     int64 // the longest time between two
@@ -69,7 +70,7 @@
 // people brings routers and clients.
 func (w *world) people(routers, clients int) {
 	for i := range routers {
-		r := &router{w: w, name: fmt.Sprintf("r%d", i)}
+		r := &router{w: w, name: fmt.Sprintf("r%d", i), rate: w.rate()}
 		w.routers = append(w.routers, r)
 		r.start()
 	}
@@ -95,6 +96,21 @@
 	})
 }
 
+// clock is a steady clock that runs off by so many thousandths.
+func (w *world) clock(rate int64) func() time.Time {
+	return func() time.Time {
+		return w.time().Add(time.Duration((w.Now-w.Zero)*rate/1000) * 100 * time.Microsecond)
+	}
+}
+
+// rate draws how far a clock is off, where clocks run apart.
+func (w *world) rate() int64 {
+	if w.apart == 0 {
+		return 0
+	}
+	return w.Between(-w.apart, w.apart)
+}
+
 func (w *world) time() time.Time { return w.epoch.Add(time.Duration(w.Now) * 100 * time.Microsecond) }
 
 // control is the control plane: one member that never fails, and what it says may come late or not at all.
@@ -262,7 +278,7 @@
 	w := c.r.w
 	c.later(after+w.Between(ms/2, 3*ms), func() {
 		if !c.H.Dark && !c.closed {
-			c.r.run(c.life, func(r *Headstock) { r.arrived(c.k, &a, w.time()) })
+			c.r.run(c.life, func(r *Headstock) { r.arrived(c.k, &a, r.clock.Time()) })
 		}
 	})
 }
@@ -348,6 +364,7 @@
 	h      *Headstock
 	up     bool
 	cut    bool // from the control plane
+	rate   int64
 	frozen int64
 	sent   uint64 // news
 	link   *tie   // to a member of the council
@@ -360,7 +377,7 @@
 	w := r.w
 	r.life++
 	r.up, r.cut, r.frozen, r.sent, r.dueAt = true, false, 0, 0, 0
-	r.h = newHeadstock(&nameplate.Plate{Node: r.name, Zone: "z"}, hclog.NewNullLogger(), arbor.NewSteady(w.time), w.Chance.Uint64())
+	r.h = newHeadstock(&nameplate.Plate{Node: r.name, Zone: "z"}, hclog.NewNullLogger(), arbor.NewSteady(w.clock(r.rate)), w.Chance.Uint64())
 	life := r.life
 	if w.council != nil {
 		defer r.seek(life)
@@ -404,7 +421,8 @@
 	r.h.queue.Put(arbor.Outcomes, func() { do(r.h) })
 	for r.h.step() {
 	}
-	if at := max(w.Now+1, int64(r.h.dueAt().Sub(w.epoch)/(100*time.Microsecond))); r.dueAt <= w.Now || at < r.dueAt {
+	after := int64(r.h.dueAt().Sub(r.h.clock.Time())/(100*time.Microsecond)) * 1000 / (1000 + r.rate)
+	if at := w.Now + max(1, after); r.dueAt <= w.Now || at < r.dueAt {
 		r.dueAt = at
 		w.In(at-w.Now, func() { r.run(life, func(*Headstock) {}) })
 	}
@@ -789,8 +807,11 @@
 	if err != nil {
 		panic(err)
 	}
-	sess, at, router, rlife := c.s, w.time().Add(3*time.Millisecond), c.router, c.rlife
-	w.In(3*ms, func() { router.run(rlife, func(h *Headstock) { h.message(sess, message{r, nil, at}) }) })
+	sess, router, rlife := c.s, c.router, c.rlife
+	w.In(3*ms, func() {
+		at := w.clock(router.rate)()
+		router.run(rlife, func(h *Headstock) { h.message(sess, message{r, nil, at}) })
+	})
 	c.watch(life, a, 4*s)
 }
 
@@ -840,7 +861,7 @@
 	r := w.routers[w.Chance.IntN(len(w.routers))]
 	kinds := 9
 	if w.council != nil {
-		kinds = 14
+		kinds = 10
 	}
 	switch w.Chance.IntN(kinds) {
 	case 0, 1:
@@ -875,7 +896,10 @@
 		w.frozen[h.ID] = w.Now + w.Between(20*ms, 1200*ms)
 	case 8:
 		w.drain()
-	case 9, 10, 11, 12, 13:
-		w.council.strike()
+	case 9:
+		if r.link != nil {
+			w.Note("the link of %s is reset", r.name)
+			r.link.part()
+		}
 	}
 }
