A silent leader is passed no calls; nothing is begun long after it was decided

Need: a follower passed calls on until it asked for votes itself (0.75 to 0.95 s of silence), and held their callers for up to 4 s; a lathe that it sent on to a frozen leader waited a second for a welcome. What was decided under a lease (PAUSE, STEPDOWN, a promotion) counted its time from when its goroutine ran, so a process that stood still in between began it after the thaw. A body that a frozen process read too late was answered 400, which ends an order. Change: Core.Heard is the leader as long as it was heard within two thirds of the lease; calls are passed on, and routers sent on, to that one only, and a call passed on to another is answered 503 at the next tick. Questions and promotions count from the decision. Of a body that did not come in time nothing is said but 503; one cut short stays 400. Ruled out: passing the call on anew to the next leader; a call that is sent twice by us is told from none by its caller. Test: internal/forge/silence_test.go.

--- a/internal/forge/calls.go
+++ b/internal/forge/calls.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -69,7 +70,11 @@
 		return
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, c.Most+1))
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded): // this process may have stood still meanwhile: that is no judgement on the call
+		tell(w, telltale.NoLeader, "it did not come in time")
+		return
+	case err != nil:
 		tell(w, telltale.BadBody, "it did not come whole")
 		return
 	}
@@ -118,7 +123,7 @@
 // handle answers a call if this member leads, and else passes it on to the one that does, once.
 func (f *Forge) handle(in call, pass bool, answer func(int, []byte)) {
 	c, id, ok := find(in.method, in.path)
-	leader := f.core.Leader()
+	leader := f.core.Heard(f.clock.Now())
 	switch {
 	case !ok:
 		refuse(answer, telltale.NoCall, nil)
@@ -128,7 +133,7 @@
 		f.Passed.Add(1)
 		f.serial++
 		serial := f.serial
-		f.passed[serial] = passed{func(a belt.Answer) { answer(a.Status, a.Body) }, f.clock.Now() + c.Within.Milliseconds()}
+		f.passed[serial] = passed{func(a belt.Answer) { answer(a.Status, a.Body) }, f.clock.Now() + c.Within.Milliseconds(), leader}
 		f.reach.Send(leader.Address(), &belt.Frame{Ask: &belt.Ask{From: f.plate.Ip, Serial: serial,
 			Method: in.method, Path: in.path, Base: in.base, Body: in.body}})
 	default:
--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -22,6 +22,7 @@
 	"ferrypitch/internal/nameplate"
 	"ferrypitch/internal/rack"
 	"ferrypitch/internal/ratchet"
+	"ferrypitch/internal/telltale"
 	"ferrypitch/internal/vise"
 )
 
@@ -70,6 +71,7 @@
 type passed struct {
 	answer func(belt.Answer)
 	until  int64
+	to     ratchet.ID
 }
 
 // Counts are what a member did.
@@ -189,9 +191,11 @@
 	f.carry(f.core.Tick(now))
 	f.tend()
 	for serial, p := range f.passed {
-		if now > p.until {
-			delete(f.passed, serial)
+		if now <= p.until && p.to == f.core.Heard(now) {
+			continue
 		}
+		delete(f.passed, serial)
+		refuse(func(status int, body []byte) { p.answer(belt.Answer{Status: status, Body: body}) }, telltale.NoLeader, nil)
 	}
 	return f.leads && f.hoist.Active(f.state)
 }
--- a/internal/forge/routers.go
+++ b/internal/forge/routers.go
@@ -145,7 +145,7 @@
 func (f *Forge) Meet(h *belt.Hello, remote string, send func(*belt.Frame) bool, shut func()) *Router {
 	r := &Router{node: h.Node, life: h.Life, remote: remote, index: h.From, send: send, shut: shut}
 	w := &belt.Welcome{Node: f.plate.Node, Leads: f.leads && f.core.Holds(f.clock.Now()), Members: f.members()}
-	if l := f.core.Leader(); l != "" && l != f.id {
+	if l := f.core.Heard(f.clock.Now()); l != "" && l != f.id {
 		w.Leader = l.Address()
 	}
 	for other := range f.routers {
--- /dev/null
+++ b/internal/forge/silence_test.go
@@ -0,0 +1,93 @@
+package forge
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"ferrypitch/internal/hoist"
+	"ferrypitch/internal/nameplate"
+)
+
+// settled is a calm world whose members agree, with the one that leads and one that follows.
+func settled(t *testing.T) (w *cutWorld, leader, follower *cutMember) {
+	w = newCutWorld(5, 3, 0, 0, "")
+	w.calm = true
+	w.Play(3000)
+	for _, m := range w.members {
+		if m.f.leads {
+			leader = m
+		} else {
+			follower = m
+		}
+	}
+	require.NotNil(t, leader)
+	return w, leader, follower
+}
+
+// A member that passes calls on and hears no more of the one that leads says so while its callers still wait, and
+// passes nothing on to it from then on.
+func TestACallPassedOnToASilentLeaderIsAnsweredSoon(t *testing.T) {
+	w, leader, follower := settled(t)
+	leader.cutOff(20000)
+	for _, o := range w.members { // whole
+		if o != leader {
+			leader.cut[o.ip], o.cut[leader.ip] = "silent", "silent"
+		}
+	}
+	begun, took, status := w.Now, int64(0), 0
+	follower.f.Take(http.MethodGet, "/Config.Read", "", nil, func(s int, _ []byte) { took, status = w.Now-begun, s })
+	w.Play(600)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Less(t, took, int64(600))
+	status = 0
+	follower.f.Take(http.MethodGet, "/Config.Read", "", nil, func(s int, _ []byte) { status = s })
+	require.Equal(t, http.StatusServiceUnavailable, status, "the leader is silent for 0.6 s, and the call is passed on to it")
+	w.Play(1400)
+	follower.f.Take(http.MethodGet, "/Config.Read", "", nil, func(s int, _ []byte) { status = s })
+	w.Play(100)
+	require.Equal(t, http.StatusOK, status, "orders go on at the side of the majority")
+}
+
+// A call whose body this process was too late to read is no bad one: it may have stood still meanwhile.
+func TestABodyThatWasNotReadInTimeIsNotJudged(t *testing.T) {
+	_, _, m := settled(t)
+	for err, want := range map[error]int{os.ErrDeadlineExceeded: http.StatusServiceUnavailable, io.ErrUnexpectedEOF: http.StatusBadRequest} {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodPost, "/Config.Replace", io.MultiReader(&late{err}))
+		m.f.http(w, r)
+		require.Equal(t, want, w.Code, "%v", err)
+	}
+}
+
+type late struct{ err error }
+
+func (l *late) Read([]byte) (int, error) { return 0, l.err }
+
+// What was decided under a lease is not begun long after: a process may stand still between the two.
+func TestNothingIsAskedLongAfterItWasDecided(t *testing.T) {
+	f := &Forge{ctx: context.Background(), plate: &nameplate.Plate{Ip: "127.0.0.1"}, log: hclog.NewNullLogger()}
+	mine, hosts := net.Pipe()
+	written := make(chan int, 1)
+	go func() {
+		var b [64]byte
+		n, _ := hosts.Read(b[:])
+		written <- n
+	}()
+	h := &held{conn: mine}
+	_, err := newTongs(f).answer(&h, "db", "127.0.0.1:1", "h1", "STEPDOWN 7", time.Now().Add(-time.Second))
+	require.Error(t, err)
+	hosts.Close()
+	require.Zero(t, <-written, "a host is told to step down by a decision that is over")
+	ctx, end := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer end()
+	require.Equal(t, hoist.Later, f.call(ctx, "127.0.0.1:1", hoist.Promotion{Service: "db", Host: "h1"}))
+}
--- a/internal/forge/tongs.go
+++ b/internal/forge/tongs.go
@@ -77,10 +77,11 @@
 	if q.Verb == hoist.Pause || q.Verb == hoist.StepDown {
 		text += " " + strconv.FormatUint(q.Term, 10)
 	}
+	until := time.Now().Add(within) // from the decision on: a process that stood still since asks nothing
 	f.tasks.Go(func() error {
 		r := hoist.Reply{Serial: q.Serial}
 		h := t.take(q.Host)
-		a, err := t.answer(&h, host.Service, host.Address, q.Host, text)
+		a, err := t.answer(&h, host.Service, host.Address, q.Host, text, until)
 		var code *codeError
 		switch {
 		case errors.As(err, &code):
@@ -120,8 +121,7 @@
 func (e *codeError) Error() string { return string(e.code) }
 
 // answer asks on a connection that is kept, or on a new one where that has ended.
-func (t *tongs) answer(h **held, service, address, id, text string) (scribe.Answer, error) {
-	until := time.Now().Add(within)
+func (t *tongs) answer(h **held, service, address, id, text string, until time.Time) (scribe.Answer, error) {
 	if *h != nil {
 		(*h).conn.SetDeadline(until)
 		_, err := (*h).conn.Write(scribe.AppendQuery(nil, "-", text))
@@ -199,8 +199,10 @@
 func (f *Forge) promote(p hoist.Promotion) {
 	address := f.plate.Provider.Address
 	f.log.Info("a host is named to the platform", "service", p.Service, "host", p.Host, "fence", p.Fence)
+	ctx, end := context.WithTimeout(f.ctx, 900*time.Millisecond) // from the decision on
 	f.tasks.Go(func() error {
-		o := f.call(address, p)
+		defer end()
+		o := f.call(ctx, address, p)
 		f.queue.Put(arbor.Outcomes, func() { f.Called(p, o) })
 		return nil
 	})
@@ -214,9 +216,7 @@
 	}
 }
 
-func (f *Forge) call(address string, p hoist.Promotion) hoist.Outcome {
-	ctx, end := context.WithTimeout(f.ctx, 900*time.Millisecond)
-	defer end()
+func (f *Forge) call(ctx context.Context, address string, p hoist.Promotion) hoist.Outcome {
 	body, _ := json.Marshal(map[string]string{"Service": p.Service, "Id": p.Host})
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/promotion", address), bytes.NewReader(body))
 	if err != nil {
--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -152,6 +152,14 @@
 // Leader is who leads, as far as known; empty: nobody.
 func (c *Core) Leader() ID { return c.leader }
 
+// Heard is the leader, where it was heard lately enough to be worth asking; empty: nobody. Its lease may run longer.
+func (c *Core) Heard(now int64) ID {
+	if c.role != leader && now > c.heardAt+c.Lease*2/3 {
+		return ""
+	}
+	return c.leader
+}
+
 // View is the newest view that this member takes part in.
 func (c *Core) View() uint64 { return c.meta.View }
 
