--- a/internal/forge/routers.go
+++ b/internal/forge/routers.go
@@ -155,7 +155,7 @@
 	f.met++
 	r := &Router{node: h.Node, life: h.Life, serial: f.met, remote: remote, index: h.From, send: send, shut: shut}
 	w := &belt.Welcome{Node: f.plate.Node, Leads: f.leads && f.core.Holds(f.clock.Now()), Members: f.members()}
-	if l := f.core.Leader(); l != "" && l != f.id {
+	if l := f.core.Heard(f.clock.Now()); l != "" && l != f.id {
 		w.Leader = l.Address()
 	}
 	for _, other := range f.served() {
