--- a/internal/ratchet/ratchet_test.go
+++ b/internal/ratchet/ratchet_test.go
@@ -28,6 +28,7 @@
 	calm       bool
 	slow       bool   // disks
 	out        string // a defence taken out
+	mangle     func(m *Message) (copies int)
 }
 
 type member struct {
@@ -158,6 +159,13 @@
 		took = w.Between(1, 600)
 	}
 	life := to.life
+	if w.mangle != nil {
+		for range w.mangle(&msg) {
+			again := msg
+			w.In(w.Between(1, 60), func() { to.do(life, func() { to.carry(to.core.Step(again, w.Now)) }) })
+		}
+		return
+	}
 	w.In(took, func() {
 		if !to.cut[from.address] {
 			to.do(life, func() { to.carry(to.core.Step(msg, w.Now)) })
--- a/internal/ratchet/snapshot.go
+++ b/internal/ratchet/snapshot.go
@@ -68,6 +68,7 @@
 type taking struct {
 	Part
 	by    uint64 // the view whose leader sent of it last
+	at    int64  // when it last grew
 	state []byte
 }
 
@@ -174,14 +175,15 @@
 	}
 	have := c.taking
 	if have == nil || !have.of(t) {
-		if have != nil && have.by == m.View && have.Index >= t.Index || t.Offset != 0 {
+		// A leader goes on to newer ones only, so an older one is late, unless what is held has come to a stand.
+		if have != nil && have.by == m.View && have.Index > t.Index && c.now < have.at+2*c.Again || t.Offset != 0 {
 			c.PartsIgnored++
 			if have == nil {
 				reply(0)
 			}
 			return
 		}
-		have = &taking{Part: *t}
+		have = &taking{Part: *t, at: c.now}
 		have.Bytes = nil
 		c.taking = have
 	}
@@ -191,7 +193,7 @@
 		reply(len(have.state))
 		return
 	}
-	have.state = append(have.state, t.Bytes...)
+	have.state, have.at = append(have.state, t.Bytes...), c.now
 	if uint64(len(have.state)) < have.Size {
 		reply(len(have.state))
 		return
--- /dev/null
+++ b/internal/ratchet/snapshot_test.go
@@ -0,0 +1,289 @@
+package ratchet
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/zeebo/blake3"
+)
+
+// mangled has messages lost, doubled and reordered, and parts of snapshots changed on their way.
+func (w *world) mangled(m *Message) int {
+	switch {
+	case w.Odds(20):
+		return 0
+	case m.Kind == Install && m.Part != nil && w.Odds(12):
+		p := *m.Part
+		p.Bytes = bytes.Clone(p.Bytes)
+		switch k := w.Chance.IntN(7); {
+		case k == 0 && len(p.Bytes) > 0:
+			p.Bytes[w.Chance.IntN(len(p.Bytes))] ^= 4
+		case k == 1:
+			p.Offset += uint64(w.Chance.IntN(300))
+		case k == 2:
+			p.Size = 1 << 60
+		case k == 3:
+			p.Sum[0]++
+		case k == 4:
+			p.Index += uint64(w.Chance.IntN(1000))
+		case k == 5 && len(p.Bytes) > 1:
+			p.Bytes = p.Bytes[1:]
+		default:
+			p.Bytes = append(p.Bytes, p.Bytes...)
+		}
+		m.Part = &p
+	}
+	if w.Odds(6) {
+		return 2
+	}
+	return 1
+}
+
+// A member that was away for any number of changes is whole again within CatchupS, under a storm of changes, though parts
+// of the snapshot are lost, doubled, reordered or changed and the leader changes midway.
+func TestAMemberThatLagsIsWholeAgainWhateverBefallsItsSnapshot(t *testing.T) {
+	const catchup = 4000
+	installed, ignored, ledAnew := int64(0), int64(0), 0
+	for seed := range max(8, worlds()/8) {
+		w := newWorld(uint64(seed), 3, 1)
+		w.calm = true
+		for range 4 {
+			w.In(500, w.propose)
+		}
+		w.Play(2500)
+		m := w.members[w.Chance.IntN(3)]
+		m.crash(w.Odds(2))
+		if w.Odds(4) {
+			m.disk, m.founder, m.id = Restored{}, nil, ID(m.address+"+w")
+		}
+		w.Play(w.Between(0, 9000))
+		w.mangle = w.mangled
+		m.start()
+		m.core.Part = 400
+		for _, o := range w.members {
+			o.core.Part = 400
+		}
+		was := len(w.order) - 1
+		w.In(w.Between(0, 2000), func() {
+			for _, l := range w.members {
+				if l.up && l != m && l.core.IsLeader() && w.Odds(2) {
+					ledAnew++
+					l.carry(l.core.TransferLeadership(w.Now))
+				}
+			}
+		})
+		w.Play(catchup)
+		installed, ignored = installed+m.core.Installed, ignored+m.core.PartsIgnored
+		if int(m.core.Commit()) < was {
+			w.Broke("%s has delivered %d of %d after %d ms", m.id, m.core.Commit(), was, catchup)
+		}
+		w.mangle = nil
+		if len(w.Broken) > 0 {
+			t.Fatalf("seed %d:\n%s", seed, w.report())
+		}
+	}
+	require.Greater(t, installed, int64(worlds()/16), "snapshots")
+	require.Positive(t, ignored)
+	require.Positive(t, ledAnew)
+}
+
+// parts are those of a snapshot, as a leader sends them.
+func parts(index uint64, state []byte, size int) (all []*Part) {
+	sum := blake3.Sum256(state)
+	for at := 0; at < len(state); at += size {
+		all = append(all, &Part{Index: index, View: 1, Members: []ID{"a", "b", "c"}, Sum: [16]byte(sum[:16]), Size: uint64(len(state)),
+			Offset: uint64(at), Bytes: state[at:min(len(state), at+size)]})
+	}
+	return all
+}
+
+func lagging() *Core {
+	return New("a", Usual(1), Restored{}, []ID{"a", "b", "c"}, func() float64 { return 0 }, 1000)
+}
+
+func install(from ID, view uint64, p *Part) Message {
+	return Message{Kind: Install, From: from, To: "a", View: view, Part: p}
+}
+
+// offset is what a follower answers it has; -1: nothing.
+func offset(o Out) int {
+	for _, m := range o.Messages {
+		if m.Kind == InstallReply {
+			return int(m.Part.Offset)
+		}
+	}
+	return -1
+}
+
+func TestATransferGoesOnUnderAnotherLeaderWithTheSameSnapshot(t *testing.T) {
+	state := bytes.Repeat([]byte("state"), 100)
+	all := parts(9, state, 100)
+	c := lagging()
+	for i, p := range all[:3] {
+		require.Equal(t, 100*(i+1), offset(c.Step(install("b", 1, p), 1010)))
+	}
+	require.Equal(t, 300, offset(c.Step(install("b", 1, all[1]), 1020)), "one that came twice")
+	require.Equal(t, 300, offset(c.Step(install("b", 1, all[4]), 1020)), "one that came early")
+	require.Equal(t, 300, offset(c.Step(install("c", 2, all[0]), 1030)), "another leader need not begin anew")
+	require.Equal(t, -1, offset(c.Step(install("b", 1, all[3]), 1040)), "a leader that is over")
+	require.Equal(t, -1, offset(c.Step(install("c", 2, parts(8, state[5:], 100)[0]), 1040)), "an older snapshot, late")
+	require.Equal(t, 400, offset(c.Step(install("c", 2, all[3]), 1050)))
+	o := c.Step(install("c", 2, all[4]), 1060)
+	require.Len(t, o.Delivered, 1)
+	require.Equal(t, state, o.Delivered[0].Snapshot.State)
+	require.EqualValues(t, 4, c.PartsIgnored)
+}
+
+// What is told to be on disk is: a snapshot that comes twice, or entries that it stands for, are no reason to say so sooner.
+func TestASnapshotIsAcceptedOnceItIsOnDisk(t *testing.T) {
+	c := lagging()
+	p := parts(9, []byte("state"), 100)[0]
+	o := c.Step(install("b", 1, p), 1010)
+	seq := o.Writes[len(o.Writes)-1].Seq
+	out := []Out{o, c.Step(install("b", 1, p), 1020),
+		c.Step(Message{Kind: Append, From: "b", To: "a", View: 1, Index: 2, Prev: 1, Entries: []Entry{{View: 1}}}, 1030)}
+	for _, o := range out {
+		require.False(t, slices.ContainsFunc(o.Messages, func(m Message) bool { return m.Kind == Accept }), "before it is on disk")
+	}
+	o = c.Saved(seq, 1040)
+	require.Equal(t, Accept, o.Messages[len(o.Messages)-1].Kind)
+	require.EqualValues(t, 9, o.Messages[len(o.Messages)-1].Index)
+}
+
+func TestPartsThatLieChangeNothing(t *testing.T) {
+	state := bytes.Repeat([]byte("x"), 1000)
+	for name, spoil := range map[string]func(p *Part){
+		"a snapshot beyond reason": func(p *Part) { p.Size = snapshotMost + 1 },
+		"an offset behind its end": func(p *Part) { p.Offset = p.Size + 1 },
+		"more than its size":       func(p *Part) { p.Size = 99 },
+		"a part beyond reason":     func(p *Part) { p.Bytes, p.Size = make([]byte, partMost+1), snapshotMost },
+		"members beyond reason":    func(p *Part) { p.Members = make([]ID, membersMost+1) },
+		"the middle first":         func(p *Part) { p.Offset = 100 },
+	} {
+		c := lagging()
+		p := *parts(9, state, 100)[0]
+		spoil(&p)
+		c.Step(install("b", 1, &p), 1010)
+		require.Nil(t, c.taking, name)
+		require.EqualValues(t, 1, c.PartsIgnored, name)
+	}
+	c := lagging()
+	c.Step(install("b", 1, nil), 1010)
+	require.EqualValues(t, 1, c.PartsIgnored)
+	one := parts(9, state, 1000)[0]
+	one.Sum[0]++
+	o := c.Step(install("b", 1, one), 1010)
+	require.Empty(t, o.Delivered, "another digest")
+	require.Equal(t, 0, offset(o), "it is asked for anew")
+	require.Nil(t, c.taking)
+}
+
+// slowly plays a leader and a member that lacks all; a part and its answer take so long. It gives how many transfers began.
+func slowly(t *testing.T, behind int) (leader, member *Core) {
+	terms := Usual(1)
+	terms.Part, terms.Kept, terms.Behind, terms.Gone = 100, 200, behind, 1<<40
+	leader = New("a", terms, Restored{}, []ID{"a"}, func() float64 { return 0 }, 1000)
+	member = New("b+1", terms, Restored{}, nil, func() float64 { return 0 }, 1000)
+	type late struct {
+		at int64
+		to *Core
+		m  Message
+	}
+	var way []late
+	now := int64(1000)
+	var carry func(c *Core, o Out)
+	carry = func(c *Core, o Out) {
+		for _, m := range o.Messages {
+			to := member
+			if c == member {
+				to = leader
+			}
+			took := int64(5)
+			if m.Kind == Install {
+				took = 60
+			}
+			way = append(way, late{now + took, to, m})
+		}
+		for _, d := range o.Delivered {
+			if c == leader && d.Index%40 == 0 {
+				carry(c, c.Compact(d.Index, bytes.Repeat([]byte("s"), 3000+int(d.Index)), 10, now))
+				require.LessOrEqual(t, len(c.old)*8, max(behind, 200)+8)
+			}
+		}
+		for _, w := range o.Writes {
+			carry(c, c.Saved(w.Seq, now))
+		}
+	}
+	for ; now < 12000; now += 5 {
+		carry(leader, leader.Tick(now))
+		if now > 3000 { // by then the log does not begin where it lacks all
+			carry(member, member.Tick(now))
+		}
+		if leader.IsLeader() {
+			_, o := leader.Propose(fmt.Appendf(nil, "%08d", now), now)
+			carry(leader, o)
+		}
+		due := way
+		way = nil
+		for _, l := range due {
+			if l.at > now {
+				way = append(way, l)
+			} else {
+				carry(l.to, l.to.Step(l.m, now))
+			}
+		}
+	}
+	return leader, member
+}
+
+// Changes go on while a member takes a snapshot that needs 30 parts: those behind it are kept, within a bound, so it is
+// taken once. Where the bound is too small for that, it is begun anew, and nothing else is lost.
+func TestChangesDoNotOutrunASnapshot(t *testing.T) {
+	leader, member := slowly(t, 1<<20)
+	require.EqualValues(t, 1, leader.Transfers)
+	require.Greater(t, member.Commit()+40, leader.Commit())
+	leader, _ = slowly(t, 400)
+	require.Greater(t, leader.Transfers, int64(1), "begun anew where it is hopeless")
+}
+
+// A member whose state is wrong is given the leader's, though it holds the log.
+func TestAStateThatIsWrongIsFetched(t *testing.T) {
+	w := newWorld(5, 3, 1)
+	w.calm = true
+	w.In(500, w.propose)
+	w.Play(9000)
+	for _, m := range w.members {
+		if m.core.Leader() != m.id {
+			was := m.core.Installed
+			m.carry(m.core.Refetch(w.Now))
+			w.Play(3000)
+			require.Equal(t, was+1, m.core.Installed)
+			require.False(t, m.core.refetch)
+		}
+	}
+	w.over()
+	require.Empty(t, w.Broken, w.report())
+}
+
+func FuzzInstall(f *testing.F) {
+	f.Add(uint64(9), uint64(5), uint64(0), []byte("state"), uint64(1))
+	f.Add(uint64(9), uint64(1)<<60, uint64(3), []byte("state"), uint64(2))
+	f.Fuzz(func(t *testing.T, index, size, at uint64, b []byte, view uint64) {
+		c := lagging()
+		good := parts(9, bytes.Repeat([]byte("state"), 3), 5)
+		for i, p := range []*Part{good[0], {Index: index, View: 1, Size: size, Offset: at, Bytes: b, Sum: good[0].Sum}, good[1], good[2]} {
+			o := c.Step(install("b", max(1, view*uint64(i&1)), p), 1010)
+			for _, d := range o.Delivered {
+				if sum := blake3.Sum256(d.Snapshot.State); [16]byte(sum[:16]) != good[0].Sum {
+					t.Fatalf("%q is taken", d.Snapshot.State)
+				}
+			}
+			if c.taking != nil && len(c.taking.state) > int(c.taking.Size) {
+				t.Fatal("more than its size")
+			}
+		}
+	})
+}
