Calls passed on and questions to hosts name asker, life, view and number

Need: forge took an Answer by Serial alone, and serials begin at 0 in each life, so a member that began anew could give its predecessor's answer to another caller; nor was it looked at who answers. hoist matched by serial, or by service and host, so answers to the last lead counted in this one. An order (PAUSE, RESUME) without an answer may run at its host after one that undoes it: a RESUME that ran late had a replica receive, and the old primary acknowledge, while a planned move counted the replica as PAUSEd.

Ruled out: an order of lives (clocks may go back; they are drawn); trusting the sender's word on its address (the connection says it); settling an order in doubt by one STAT (it comes over another connection, and says nothing of what is still on its way).

Change: Ask carries asker, life, view, serial and whom it asks; Answer echoes it and names who answers; what does not fit is ignored or refused by name and counted; each Ask is carried out once (a window of 64 for each life); what is out is bounded (4,096 calls, 32 MiB). Question and Promotion carry view and number, and only the one that is out is answered. What an order did counts only where none that undoes it can run any more: 1 s without silence of its host after the order in doubt, or after a new holder began.

--- a/internal/belt/belt.go
+++ b/internal/belt/belt.go
@@ -42,18 +42,27 @@
 	Suspect *Suspect
 }
 
+// Mark names one call passed on for good: no other of any member or life has it.
+type Mark struct {
+	From   ratchet.ID // who asks, and where the answer goes
+	Life   uint64     // drawn at its start
+	View   uint64     // in which it knows whom it asks as the leader
+	Serial uint64     // rises within a life
+}
+
 // Ask passes a call of a host or an operator on to the member that leads.
 type Ask struct {
-	From         string // where the answer goes
-	Serial       uint64
+	Mark
+	To           ratchet.ID
 	Method, Path string
 	Base         string // X-Base-Version
 	Body         []byte
 }
 
-// Answer is how it went.
+// Answer is how it went, to just that call.
 type Answer struct {
-	Serial uint64
+	Mark
+	By     ratchet.ID
 	Status int
 	Body   []byte
 }
--- /dev/null
+++ b/internal/forge/callers_test.go
@@ -0,0 +1,437 @@
+package forge
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/belt"
+	"ferrypitch/internal/drawer"
+	"ferrypitch/internal/lab/stage"
+	"ferrypitch/internal/nameplate"
+	"ferrypitch/internal/rack"
+	"ferrypitch/internal/ratchet"
+)
+
+const ms = 10
+
+// A ring is three members on a network that loses, holds back and repeats what they pass on, while they end and begin
+// anew, and callers who each know the answer to their own question.
+type ring struct {
+	*stage.Stage
+	seats  []*seat
+	token  int
+	logged map[string]map[[2]uint64]bool // by token: where it stands in the log
+	told   map[string]int                // answers, by kind
+
+	sameLife bool // a defence taken out
+}
+
+type seat struct {
+	w     *ring
+	ip    string
+	f     *Forge
+	up    bool
+	life  int
+	id    drawer.Identity
+	disk  ratchet.Restored
+	queue []ratchet.Write
+}
+
+func newRing(seed uint64) *ring {
+	w := &ring{Stage: stage.New(seed, 1<<40, ms), logged: map[string]map[[2]uint64]bool{}, told: map[string]int{}}
+	ids := []ratchet.ID{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+	for _, id := range ids {
+		w.seats = append(w.seats, &seat{w: w, ip: string(id), id: drawer.Identity{ID: id, Founders: ids}})
+	}
+	for _, s := range w.seats {
+		s.begin()
+	}
+	for i := range 4 {
+		w.In(int64(1000+i*17)*ms, w.ask)
+	}
+	w.In(1500*ms, w.strike)
+	return w
+}
+
+func plateAt(ip string) *nameplate.Plate {
+	p := &nameplate.Plate{Node: "n" + ip, Ip: ip, Zone: "z", BeatMs: 1200, SeedPeers: []string{"10.0.0.1:8080", "10.0.0.2:8080", "10.0.0.3:8080"}}
+	p.FaultBudget.Machines = 1
+	p.Listen.Control = ip + ":8080"
+	return p
+}
+
+func (s *seat) begin() {
+	w := s.w
+	s.life++
+	s.up, s.queue = true, nil
+	kept := s.disk
+	kept.Entries = slices.Clone(kept.Entries)
+	life := uint64(s.life)
+	if w.sameLife {
+		life = 1
+	}
+	clock := arbor.NewSteady(func() time.Time { return time.Unix(1e9, w.Now*int64(time.Millisecond)/ms) })
+	f, err := New(plateAt(s.ip), hclog.NewNullLogger(), clock, s.id, kept, w.Chance.Float64, life)
+	if err != nil {
+		panic(err)
+	}
+	s.f = f
+	f.Wire(Reach{Send: s.send, Store: func(x []ratchet.Write) { s.store(s.life, x) }})
+	s.tick(s.life)
+}
+
+func (s *seat) tick(life int) {
+	if s.up && s.life == life {
+		s.f.Tick()
+		s.w.In(50*ms, func() { s.tick(life) })
+	}
+}
+
+func (s *seat) store(life int, x []ratchet.Write) {
+	w := s.w
+	s.queue = append(s.queue, x...)
+	for _, write := range x {
+		for i, e := range write.Entries {
+			c, _ := rack.Decode(e.Body)
+			token := ""
+			if c.Enter != nil {
+				token = c.Enter.ID
+			} else if c.Configure != nil {
+				token = string(c.Configure.Body)
+			}
+			if w.logged[token] == nil {
+				w.logged[token] = map[[2]uint64]bool{}
+			}
+			w.logged[token][[2]uint64{e.View, write.From + uint64(i)}] = true
+		}
+	}
+	w.In(w.Between(ms/2, 8*ms), func() {
+		if s.up && s.life == life && len(s.queue) > 0 {
+			for _, write := range s.queue {
+				s.disk.Put(write)
+			}
+			seq := s.queue[len(s.queue)-1].Seq
+			s.queue = nil
+			s.f.Saved(seq)
+		}
+	})
+}
+
+// send brings a frame to whoever is at an address by then. Before it is written it may be lost with its connection, after
+// that its connection may break, so that it comes again by another, and it may be held back for long.
+func (s *seat) send(ip string, frame *belt.Frame) {
+	w := s.w
+	arrive := func(after int64) {
+		w.In(after, func() {
+			for _, to := range w.seats {
+				if to.ip == ip && to.up {
+					to.f.Hear(s.ip, frame)
+				}
+			}
+		})
+	}
+	soon := w.Between(ms/2, 3*ms)
+	if frame.Core != nil {
+		arrive(soon)
+		return
+	}
+	switch w.Chance.IntN(12) {
+	case 0: // reset before it was written, or in the middle
+	case 1: // silence, and it comes all the same
+		arrive(w.Between(100*ms, 6000*ms))
+	case 2: // it comes by both connections
+		arrive(soon)
+		arrive(w.Between(ms, 3000*ms))
+	default:
+		arrive(soon)
+	}
+}
+
+// strike ends a member, which begins anew with its disk soon after; often one that only follows, in the same view.
+func (w *ring) strike() {
+	s := w.seats[w.Chance.IntN(3)]
+	if s.up && !w.seats[0].down() && !w.seats[1].down() && !w.seats[2].down() && (w.Odds(4) || !s.f.leads) {
+		s.up = false
+		w.In(w.Between(20*ms, 600*ms), s.begin)
+	}
+	w.In(w.Between(300*ms, 1500*ms), w.strike)
+}
+
+func (s *seat) down() bool { return !s.up }
+
+// ask makes one call at one member, and looks at what comes.
+func (w *ring) ask() {
+	w.In(w.Between(10*ms, 80*ms), w.ask)
+	s := w.seats[w.Chance.IntN(3)]
+	if !s.up {
+		return
+	}
+	w.token++
+	t := fmt.Sprintf("t%d", w.token)
+	kind, method, path, base, body := "", http.MethodPost, "/Config.Replace", "0", ""
+	switch w.Chance.IntN(4) {
+	case 0:
+		kind, base = "odd order", "q"+t
+	case 1:
+		kind, body = "order", fmt.Sprintf(`{"Generation":%d,"Routes":[],"Services":[]}`, w.token)
+		base = fmt.Sprint(s.f.state.Gen)
+		t = body
+	case 2:
+		kind, path = "beat", "/Instances.Heartbeat/"+t
+		body = fmt.Sprintf(`{"Service":"db","Address":"10.1.%d.%d:80","State":"serving","CallSeq":1}`, w.token/200, w.token%200)
+	case 3:
+		kind, path, body = "odd beat", "/Instances.Heartbeat/"+t, `{"Service":"db","Address":"`+t+`"}`
+	}
+	n := 0
+	s.f.Take(method, path, base, []byte(body), func(status int, b []byte) {
+		if n++; n > 1 {
+			w.Broke("%s is answered twice", t)
+		}
+		w.told[fmt.Sprint(kind, " ", status)]++
+		switch got := string(b); {
+		case status == http.StatusServiceUnavailable:
+		case strings.HasPrefix(kind, "odd"):
+			if status != http.StatusBadRequest || !strings.Contains(got, t+`\"`) {
+				w.Broke("WRONG CALLER: %s %s is told %d %s", kind, t, status, got)
+			}
+		case status == http.StatusPreconditionFailed && kind == "order":
+		case status != http.StatusOK || strings.Contains(got, "BeatTarget") != (kind == "beat"):
+			w.Broke("WRONG CALLER: %s %s is told %d %s", kind, t, status, got)
+		case len(w.logged[t]) == 0:
+			w.Broke("UNEARNED: %s %s is confirmed and stands in no log", kind, t)
+		}
+	})
+}
+
+// play goes on for a while, and looks at what was carried out.
+func (w *ring) play() {
+	w.Play(8000 * ms)
+	for t, at := range w.logged {
+		if len(at) > 1 && t != "" {
+			w.Broke("TWICE: %s stands in the log %d times", t, len(at))
+		}
+	}
+}
+
+func TestNoCallerGetsAnAnswerToAnothersQuestion(t *testing.T) {
+	told, strays := map[string]int{}, map[string]int64{}
+	seeds := 24
+	if testing.Short() {
+		seeds = 8
+	}
+	for seed := range seeds {
+		w := newRing(uint64(seed))
+		w.play()
+		require.Empty(t, w.Broken, "seed %d", seed)
+		for k, n := range w.told {
+			told[k] += n
+		}
+		for _, s := range w.seats {
+			for why, name := range strayNames {
+				strays[name] += s.f.Strays[why].Load()
+			}
+		}
+	}
+	for _, k := range []string{"odd order 400", "order 200", "order 412", "beat 200", "odd beat 400"} {
+		require.NotZero(t, told[k], "%s: %v", k, told)
+	}
+	for _, k := range []string{"asks_repeated", "answers_late", "answers_of_other_life"} {
+		require.NotZero(t, strays[k], "%s: %v", k, strays)
+	}
+	t.Log(told, strays)
+}
+
+// Each defence, taken out, is caught.
+func TestTheRingCatchesLivesThatLookAlike(t *testing.T) {
+	for seed := range 40 {
+		w := newRing(uint64(seed))
+		w.sameLife = true
+		w.play()
+		if i := slices.IndexFunc(w.Broken, func(b string) bool { return strings.Contains(b, "WRONG CALLER") }); i >= 0 {
+			t.Logf("caught by seed %d: %s", seed, w.Broken[i])
+			return
+		}
+	}
+	require.Fail(t, "40 rings saw nothing")
+}
+
+// desk is one member by itself, with all that it sends.
+type desk struct {
+	f     *Forge
+	now   time.Time
+	sent  []*belt.Frame
+	to    []string
+	ready []uint64
+}
+
+func newDesk(id ratchet.ID, founders ...ratchet.ID) *desk {
+	d := &desk{now: time.Unix(1e9, 0)}
+	f, err := New(plateAt(id.Address()), hclog.NewNullLogger(), arbor.NewSteady(func() time.Time { return d.now }),
+		drawer.Identity{ID: id, Founders: founders}, ratchet.Restored{}, func() float64 { return 0.5 }, 77)
+	if err != nil {
+		panic(err)
+	}
+	d.f = f
+	f.Wire(Reach{Send: func(ip string, frame *belt.Frame) {
+		if frame.Core == nil {
+			d.sent, d.to = append(d.sent, frame), append(d.to, ip)
+		}
+	}, Store: func(x []ratchet.Write) { d.ready = append(d.ready, x[len(x)-1].Seq) }})
+	return d
+}
+
+func (d *desk) run(span time.Duration) {
+	for end := d.now.Add(span); d.now.Before(end); d.now = d.now.Add(50 * time.Millisecond) {
+		d.f.Tick()
+		for len(d.ready) > 0 {
+			seq := d.ready[0]
+			d.ready = d.ready[1:]
+			d.f.Saved(seq)
+		}
+	}
+}
+
+// follows has a member follow one that leads.
+func (d *desk) follows(leader ratchet.ID, view uint64) {
+	d.f.Hear(leader.Address(), &belt.Frame{Core: &ratchet.Message{Kind: ratchet.Heartbeat, From: leader, To: d.f.id, View: view, Sent: 1}})
+}
+
+// An answer counts for exactly the call that is out, from exactly the member that was asked, once.
+func TestAnAnswerCountsOnlyForTheCallThatIsOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(a *belt.Answer, from *string)
+		why    stray
+	}{
+		"to a call that was never made":       {func(a *belt.Answer, _ *string) { a.Serial += 5 }, answerUnknown},
+		"to none":                             {func(a *belt.Answer, _ *string) { a.Serial = 0 }, answerUnknown},
+		"of another life":                     {func(a *belt.Answer, _ *string) { a.Life++ }, answerLife},
+		"to another member's call":            {func(a *belt.Answer, _ *string) { a.From = "10.0.0.3" }, answerLife},
+		"to the old member at this address":   {func(a *belt.Answer, _ *string) { a.From = "10.0.0.1+ab" }, answerLife},
+		"from another member":                 {func(a *belt.Answer, from *string) { a.By, *from = "10.0.0.3", "10.0.0.3" }, answerOther},
+		"from the address of another":         {func(_ *belt.Answer, from *string) { *from = "10.0.0.3" }, answerOther},
+		"from an empty one at its address":    {func(a *belt.Answer, _ *string) { a.By = "10.0.0.2+ab" }, answerOther},
+		"of another view":                     {func(a *belt.Answer, _ *string) { a.View++ }, answerOther},
+		"without a status":                    {func(a *belt.Answer, _ *string) { a.Status = 0 }, answerOdd},
+		"with a status beyond all that there": {func(a *belt.Answer, _ *string) { a.Status = 1 << 30 }, answerOdd},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk("10.0.0.1", "10.0.0.1", "10.0.0.2", "10.0.0.3")
+			d.follows("10.0.0.2", 4)
+			n := 0
+			d.f.Take(http.MethodGet, "/Config.Read", "", nil, func(int, []byte) { n++ })
+			require.Len(t, d.sent, 1)
+			require.Equal(t, "10.0.0.2", d.to[0])
+			good := belt.Answer{Mark: d.sent[0].Ask.Mark, By: "10.0.0.2", Status: 200}
+			bad, from := good, "10.0.0.2"
+			c.change(&bad, &from)
+			d.f.Hear(from, &belt.Frame{Answer: &bad})
+			require.Zero(t, n, "it counted")
+			require.EqualValues(t, 1, d.f.counts()[strayNames[c.why]])
+			d.f.Hear("10.0.0.2", &belt.Frame{Answer: &good})
+			require.Equal(t, 1, n, "the right one counts still")
+			d.f.Hear("10.0.0.2", &belt.Frame{Answer: &good})
+			require.Equal(t, 1, n, "once")
+			require.EqualValues(t, 1, d.f.counts()["answers_late"])
+		})
+	}
+}
+
+// A call is carried out for members, asked of this one in this view, once.
+func TestACallIsCarriedOutOnceForThoseWhoMayAsk(t *testing.T) {
+	body := []byte(`{"Service":"db","Address":"10.1.0.1:80","State":"serving","CallSeq":1}`)
+	for name, c := range map[string]struct {
+		change func(a *belt.Ask, from *string)
+		why    stray
+		told   bool // that it was not carried out
+	}{
+		"an unknown process":            {func(a *belt.Ask, from *string) { a.From, *from = "10.9.9.9", "10.9.9.9" }, askUnknown, false},
+		"one that is not where it says": {func(_ *belt.Ask, from *string) { *from = "10.9.9.9" }, askUnknown, false},
+		"one that gives no name":        {func(a *belt.Ask, _ *string) { a.From = "" }, askUnknown, false},
+		"meant for the old member":      {func(a *belt.Ask, _ *string) { a.To = "10.0.0.1+ab" }, askElsewhere, true},
+		"of an older view":              {func(a *belt.Ask, _ *string) { a.View-- }, askElsewhere, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk("10.0.0.1", "10.0.0.1")
+			d.run(2 * time.Second)
+			require.True(t, d.f.leads)
+			good := belt.Ask{Mark: belt.Mark{From: "10.0.0.2", Life: 5, View: d.f.core.View(), Serial: 1}, To: "10.0.0.1",
+				Method: http.MethodPost, Path: "/Instances.Heartbeat/h1", Body: body}
+			bad, from := good, "10.0.0.2"
+			c.change(&bad, &from)
+			d.f.Hear(from, &belt.Frame{Ask: &bad})
+			d.run(200 * time.Millisecond)
+			require.Empty(t, d.f.state.Hosts, "it was carried out")
+			require.EqualValues(t, 1, d.f.counts()[strayNames[c.why]])
+			if c.told {
+				require.Len(t, d.sent, 1)
+				require.Equal(t, http.StatusServiceUnavailable, d.sent[0].Answer.Status)
+			} else {
+				require.Empty(t, d.sent)
+			}
+			d.sent = nil
+			for range 3 {
+				d.f.Hear("10.0.0.2", &belt.Frame{Ask: &good})
+			}
+			d.run(200 * time.Millisecond)
+			require.Len(t, d.f.state.Hosts, 1)
+			require.EqualValues(t, 1, d.f.Beats.Load())
+			require.Len(t, d.sent, 1)
+			require.Equal(t, belt.Answer{Mark: good.Mark, By: "10.0.0.1", Status: 200, Body: d.sent[0].Answer.Body}, *d.sent[0].Answer)
+			require.EqualValues(t, 2, d.f.counts()["asks_repeated"])
+		})
+	}
+}
+
+// What is out is bounded in number and bytes, and what came by whom as well.
+func TestWhatIsPassedOnIsBounded(t *testing.T) {
+	d := newDesk("10.0.0.1", "10.0.0.1", "10.0.0.2", "10.0.0.3")
+	d.follows("10.0.0.2", 4)
+	refused := 0
+	for range mostPassed + 10 {
+		d.f.Take(http.MethodGet, "/Config.Read", "", nil, func(int, []byte) { refused++ })
+	}
+	require.Equal(t, 10, refused)
+	require.EqualValues(t, 10, d.f.counts()["asks_over_limit"])
+	d.run(3 * time.Second)
+	require.Empty(t, d.f.passed, "forgotten once nobody waits")
+	d.follows("10.0.0.2", 4)
+	refused = 0
+	large := make([]byte, replace.Most)
+	for range mostPassedBytes/replace.Most + 3 {
+		d.f.Take(http.MethodPost, "/Config.Replace", "0", large, func(int, []byte) { refused++ })
+	}
+	require.Equal(t, 3, refused)
+	d.run(6 * time.Second)
+	require.Zero(t, d.f.bytes)
+	status := 0
+	d.f.Take(http.MethodPost, "/Config.Replace", "0", append(large, 0), func(s int, _ []byte) { status = s })
+	require.Equal(t, http.StatusRequestEntityTooLarge, status)
+	for i := range 1000 {
+		require.True(t, d.f.first(asker{"10.0.0.2", uint64(i)}, 1))
+	}
+	require.Len(t, d.f.heard, mostAskers)
+	require.Len(t, d.f.order, mostAskers)
+}
+
+// The window against a set: what comes in any order counts once, and what is far behind does not count.
+func TestAWindowTakesEachSerialOnce(t *testing.T) {
+	for seed := range 200 {
+		w := stage.New(uint64(seed), 0, 1)
+		var win window
+		seen, newest := map[uint64]bool{}, uint64(0)
+		for range 500 {
+			serial := uint64(max(1, int64(newest)+int64(w.Chance.IntN(150))-100))
+			want := !seen[serial] && (newest < 64 || serial > newest-64)
+			require.Equal(t, want, win.take(serial), "seed %d: %d after %d", seed, serial, newest)
+			seen[serial], newest = seen[serial] || want, max(newest, serial)
+		}
+	}
+}
--- a/internal/forge/calls.go
+++ b/internal/forge/calls.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"ferrypitch/internal/arbor"
-	"ferrypitch/internal/belt"
 	"ferrypitch/internal/hoist"
 	"ferrypitch/internal/rack"
 	"ferrypitch/internal/ratchet"
@@ -122,15 +121,12 @@
 	switch {
 	case !ok:
 		refuse(answer, telltale.NoCall, nil)
+	case int64(len(in.body)) > c.Most:
+		refuse(answer, telltale.LongBody, nil)
 	case f.leads && f.core.Holds(f.clock.Now()) || c.Path == status.Path:
 		c.Handle(f, id, in, answer)
 	case pass && leader != "" && leader != f.id:
-		f.Passed.Add(1)
-		f.serial++
-		serial := f.serial
-		f.passed[serial] = passed{func(a belt.Answer) { answer(a.Status, a.Body) }, f.clock.Now() + c.Within.Milliseconds()}
-		f.reach.Send(leader.Address(), &belt.Frame{Ask: &belt.Ask{From: f.plate.Ip, Serial: serial,
-			Method: in.method, Path: in.path, Base: in.base, Body: in.body}})
+		f.passOn(leader, in, c.Within.Milliseconds(), answer)
 	default:
 		refuse(answer, telltale.NoLeader, nil)
 	}
--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -46,8 +46,7 @@
 	mesh    *belt.Mesh
 	routers map[*Router]struct{}
 	waiting map[uint64]waiter // proposals, by index
-	passed  map[uint64]passed
-	serial  uint64
+	passing
 	seqs    map[string]int64 // the newest call of each host
 	ending  bool
 	arrived []ratchet.Delivery // not applied yet
@@ -66,15 +65,11 @@
 	Store   func(w []ratchet.Write)             // in their order; ends in Saved
 }
 
-// passed is a call that another member was asked to answer.
-type passed struct {
-	answer func(belt.Answer)
-	until  int64
-}
-
 // Counts are what a member did.
 type Counts struct {
 	Calls, Refusals, Beats, Passed, Proposals, Leases, LeasesRefused, LeasesHeld, Questions, Promotions, Views, DiskFaults atomic.Int64
+
+	Strays [strays]atomic.Int64 // what was ignored or refused, by why
 }
 
 // counts are by name, with those of fail-over while this member leads.
@@ -84,6 +79,9 @@
 		"questions":  f.Questions.Load(),
 		"promotions": f.Promotions.Load(), "views_led": f.Views.Load(), "disk_faults": f.DiskFaults.Load(),
 		"link_bytes_sent": belt.Sent.Load(), "link_bytes_received": belt.Received.Load()}
+	for why, name := range strayNames {
+		all[name] = f.Strays[why].Load()
+	}
 	if f.mesh != nil {
 		all["frames_dropped"] = f.mesh.Drops.Load()
 	}
@@ -119,7 +117,7 @@
 		return err
 	}
 	defer d.Close()
-	f, err := New(plate, log, arbor.NewSteady(time.Now), id, kept, rand.Float64)
+	f, err := New(plate, log, arbor.NewSteady(time.Now), id, kept, rand.Float64, rand.Uint64())
 	if err != nil {
 		return err
 	}
@@ -169,11 +167,12 @@
 	})
 }
 
-// New readies a member from what its disk held; Wire comes before its first call. All calls are its owner's.
+// New readies a member from what its disk held; Wire comes before its first call. All calls are its owner's. life is drawn
+// anew for each life of its process.
 func New(plate *nameplate.Plate, log hclog.Logger, clock arbor.Steady, id drawer.Identity, kept ratchet.Restored,
-	chance func() float64) (*Forge, error) {
+	chance func() float64, life uint64) (*Forge, error) {
 	f := &Forge{plate: plate, log: log, clock: clock, queue: arbor.NewQueue(512), routers: map[*Router]struct{}{},
-		waiting: map[uint64]waiter{}, passed: map[uint64]passed{}, seqs: map[string]int64{}, id: id.ID}
+		waiting: map[uint64]waiter{}, passing: newPassing(life), seqs: map[string]int64{}, id: id.ID}
 	f.core = ratchet.New(id.ID, ratchet.Usual(plate.FaultBudget.Machines), kept, id.Founders, chance, clock.Now())
 	var err error
 	f.state, err = rack.Restore(kept.Snapshot.State)
@@ -188,11 +187,7 @@
 	now := f.clock.Now()
 	f.carry(f.core.Tick(now))
 	f.tend()
-	for serial, p := range f.passed {
-		if now > p.until {
-			delete(f.passed, serial)
-		}
-	}
+	f.expire(now)
 	return f.leads && f.hoist.Active(f.state)
 }
 
@@ -285,7 +280,7 @@
 	case holds && !f.leads:
 		f.leads = true
 		f.Views.Add(1)
-		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.plate.BeatMs, now)
+		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.core.View(), f.plate.BeatMs, now)
 		f.hoist.Log = func(service, what, host string) { f.log.Info(what, "service", service, "host", host) }
 		f.log.Info("leads", "view", f.core.View(), "members", f.core.Members())
 	case !f.core.IsLeader() && f.leads:
@@ -399,7 +394,7 @@
 		f.Questions.Add(1)
 		h, known := f.state.Hosts[q.Host]
 		if !known { // it has left
-			f.hoist.Replied(hoist.Reply{Serial: q.Serial, Refused: true}, now)
+			f.hoist.Replied(hoist.Reply{To: q, Refused: true}, now)
 			continue
 		}
 		f.reach.Ask(q, h)
--- /dev/null
+++ b/internal/forge/passing.go
@@ -0,0 +1,179 @@
+package forge
+
+import (
+	"slices"
+
+	"ferrypitch/internal/belt"
+	"ferrypitch/internal/ratchet"
+	"ferrypitch/internal/telltale"
+)
+
+// Most that is on its way to the member that leads at once, and callers of whom it is remembered what they asked.
+const (
+	mostPassed      = 4096
+	mostPassedBytes = 32 << 20
+	mostAskers      = 64
+)
+
+// passing is the account of calls that are passed on. An answer counts once, for the very call that is out in this life,
+// from the member that was asked; a call is carried out once, for a member of this control plane that asks this one as
+// the leader of the present view.
+type passing struct {
+	life   uint64
+	serial uint64
+	passed map[uint64]passed
+	bytes  int // of the calls that are out
+	heard  map[asker]*window
+	order  []asker // of heard, the oldest first
+}
+
+// passed is a call that another member was asked to answer.
+type passed struct {
+	mark   belt.Mark
+	to     ratchet.ID
+	bytes  int
+	answer func(status int, body []byte)
+	until  int64
+}
+
+// asker is a member in one life.
+type asker struct {
+	id   ratchet.ID
+	life uint64
+}
+
+func newPassing(life uint64) passing {
+	return passing{life: life, passed: map[uint64]passed{}, heard: map[asker]*window{}}
+}
+
+// stray is why something that came was ignored or refused.
+type stray int
+
+const (
+	askUnknown    stray = iota // of a process that is no member, learner or seed, or not where it says
+	askElsewhere               // to another member, or to the leader of another view
+	askTwice                   // carried out before
+	askTooMany                 // more than may be out at once, here
+	answerUnknown              // to no call of this life
+	answerLate                 // to a call that is out no more: late, or twice
+	answerLife                 // to another life or another member's call
+	answerOther                // from another member than was asked
+	answerOdd                  // no status
+	replyStray                 // of a host or the platform, to no question of this view that is out
+	strays
+)
+
+var strayNames = [strays]string{askUnknown: "asks_of_unknown", askElsewhere: "asks_misdirected", askTwice: "asks_repeated",
+	askTooMany: "asks_over_limit", answerUnknown: "answers_to_nothing", answerLate: "answers_late", answerLife: "answers_of_other_life",
+	answerOther: "answers_of_other_member", answerOdd: "answers_malformed", replyStray: "replies_stray"}
+
+func (f *Forge) stray(why stray) { f.Strays[why].Add(1) }
+
+// passOn asks the member that leads to answer a call, once: whoever calls comes again by itself.
+func (f *Forge) passOn(to ratchet.ID, in call, within int64, answer func(int, []byte)) {
+	if len(f.passed) >= mostPassed || f.bytes+len(in.body) > mostPassedBytes {
+		f.stray(askTooMany)
+		refuse(answer, telltale.NoLeader, nil)
+		return
+	}
+	f.Passed.Add(1)
+	f.serial++
+	m := belt.Mark{From: f.id, Life: f.life, View: f.core.View(), Serial: f.serial}
+	f.passed[f.serial] = passed{m, to, len(in.body), answer, f.clock.Now() + within}
+	f.bytes += len(in.body)
+	f.reach.Send(to.Address(), &belt.Frame{Ask: &belt.Ask{Mark: m, To: to, Method: in.method, Path: in.path, Base: in.base, Body: in.body}})
+}
+
+// over forgets a call that is out.
+func (p *passing) over(serial uint64) {
+	p.bytes -= p.passed[serial].bytes
+	delete(p.passed, serial)
+}
+
+// expire forgets calls whose callers wait no longer.
+func (p *passing) expire(now int64) {
+	for serial, c := range p.passed {
+		if now > c.until {
+			p.over(serial)
+		}
+	}
+}
+
+// answered takes in an answer.
+func (f *Forge) answered(from string, a *belt.Answer) {
+	p, out := f.passed[a.Serial]
+	switch {
+	case a.From != f.id || a.Life != f.life:
+		f.stray(answerLife)
+	case a.Serial == 0 || a.Serial > f.serial:
+		f.stray(answerUnknown)
+	case !out:
+		f.stray(answerLate)
+	case a.By != p.to || from != p.to.Address() || a.Mark != p.mark:
+		f.stray(answerOther)
+	case a.Status < 200 || a.Status > 599:
+		f.stray(answerOdd)
+	default:
+		f.over(a.Serial)
+		p.answer(a.Status, a.Body)
+	}
+}
+
+// asked carries out a call that another member passes on.
+func (f *Forge) asked(from string, a *belt.Ask) {
+	answer := func(status int, body []byte) {
+		f.reach.Send(from, &belt.Frame{Answer: &belt.Answer{Mark: a.Mark, By: f.id, Status: status, Body: body}})
+	}
+	switch {
+	case a.From.Address() != from || !f.knows(a.From):
+		f.stray(askUnknown)
+	case a.To != f.id || a.View != f.core.View():
+		f.stray(askElsewhere)
+		refuse(answer, telltale.NoLeader, nil) // its caller goes on to another at once
+	case !f.first(asker{a.From, a.Life}, a.Serial):
+		f.stray(askTwice)
+	default:
+		f.handle(call{a.Method, a.Path, a.Base, a.Body}, false, answer)
+	}
+}
+
+// knows says whether a process may pass calls on: a member, one that learns, or one at an address of the settings.
+func (f *Forge) knows(id ratchet.ID) bool {
+	return slices.Contains(f.core.Members(), id) || slices.Contains(f.core.Standing(f.clock.Now()).Learners, id) ||
+		slices.Contains(f.plate.Seeds(), id.Address())
+}
+
+// first says that a call was not carried out before.
+func (p *passing) first(who asker, serial uint64) bool {
+	w := p.heard[who]
+	if w == nil {
+		if p.order = append(p.order, who); len(p.order) > mostAskers {
+			delete(p.heard, p.order[0])
+			p.order = slices.Delete(p.order, 0, 1)
+		}
+		w = &window{}
+		p.heard[who] = w
+	}
+	return w.take(serial)
+}
+
+// window remembers which serials of one asker came: the greatest, and of those shortly before it which did.
+type window struct{ newest, seen uint64 }
+
+// take says that a serial comes for the first time; one too far back counts as seen.
+func (w *window) take(serial uint64) bool {
+	switch {
+	case serial > w.newest:
+		if by := serial - w.newest; by < 64 {
+			w.seen = w.seen<<by | 1
+		} else {
+			w.seen = 1
+		}
+		w.newest = serial
+		return true
+	case w.newest-serial >= 64 || w.seen&(1<<(w.newest-serial)) != 0:
+		return false
+	}
+	w.seen |= 1 << (w.newest - serial)
+	return true
+}
--- a/internal/forge/routers.go
+++ b/internal/forge/routers.go
@@ -73,25 +73,19 @@
 		if frame.Ask != nil {
 			rank = arbor.Commands
 		}
-		f.queue.Put(rank, func() { f.Hear(frame) })
+		f.queue.Put(rank, func() { f.Hear(c.Remote(), frame) })
 	}
 }
 
-// Hear takes in another member's frame.
-func (f *Forge) Hear(frame *belt.Frame) {
+// Hear takes in a frame of another member, from the address that its connection came from.
+func (f *Forge) Hear(from string, frame *belt.Frame) {
 	switch {
 	case frame.Core != nil:
 		f.carry(f.core.Step(*frame.Core, f.clock.Now()))
 	case frame.Ask != nil:
-		a := frame.Ask
-		f.handle(call{a.Method, a.Path, a.Base, a.Body}, false, func(status int, body []byte) {
-			f.reach.Send(a.From, &belt.Frame{Answer: &belt.Answer{Serial: a.Serial, Status: status, Body: body}})
-		})
+		f.asked(from, frame.Ask)
 	case frame.Answer != nil:
-		if p, ok := f.passed[frame.Answer.Serial]; ok {
-			delete(f.passed, frame.Answer.Serial)
-			p.answer(*frame.Answer)
-		}
+		f.answered(from, frame.Answer)
 	}
 }
 
--- a/internal/forge/tongs.go
+++ b/internal/forge/tongs.go
@@ -78,7 +78,7 @@
 		text += " " + strconv.FormatUint(q.Term, 10)
 	}
 	f.tasks.Go(func() error {
-		r := hoist.Reply{Serial: q.Serial}
+		r := hoist.Reply{To: q}
 		h := t.take(q.Host)
 		a, err := t.answer(&h, host.Service, host.Address, q.Host, text)
 		var code *codeError
@@ -109,10 +109,11 @@
 
 // Replied takes in how a question to a host ended.
 func (f *Forge) Replied(r hoist.Reply) {
-	if f.leads {
-		f.hoist.Replied(r, f.clock.Now())
-		f.tend()
+	if !f.leads || !f.hoist.Replied(r, f.clock.Now()) {
+		f.stray(replyStray)
+		return
 	}
+	f.tend()
 }
 
 type codeError struct{ code scribe.Code }
@@ -208,10 +209,11 @@
 
 // Called takes in how a call to the platform ended.
 func (f *Forge) Called(p hoist.Promotion, o hoist.Outcome) {
-	if f.leads {
-		f.hoist.Called(p.Service, p.Host, o, f.clock.Now())
-		f.tend()
+	if !f.leads || !f.hoist.Called(p, o, f.clock.Now()) {
+		f.stray(replyStray)
+		return
 	}
+	f.tend()
 }
 
 func (f *Forge) call(address string, p hoist.Promotion) hoist.Outcome {
--- a/internal/headstock/council_test.go
+++ b/internal/headstock/council_test.go
@@ -115,7 +115,7 @@
 	if *only >= 0 {
 		log = hclog.New(&hclog.LoggerOptions{Output: noting{w, m.ip}, DisableTime: true})
 	}
-	f, err := forge.New(plate, log, arbor.NewSteady(w.time), m.id, kept, w.Chance.Float64)
+	f, err := forge.New(plate, log, arbor.NewSteady(w.time), m.id, kept, w.Chance.Float64, uint64(m.life))
 	if err != nil {
 		panic(err)
 	}
@@ -162,7 +162,7 @@
 		life := to.life
 		w.In(m.order[ip]-w.Now, func() {
 			if !m.cut && !to.cut {
-				to.do(life, func() { to.f.Hear(f) })
+				to.do(life, func() { to.f.Hear(m.ip, f) })
 			}
 		})
 	}
@@ -191,7 +191,7 @@
 func (m *member) ask(life int, q hoist.Question) {
 	w := m.c.w
 	w.In(w.Between(1*ms, 4*ms), func() {
-		r := hoist.Reply{Serial: q.Serial}
+		r := hoist.Reply{To: q}
 		back := w.Between(1*ms, 4*ms)
 		switch h := w.db.Host(q.Host); {
 		case h == nil || !h.Up && !h.Dark && !m.blind:
--- a/internal/headstock/world_test.go
+++ b/internal/headstock/world_test.go
@@ -111,7 +111,7 @@
 
 func newControl(w *world) *control {
 	c := &control{w: w, state: &rack.State{}}
-	c.jaw, c.hoist = vise.New(c.millis()-10*vise.Span), hoist.New("anvil", 1200, c.millis())
+	c.jaw, c.hoist = vise.New(c.millis()-10*vise.Span), hoist.New("anvil", 1, 1200, c.millis())
 	c.hoist.Log = func(service, what, host string) { w.Note("%s: %s %s", service, what, host) }
 	c.clear = func(i uint64) bool { return c.jaw.Clear(i, c.state.RouterNames(), c.millis()) }
 	return c
@@ -185,7 +185,7 @@
 					o = hoist.Unclear
 				}
 			}
-			w.In(w.Between(2*ms, 8*ms), func() { c.hoist.Called(p.Service, p.Host, o, c.millis()) })
+			w.In(w.Between(2*ms, 8*ms), func() { c.hoist.Called(p, o, c.millis()) })
 		})
 	}
 }
@@ -193,7 +193,7 @@
 func (c *control) ask(q hoist.Question) {
 	w, h := c.w, c.w.db.Host(q.Host)
 	w.In(w.Between(1*ms, 4*ms), func() {
-		r := hoist.Reply{Serial: q.Serial}
+		r := hoist.Reply{To: q}
 		back := w.Between(1*ms, 4*ms)
 		switch {
 		case !h.Up && !h.Dark:
--- a/internal/hoist/detection.go
+++ b/internal/hoist/detection.go
@@ -17,7 +17,13 @@
 func (h *Hoist) Beaten(host string) Beat { return h.beats[host] }
 
 // Forget drops a host that left.
-func (h *Hoist) Forget(host string) { delete(h.beats, host) }
+func (h *Hoist) Forget(host string) {
+	delete(h.beats, host)
+	for _, s := range h.services {
+		delete(s.doubted, order{host, Pause})
+		delete(s.doubted, order{host, Resume})
+	}
+}
 
 // Suspect takes in a router's word that it can't reach a service's primary; now is when it came.
 func (h *Hoist) Suspect(router, name, host string, now int64) {
@@ -188,7 +194,7 @@
 	}
 	if a := s.questions[lead.Host]; a != nil && a.question.Verb == Stat && s.beside == nil && now >= a.at+hasten && now < a.at+patience {
 		h.serial++
-		q := Question{s.name, lead.Host, Stat, 0, h.serial}
+		q := Question{s.name, lead.Host, Stat, 0, h.view, h.serial}
 		s.beside = &asked{q, now}
 		do.Questions = append(do.Questions, q)
 		return false
--- a/internal/hoist/hoist.go
+++ b/internal/hoist/hoist.go
@@ -29,6 +29,7 @@
 	believed = 3000 // a suspicion counts for so long
 	renew    = 700  // between calls to the platform that got no clear answer
 	handing  = 1200 // a replica that is to be PAUSEd for a planned move has so long to answer
+	lingers  = 1000 // an order without a clear answer may run so long after its host was last silent
 	settles  = 5000 // a host that was promoted has so long before another is looked for
 )
 
@@ -59,6 +60,7 @@
 	doubtAt   int64 // since when it is doubted that the primary is there; 0: it is not
 	proposed  int64 // when a change was proposed that has not come yet
 	calling   bool
+	call      Promotion // the newest; out where calling
 	calledAt  int64
 	called    string
 	named     string   // by this member, in the log
@@ -67,6 +69,7 @@
 	lacking   []string // whose answers a move waits for, and what is owed
 	callEnded int64
 	paused    map[string]bool
+	doubted   map[order]int64 // orders that may run still, and when their hosts were last silent
 	started   int64
 	rejected  map[string]int64
 	refuses   map[string]int64 // replicas whose machines refuse, since when
@@ -79,6 +82,7 @@
 type Hoist struct {
 	self     string
 	beatMs   int64
+	view     uint64
 	serial   uint64
 	services map[string]*service
 	beats    map[string]Beat
@@ -87,9 +91,9 @@
 	Log      func(service, what, host string)
 }
 
-// New starts a member that leads from now on. beatMs is how often hosts beat.
-func New(self string, beatMs, now int64) *Hoist {
-	return &Hoist{self: self, beatMs: max(beatMs, 100), services: map[string]*service{}, beats: map[string]Beat{}, since: now,
+// New starts a member that leads a view from now on. beatMs is how often hosts beat.
+func New(self string, view uint64, beatMs, now int64) *Hoist {
+	return &Hoist{self: self, view: view, beatMs: max(beatMs, 100), services: map[string]*service{}, beats: map[string]Beat{}, since: now,
 		Log: func(string, string, string) {}}
 }
 
@@ -97,7 +101,7 @@
 	s := h.services[name]
 	if s == nil {
 		s = &service{name: name, suspect: map[string]int64{}, questions: map[string]*asked{}, rows: map[string]told{},
-			paused: map[string]bool{}, rejected: map[string]int64{},
+			paused: map[string]bool{}, doubted: map[order]int64{}, rejected: map[string]int64{},
 			refuses: map[string]int64{}}
 		h.services[name] = s
 	}
--- a/internal/hoist/hoist_test.go
+++ b/internal/hoist/hoist_test.go
@@ -25,6 +25,10 @@
 	outcome func(n int) Outcome // of the nth call, from 0
 	leadsAt int64               // when a lead was last given
 	recalls int
+	late    func(q Question) int64  // a question that runs so much later, and whose answer never comes; 0: it is none
+	clear   func(index uint64) bool // nil: no router acts on anything older
+	out     int                     // answers that are on their way
+	strays  int                     // and those that were ignored
 }
 
 type answers struct {
@@ -40,7 +44,7 @@
 
 func newTable(t *testing.T) *table {
 	b := &table{t: t, now: 1 << 20, state: &rack.State{}, hosts: map[string]*answers{}, outcome: func(int) Outcome { return Done }}
-	b.h = New("anvil", 1200, b.now)
+	b.h = New("anvil", 1, 1200, b.now)
 	for i := range 3 {
 		id := fmt.Sprintf("h%d", i)
 		b.hosts[id] = &answers{Status: scribe.Status{Leader: i == 0, Term: 4, Received: scribe.Position{Term: 4, Number: 100}}, up: true}
@@ -76,7 +80,7 @@
 				b.h.Beat(id, a.Leader, b.now)
 			}
 		}
-		do := b.h.Tick(b.state, func(uint64) bool { return true }, b.now)
+		do := b.h.Tick(b.state, func(i uint64) bool { return b.clear == nil || b.clear(i) }, b.now)
 		for _, c := range do.Propose {
 			b.replies = append(b.replies, due{b.now + 10, func() { b.apply(c) }})
 		}
@@ -85,33 +89,53 @@
 		}
 		for _, p := range do.Promote {
 			n := len(b.calls)
+			b.out++
 			b.calls = append(b.calls, p)
-			b.replies = append(b.replies, due{b.now + 10, func() { b.h.Called(p.Service, p.Host, b.outcome(n), b.now) }})
+			b.replies = append(b.replies, due{b.now + 10, func() { b.counted(b.h.Called(p, b.outcome(n), b.now)) }})
 		}
 	}
 }
 
 func (b *table) ask(q Question) {
 	a := b.hosts[q.Host]
-	r, after := Reply{Serial: q.Serial}, int64(10)
+	b.out++
+	r, after := Reply{To: q}, int64(10)
 	switch {
 	case a == nil || !a.up && !a.dark:
 		r.Refused = true
 	case a.dark:
 		r.Silent, after = true, patience
-	default:
-		a.asked = append(a.asked, q.Verb)
-		switch {
-		case q.Verb == Pause && !a.Leader:
-			a.Held = q.Term
-		case q.Verb == Resume:
-			a.Held = 0
-		case q.Verb == StepDown && q.Term > a.Term:
-			a.Leader = false
+	case b.late != nil && b.late(q) > 0:
+		r.Silent, after = true, patience
+		b.replies = append(b.replies, due{b.now + b.late(q), func() { a.take(q) }})
+		if q.Serial%4 == 0 { // nor is it told that none came
+			b.out--
+			return
 		}
+	default:
+		a.take(q)
 		r.Status = a.Status
 	}
-	b.replies = append(b.replies, due{b.now + after, func() { b.h.Replied(r, b.now) }})
+	b.replies = append(b.replies, due{b.now + after, func() { b.counted(b.h.Replied(r, b.now)) }})
+}
+
+func (a *answers) take(q Question) {
+	a.asked = append(a.asked, q.Verb)
+	switch {
+	case q.Verb == Pause && !a.Leader:
+		a.Held = q.Term
+	case q.Verb == Resume:
+		a.Held = 0
+	case q.Verb == StepDown && q.Term > a.Term:
+		a.Leader = false
+	}
+}
+
+func (b *table) counted(is bool) {
+	b.out--
+	if !is {
+		b.strays++
+	}
 }
 
 // promote has the platform's call take effect.
@@ -231,7 +255,7 @@
 		b.h.Suspect("r0", "db", "h0", b.now)
 		b.run(after)
 		b.replies = slices.DeleteFunc(b.replies, func(d due) bool { return true }) // what was on its way to it is lost
-		b.h = New("other", 1200, b.now)
+		b.h = New("other", 2, 1200, b.now)
 		if len(b.calls) > 0 {
 			at := b.now + 200
 			b.replies = append(b.replies, due{at, func() { b.promote(b.calls[0].Host) }})
--- a/internal/hoist/holds.go
+++ b/internal/hoist/holds.go
@@ -16,7 +16,8 @@
 			continue
 		}
 		r, ok := s.rows[m]
-		if ok && r.verb == Resume && r.sent >= s.resumeAt && (r.reply.Refused || !r.reply.Silent && r.reply.Code == "" && r.reply.Status.Held == 0) {
+		if ok && r.verb == Resume && r.sent >= s.resumeAt && (r.reply.Refused || !r.reply.Silent && r.reply.Code == "" &&
+			r.reply.Status.Held == 0 && h.stands(s, m, Pause, r.sent)) {
 			continue
 		}
 		all = false
--- a/internal/hoist/planned.go
+++ b/internal/hoist/planned.go
@@ -63,6 +63,9 @@
 		return
 	}
 	h.attend(do, s, lead.To, now)
+	if now < h.since+lingers {
+		return // what the holder before this one said may run still
+	}
 	// Nothing is acknowledged that the successor has not received, from here on.
 	ready, most := true, scribe.Position{}
 	for _, m := range members {
@@ -79,6 +82,10 @@
 			ready = false
 			continue
 		}
+		if !h.stands(s, m, Resume, s.rows[m].sent) {
+			s.propose(do, recall, now) // it may be told to receive again by what was said before: writes are stopped first
+			return
+		}
 		if s.paused[m] = true; most.Before(st.Received) {
 			most = st.Received
 		}
--- a/internal/hoist/unplanned.go
+++ b/internal/hoist/unplanned.go
@@ -57,13 +57,13 @@
 	if !clear(lead.At) {
 		return
 	}
+	if s.clearAt == 0 {
+		s.clearAt = now
+	}
 	// A planned move with writes stopped: the successor has all once it has what the old primary, where it leads on, has now.
 	if s.named != "" && s.named == lead.To && s.called == "" && now < s.started+handing {
 		old, lives := s.rows[lead.Host]
 		if !lives || !old.reply.Silent && !old.reply.Refused {
-			if s.clearAt == 0 {
-				s.clearAt = now
-			}
 			h.ask(do, s, lead.Host, Stat, 0, closing, now)
 			h.attend(do, s, lead.To, now)
 			at, ok := s.answered(lead.Host, Stat, s.clearAt)
@@ -93,6 +93,9 @@
 			continue
 		}
 		st, ok := s.answered(m, Pause, s.started)
+		if ok && s.rows[m].sent < s.clearAt && !h.stands(s, m, Resume, s.rows[m].sent) {
+			ok = false // it may have received since, and what it did may have been acknowledged
+		}
 		if !ok {
 			h.ask(do, s, m, Pause, term, again, now)
 			if !state.Hosts[m].Missing {
