detent: which calls may be made again; questions to hosts, probes and frames follow it

Need: tongs wrote any question again on a new connection after an error on the kept one, PAUSE, RESUME and STEPDOWN as well, though the first may have run or run later; bytes left over on a kept connection were taken for the next question's answer; a redirect would have carried a promotion elsewhere. feeler counted its probes from 0 in each life and took an Ack by number alone.

Ruled out: orders always on a new connection (each takes a slot at the host); asking again on the same verb (the first would run beside what follows).

Change: one pure table (call, how far it was written -> again, ask, dropped, doubt, caller), followed by tongs, by the call to the platform, by the data plane's effect of writes and by what counts as sent. Probes take numbers of their life, and count from whom they were sent to, or third parties that were asked; a datagram counts from where it says it comes from.

--- a/internal/feeler/feeler.go
+++ b/internal/feeler/feeler.go
@@ -82,8 +82,9 @@
 	at      int64
 	asked   bool // third parties were
 	done    bool
-	forWhom string // of a Please: who wants to know
-	serial  uint64 // theirs
+	from    []string // who may answer: the one that is probed, and those that probe it for this router
+	forWhom string   // of a Please: who wants to know
+	serial  uint64   // theirs
 }
 
 // Feeler is one router's view of the others. The zero value is not of use; New.
@@ -101,12 +102,14 @@
 	version uint64
 
 	Removed, Contradicted, Probes int64
+	Strays                        int64 // answers to nothing that is out, or from another than was asked
 }
 
 // New starts a router that knows nobody. life is greater in each life of its process; chance draws below n.
 func New(name, address string, life uint64, t Terms, chance func(n int) int, now int64) *Feeler {
 	return &Feeler{Terms: t, self: News{Name: name, Address: address, Incarnation: life}, chance: chance, now: now,
-		next: now + int64(chance(int(t.Period))), routers: map[string]*router{}, probes: map[uint64]*probe{}}
+		serial: life, // no life uses the numbers of another
+		next:   now + int64(chance(int(t.Period))), routers: map[string]*router{}, probes: map[uint64]*probe{}}
 }
 
 // Known takes in addresses of routers, from whomever; they are probed to learn who is there.
@@ -231,6 +234,7 @@
 func (f *Feeler) ping(address string, p *probe) Out {
 	f.serial++
 	f.Probes++
+	p.from = []string{address}
 	if len(f.probes) < most {
 		f.probes[f.serial] = p
 	}
@@ -256,7 +260,8 @@
 		}
 	case Ack:
 		p := f.probes[m.Serial]
-		if p == nil {
+		if p == nil || !slices.Contains(p.from, m.From) {
+			f.Strays++
 			break
 		}
 		delete(f.probes, m.Serial)
@@ -284,6 +289,7 @@
 			for _, third := range f.pick(f.Third, p.name) {
 				m := f.message(Please, serial)
 				m.Target = r.Address
+				p.from = append(p.from, third.Address)
 				out = append(out, Out{third.Address, m})
 			}
 		}
--- a/internal/forge/tongs.go
+++ b/internal/forge/tongs.go
@@ -15,6 +15,7 @@
 
 	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/belt"
+	"ferrypitch/internal/detent"
 	"ferrypitch/internal/hoist"
 	"ferrypitch/internal/rack"
 	"ferrypitch/internal/scribe"
@@ -23,6 +24,7 @@
 // tongs (they reach into the fire) ask hosts, each question on a connection that is kept for a short while.
 type tongs struct {
 	f    *Forge
+	dial func(address string, within time.Duration) (net.Conn, error)
 	mu   sync.Mutex
 	open map[string]*held
 }
@@ -38,7 +40,11 @@
 	keep   = 3 * time.Second
 )
 
-func newTongs(f *Forge) *tongs { return &tongs{f: f, open: map[string]*held{}} }
+func newTongs(f *Forge) *tongs {
+	t := &tongs{f: f, open: map[string]*held{}}
+	t.dial = t.reach
+	return t
+}
 
 func (t *tongs) take(host string) *held {
 	t.mu.Lock()
@@ -65,6 +71,9 @@
 		}
 		t.mu.Unlock()
 		if is {
+			if tcp, ok := h.conn.(*net.TCPConn); ok {
+				tcp.SetLinger(-1) // nothing is out: it ends in order
+			}
 			h.conn.Close()
 		}
 	})
@@ -80,7 +89,7 @@
 	f.tasks.Go(func() error {
 		r := hoist.Reply{To: q}
 		h := t.take(q.Host)
-		a, err := t.answer(&h, host.Service, host.Address, q.Host, text)
+		a, err := t.answer(&h, host, q.Verb, text)
 		var code *codeError
 		switch {
 		case errors.As(err, &code):
@@ -120,43 +129,39 @@
 
 func (e *codeError) Error() string { return string(e.code) }
 
-// answer asks on a connection that is kept, or on a new one where that has ended.
-func (t *tongs) answer(h **held, service, address, id, text string) (scribe.Answer, error) {
+// verbs are what a verb is in the table of calls.
+var verbs = map[hoist.Verb]detent.Call{hoist.Stat: detent.Stat, hoist.Pause: detent.Pause, hoist.Resume: detent.Resume, hoist.StepDown: detent.StepDown}
+
+// answer asks on a connection that is kept, or on a new one where that has ended and the table of calls lets the question
+// be asked again.
+func (t *tongs) answer(h **held, host rack.Host, verb hoist.Verb, text string) (scribe.Answer, error) {
 	until := time.Now().Add(within)
 	if *h != nil {
-		(*h).conn.SetDeadline(until)
-		_, err := (*h).conn.Write(scribe.AppendQuery(nil, "-", text))
+		a, moment, err := (*h).ask(text, until)
 		if err == nil {
-			var a scribe.Answer
-			if a, err = (*h).next(); err == nil {
-				return a, nil
-			}
+			return a, nil
 		}
 		(*h).conn.Close()
 		*h = nil
 		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() {
+		if errors.As(err, &timeout) && timeout.Timeout() || detent.After(verbs[verb], moment) != detent.Again {
 			return scribe.Answer{}, err
 		}
 	}
-	conn, err := belt.Dial(t.f.ctx, t.f.plate.Ip, address, time.Until(until))
+	conn, err := t.dial(host.Address, time.Until(until))
 	if err != nil {
 		return scribe.Answer{}, err
 	}
 	n := &held{conn: conn}
 	conn.SetDeadline(until)
-	if _, err = conn.Write(scribe.AppendConnect(nil, service, "anvil", id)); err == nil {
-		var a scribe.Answer
+	var a scribe.Answer
+	if _, err = conn.Write(scribe.AppendConnect(nil, host.Service, "anvil", host.ID)); err == nil {
 		if a, err = n.next(); err == nil && a.Code != "" {
 			err = &codeError{a.Code}
 		}
 	}
 	if err == nil {
-		_, err = conn.Write(scribe.AppendQuery(nil, "-", text))
-	}
-	var a scribe.Answer
-	if err == nil {
-		a, err = n.next()
+		a, _, err = n.ask(text, until)
 	}
 	if err != nil {
 		conn.Close()
@@ -166,6 +171,57 @@
 	return a, nil
 }
 
+// reach opens a connection to a host. What it has not acknowledged in the time of a question is given up by the kernel, and
+// what has not gone out when the connection is closed, or this process ends, goes out no more.
+func (t *tongs) reach(address string, wait time.Duration) (net.Conn, error) {
+	c, err := belt.Dial(t.f.ctx, t.f.plate.Ip, address, wait)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+		if raw, err := tcp.SyscallConn(); err == nil {
+			belt.Control(within)("", "", raw)
+		}
+	}
+	return c, nil
+}
+
+var errStale = errors.New("the connection that was kept has ended, or says what nobody asked")
+
+// ask asks one question, and says how far it was written.
+func (h *held) ask(text string, until time.Time) (a scribe.Answer, m detent.Moment, err error) {
+	if len(h.in) > 0 || spoken(h.conn) {
+		return a, detent.Unsaid, errStale
+	}
+	h.conn.SetDeadline(until)
+	b := scribe.AppendQuery(nil, "-", text)
+	n, err := h.conn.Write(b)
+	if err == nil {
+		a, err = h.next()
+	}
+	return a, detent.Wrote(n, len(b)), err
+}
+
+// spoken says that a connection at rest has ended, or that something came on it.
+func spoken(c net.Conn) (is bool) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ended := raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		is = err != syscall.EAGAIN && err != syscall.EINTR
+		return true
+	})
+	return is || ended != nil
+}
+
 // next reads one answer.
 func (h *held) next() (a scribe.Answer, err error) {
 	at := 0
@@ -228,7 +284,7 @@
 	r.Header.Set("X-Duty-Holder", p.Holder)
 	r.Header.Set("X-Fence-Token", strconv.FormatUint(p.Fence, 10))
 	dialed := false
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, to string) (net.Conn, error) {
+	client := &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }, Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, to string) (net.Conn, error) {
 		c, err := belt.Dial(ctx, f.plate.Ip, to, 600*time.Millisecond)
 		dialed = err == nil
 		return c, err
@@ -236,7 +292,11 @@
 	answer, err := client.Do(r)
 	if err != nil {
 		f.log.Info("the platform gave no clear answer", "error", err)
+		moment := detent.Said
 		if !dialed {
+			moment = detent.Unsaid
+		}
+		if detent.After(detent.Promotion, moment) == detent.Again {
 			return hoist.Later
 		}
 		return hoist.Unclear
--- /dev/null
+++ b/internal/forge/tongs_test.go
@@ -0,0 +1,127 @@
+package forge
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ferrypitch/internal/hoist"
+	"ferrypitch/internal/rack"
+)
+
+// socket plays one connection to a host: how much of a question is written, and what comes then.
+type socket struct {
+	net.Conn
+	said   *[]string // by all connections
+	quiet  bool      // of the next: what it says now is of no question
+	writes int       // bytes of the next question that go out; -1: all
+	comes  string
+	then   string // comes once it is asked
+	fails  error  // after comes
+	closed bool
+}
+
+func (s *socket) Write(b []byte) (int, error) {
+	if strings.HasPrefix(string(b), "CONNECT") {
+		return len(b), nil
+	}
+	if s.writes >= 0 && s.writes < len(b) {
+		return s.writes, syscall.EPIPE
+	}
+	s.comes, s.then = s.comes+s.then, ""
+	*s.said = append(*s.said, strings.TrimSpace(strings.TrimPrefix(string(b), "QUERY - ")))
+	return len(b), nil
+}
+
+func (s *socket) Read(b []byte) (int, error) {
+	if s.comes == "" {
+		return 0, s.fails
+	}
+	n := copy(b, s.comes)
+	s.comes = s.comes[n:]
+	return n, nil
+}
+
+func (s *socket) Close() error                { s.closed = true; return nil }
+func (s *socket) SetDeadline(time.Time) error { return nil }
+
+const (
+	idle = "IDLE I 3.7\r\n"
+	row  = "ROW follower 3 3.9 0 12 2 17\r\nDONE -\r\nIDLE I 3.7\r\n"
+)
+
+// A connection that was kept ends before, during and after a question is written, or stays silent: only what may be asked
+// again is asked again, and nothing is asked again after its time.
+func TestAQuestionOnAKeptConnectionIsAskedAgainAsTheTableSays(t *testing.T) {
+	for name, c := range map[string]struct {
+		kept socket
+		stat int // how often the question is said, where it is a STAT
+		rest int // and where it is PAUSE, RESUME or STEPDOWN
+	}{
+		"answered":                    {socket{writes: -1, comes: row}, 1, 1},
+		"ended before":                {socket{writes: 0, fails: io.EOF}, 1, 1},
+		"reset in the middle":         {socket{writes: 5, fails: syscall.ECONNRESET}, 1, 1},
+		"reset after":                 {socket{writes: -1, fails: syscall.ECONNRESET}, 2, 1},
+		"reset in the answer":         {socket{writes: -1, comes: row[:20], fails: syscall.ECONNRESET}, 2, 1},
+		"silent":                      {socket{writes: -1, fails: os.ErrDeadlineExceeded}, 1, 1},
+		"an answer that is no answer": {socket{writes: -1, comes: "MUMBLE\r\n"}, 2, 1},
+		"it said something by itself": {socket{writes: -1, comes: row, quiet: true}, 1, 1},
+	} {
+		for verb, want := range map[hoist.Verb]int{hoist.Stat: c.stat, hoist.Pause: c.rest, hoist.Resume: c.rest, hoist.StepDown: c.rest} {
+			t.Run(name+" "+verb.Text(), func(t *testing.T) {
+				var said []string
+				kept := c.kept
+				kept.said = &said
+				h := &held{conn: &kept}
+				if kept.quiet {
+					h.in = []byte(strings.Replace(row, "3.9", "3.2", 1)) // it came behind the answer before
+				}
+				fresh := &socket{said: &said, writes: -1, comes: idle, then: row}
+				dials := 0
+				tongs := &tongs{dial: func(string, time.Duration) (net.Conn, error) { dials++; return fresh, nil }}
+				a, err := tongs.answer(&h, rack.Host{ID: "h1", Service: "db", Address: "h1:1"}, verb, verb.Text())
+				require.Len(t, said, want)
+				if err != nil {
+					require.Zero(t, dials, "it was given up, and nothing else begun")
+					require.True(t, kept.closed)
+					require.Nil(t, h, "no connection is kept behind an answer that may come yet")
+					return
+				}
+				require.True(t, a.Ended())
+				require.Contains(t, string(a.Row), "3.9", "the answer to something else")
+				require.NotNil(t, h)
+				require.Equal(t, dials > 0, kept.closed)
+				if dials == 0 {
+					require.Same(t, &kept, h.conn)
+				}
+				require.Empty(t, h.in)
+			})
+		}
+	}
+}
+
+// A connection that can't be made says nothing to the host, and one to another host is not asked.
+func TestNothingIsAskedOnAConnectionThatIsNotTheHosts(t *testing.T) {
+	var said []string
+	for comes, want := range map[string]string{"ERROR WRONGNODE i-9\r\n": "WRONGNODE", "": "EOF", "IDLE I 3": "EOF"} {
+		fresh := &socket{said: &said, writes: -1, comes: comes, fails: io.EOF}
+		tongs := &tongs{dial: func(string, time.Duration) (net.Conn, error) { return fresh, nil }}
+		var h *held
+		_, err := tongs.answer(&h, rack.Host{ID: "h1", Service: "db", Address: "h1:1"}, hoist.Pause, "PAUSE 4")
+		require.ErrorContains(t, err, want)
+		require.Nil(t, h)
+		require.True(t, fresh.closed)
+	}
+	tongs := &tongs{dial: func(string, time.Duration) (net.Conn, error) { return nil, errors.New("refused") }}
+	var h *held
+	_, err := tongs.answer(&h, rack.Host{}, hoist.Pause, "PAUSE 4")
+	require.Error(t, err)
+	require.Empty(t, said)
+}
--- a/internal/headstock/calls.go
+++ b/internal/headstock/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ferrypitch/internal/chuck"
+	"ferrypitch/internal/detent"
 	"ferrypitch/internal/scribe"
 	"ferrypitch/internal/telltale"
 	"ferrypitch/rules"
@@ -182,7 +183,7 @@
 	}
 	c.sentAt, c.sent, c.wroteAt = now, true, h.clock.Time()
 	if n, ok := k.out.write(b); !ok {
-		c.sent = n == len(b) // never whole, so it never ran
+		c.sent = detent.Wrote(n, len(b)) == detent.Said // else it never ran
 		h.later = append(h.later, func() { h.broken(k) })
 	}
 }
--- a/internal/headstock/feel.go
+++ b/internal/headstock/feel.go
@@ -16,7 +16,7 @@
 func (h *Headstock) feel(conn net.PacketConn) {
 	b := make([]byte, mostDatagram)
 	for {
-		n, _, err := conn.ReadFrom(b)
+		n, from, err := conn.ReadFrom(b)
 		if h.ctx.Err() != nil {
 			return
 		}
@@ -28,7 +28,7 @@
 			continue
 		}
 		var m feeler.Message
-		if gob.NewDecoder(bytes.NewReader(b[:n])).Decode(&m) != nil {
+		if gob.NewDecoder(bytes.NewReader(b[:n])).Decode(&m) != nil || m.From != from.String() {
 			h.Torn.Add(1)
 			continue
 		}
--- a/internal/headstock/news.go
+++ b/internal/headstock/news.go
@@ -8,6 +8,7 @@
 
 	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/belt"
+	"ferrypitch/internal/detent"
 	"ferrypitch/internal/gauge"
 	"ferrypitch/internal/jig"
 	"ferrypitch/internal/rack"
@@ -426,7 +427,11 @@
 	if r.Kind != jig.Leader {
 		k.bound = tenths(r.StalenessMs)
 	}
-	group := func(need rules.Need, effect rules.Effect) *rules.CmdGroup {
+	group := func(need rules.Need, kind detent.Call) *rules.CmdGroup {
+		effect := rules.Mutating
+		if detent.Repeats(kind) {
+			effect = rules.Replayable
+		}
 		target := tenths(r.TargetMs)
 		if target <= 0 {
 			target = tenths(r.DeadlineMs / 4)
@@ -434,14 +439,14 @@
 		return h.module.Group(&rules.CmdGroup{Effect: effect, Need: need, Bound: k.bound, Target: target, Timeout: tenths(r.DeadlineMs),
 			Benefit: 1 / (1 + max(0, r.Priority)), LateShare: 0.5})
 	}
-	k.fresh, k.write = group(rules.Fresh, rules.Replayable), group(rules.Write, rules.Mutating)
+	k.fresh, k.write = group(rules.Fresh, detent.Read), group(rules.Write, detent.Write)
 	switch {
 	case k.bound == 0:
 		k.read = k.fresh
 	case k.owned:
-		k.read = group(rules.Session, rules.Replayable)
+		k.read = group(rules.Session, detent.Read)
 	default:
-		k.read = group(rules.Bounded, rules.Replayable)
+		k.read = group(rules.Bounded, detent.Read)
 	}
 	return k
 }
--- a/internal/headstock/status.go
+++ b/internal/headstock/status.go
@@ -89,6 +89,9 @@
 		"leases": c.Leases.Load(), "links": c.Links.Load(), "news_gaps": c.Gaps.Load(), "versions": c.Versions.Load(),
 		"link_bytes_sent": belt.Sent.Load(), "link_bytes_received": belt.Received.Load(),
 	}
+	if h.feeler != nil {
+		all["probes"], all["probe_answers_stray"] = h.feeler.Probes, h.feeler.Strays
+	}
 	for o := range c.Outcomes {
 		all["ended_"+rules.Outcome(o).String()] = c.Outcomes[o].Load()
 	}
