--- a/internal/forge/callers_test.go
+++ b/internal/forge/callers_test.go
@@ -14,6 +14,7 @@
 	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/belt"
 	"ferrypitch/internal/drawer"
+	"ferrypitch/internal/jig"
 	"ferrypitch/internal/lab/stage"
 	"ferrypitch/internal/nameplate"
 	"ferrypitch/internal/rack"
@@ -105,7 +106,7 @@
 			if c.Enter != nil {
 				token = c.Enter.ID
 			} else if c.Configure != nil {
-				token = string(c.Configure.Body)
+				token = string(c.Configure.Sent[:])
 			}
 			if w.logged[token] == nil {
 				w.logged[token] = map[[2]uint64]bool{}
@@ -183,7 +184,8 @@
 	case 1:
 		kind, body = "order", fmt.Sprintf(`{"Generation":%d,"Routes":[],"Services":[]}`, w.token)
 		base = fmt.Sprint(s.f.state.Gen)
-		t = body
+		sent := (&rack.State{}).Pack(&rack.Configure{Body: []byte(body)}, &jig.Plan{}).Sent // how the log knows it
+		t = string(sent[:])
 	case 2:
 		kind, path = "beat", "/Instances.Heartbeat/"+t
 		body = fmt.Sprintf(`{"Service":"db","Address":"10.1.%d.%d:80","State":"serving","CallSeq":1}`, w.token/200, w.token%200)
--- a/internal/forge/passing.go
+++ b/internal/forge/passing.go
@@ -67,12 +67,12 @@
 	askTooMany: "asks_over_limit", answerUnknown: "answers_to_nothing", answerLate: "answers_late", answerLife: "answers_of_other_life",
 	answerOther: "answers_of_other_member", answerOdd: "answers_malformed", replyStray: "replies_stray"}
 
-func (f *Forge) stray(why stray) { f.Strays[why].Add(1) }
+func (f *Forge) ignored(why stray) { f.Strays[why].Add(1) }
 
 // passOn asks the member that leads to answer a call, once: whoever calls comes again by itself.
 func (f *Forge) passOn(to ratchet.ID, in call, within int64, answer func(int, []byte)) {
 	if len(f.passed) >= mostPassed || f.bytes+len(in.body) > mostPassedBytes {
-		f.stray(askTooMany)
+		f.ignored(askTooMany)
 		refuse(answer, telltale.NoLeader, nil)
 		return
 	}
@@ -104,15 +104,15 @@
 	p, out := f.passed[a.Serial]
 	switch {
 	case a.From != f.id || a.Life != f.life:
-		f.stray(answerLife)
+		f.ignored(answerLife)
 	case a.Serial == 0 || a.Serial > f.serial:
-		f.stray(answerUnknown)
+		f.ignored(answerUnknown)
 	case !out:
-		f.stray(answerLate)
+		f.ignored(answerLate)
 	case a.By != p.to || from != p.to.Address() || a.Mark != p.mark:
-		f.stray(answerOther)
+		f.ignored(answerOther)
 	case a.Status < 200 || a.Status > 599:
-		f.stray(answerOdd)
+		f.ignored(answerOdd)
 	default:
 		f.over(a.Serial)
 		p.answer(a.Status, a.Body)
@@ -126,12 +126,12 @@
 	}
 	switch {
 	case a.From.Address() != from || !f.knows(a.From):
-		f.stray(askUnknown)
+		f.ignored(askUnknown)
 	case a.To != f.id || a.View != f.core.View():
-		f.stray(askElsewhere)
+		f.ignored(askElsewhere)
 		refuse(answer, telltale.NoLeader, nil) // its caller goes on to another at once
 	case !f.first(asker{a.From, a.Life}, a.Serial):
-		f.stray(askTwice)
+		f.ignored(askTwice)
 	default:
 		f.handle(call{a.Method, a.Path, a.Base, a.Body}, false, answer)
 	}
--- a/internal/forge/tongs.go
+++ b/internal/forge/tongs.go
@@ -119,7 +119,7 @@
 // Replied takes in how a question to a host ended.
 func (f *Forge) Replied(r hoist.Reply) {
 	if !f.leads || !f.hoist.Replied(r, f.clock.Now()) {
-		f.stray(replyStray)
+		f.ignored(replyStray)
 		return
 	}
 	f.tend()
@@ -266,7 +266,7 @@
 // Called takes in how a call to the platform ended.
 func (f *Forge) Called(p hoist.Promotion, o hoist.Outcome) {
 	if !f.leads || !f.hoist.Called(p, o, f.clock.Now()) {
-		f.stray(replyStray)
+		f.ignored(replyStray)
 		return
 	}
 	f.tend()
