--- a/internal/headstock/council_test.go
+++ b/internal/headstock/council_test.go
@@ -201,6 +201,9 @@
 			r.Refused = true
 		case !h.Up || h.Dark || m.blind || w.Now < w.frozen[h.ID]:
 			r.Silent, back = true, 350*ms
+			if h.Up && !h.Dark && !m.blind {
+				w.runsLate(q, h)
+			}
 		case m.c.answer != nil && m.c.answer(q, h):
 			r.Status = scribe.Status{Term: h.Term, Received: h.At(len(h.Log))}
 		default:
--- a/internal/headstock/world_test.go
+++ b/internal/headstock/world_test.go
@@ -202,6 +202,9 @@
 			r.Refused = true
 		case !h.Up || h.Dark || w.Now < w.frozen[h.ID]:
 			r.Silent, back = true, 350*ms
+			if h.Up && !h.Dark {
+				w.runsLate(q, h)
+			}
 		default:
 			r.Status = h.Control(q.Verb.Text(), q.Term)
 			if c.answer != nil {
@@ -215,6 +218,16 @@
 	})
 }
 
+// runsLate has a host that stands still do what it was told once it goes on, in no order.
+func (w *world) runsLate(q hoist.Question, h *database.Host) {
+	crashes := h.Crashes
+	w.In(w.frozen[h.ID]-w.Now+int64(q.Serial*97%300)*ms, func() {
+		if h.Up && h.Crashes == crashes {
+			h.Control(q.Verb.Text(), q.Term)
+		}
+	})
+}
+
 // dbConn is a router's connection to a host.
 type dbConn struct {
 	*database.Conn
--- a/internal/standin/database/database.go
+++ b/internal/standin/database/database.go
@@ -51,6 +51,7 @@
 	Applied int
 	Lag     int64
 	Conns   map[*Conn]bool
+	Crashes int
 	opened  int
 	acks    []ack
 }
@@ -225,6 +226,7 @@
 	}
 	g.Note("%s crashes, dark %v, leader %v", h.ID, dark, h.Leader)
 	h.Up, h.Dark, h.acks = false, dark, nil
+	h.Crashes++
 	for _, c := range slices.SortedFunc(maps.Keys(h.Conns), func(a, b *Conn) int { return a.serial - b.serial }) {
 		c.Close()
 		if !dark {
