Resets at each moment of what is sent to hosts: nothing runs twice

Need: the worlds lost answers, but no connection ended before, while or after a statement was written.

--- a/internal/headstock/world_test.go
+++ b/internal/headstock/world_test.go
@@ -28,6 +28,7 @@
 // read, no write twice, none lost, each promise kept, each statement on its own transaction's connection with the
 // values that its client was told.
 type world struct {
+	resets int // one write in so many meets a reset of its connection; 0: none
 	*stage.Stage
 	epoch   time.Time
 	db      *database.Group
@@ -236,6 +237,7 @@
 	k      *hostConn
 	in     []byte
 	closed bool
+	mute   bool  // what it says comes no more
 	order  int64 // what goes over one connection keeps its order
 }
 
@@ -245,7 +247,11 @@
 		return 0, false
 	}
 	b = slices.Clone(b)
-	c.later(c.r.w.Between(ms/2, 3*ms), func() { c.feed(b) })
+	w := c.r.w
+	if w.resets > 0 && w.Odds(w.resets) {
+		return c.reset(b)
+	}
+	c.later(w.Between(ms/2, 3*ms), func() { c.feed(b) })
 	return len(b), true
 }
 
@@ -274,7 +280,7 @@
 func (c *dbConn) answered(after int64, a scribe.Answer) {
 	w := c.r.w
 	c.later(after+w.Between(ms/2, 3*ms), func() {
-		if !c.H.Dark && !c.closed {
+		if !c.H.Dark && !c.closed && !c.mute {
 			c.r.run(c.life, func(r *Headstock) { r.arrived(c.k, &a, w.time()) })
 		}
 	})
