Joins marks of callers, the table of calls, orders to hosts that linger

Need: an answer was known by a number that each life counts from 0, and a PAUSE or RESUME without an answer could run after the next. The test of the whole system shows what was broken.

--- a/internal/forge/cutoff_test.go
+++ b/internal/forge/cutoff_test.go
@@ -116,7 +116,7 @@
 	}
 	kept := m.disk
 	kept.Entries = slices.Clone(kept.Entries)
-	f, err := New(plate, hclog.NewNullLogger(), arbor.NewSteady(m.time), m.id, kept, w.Chance.Float64)
+	f, err := New(plate, hclog.NewNullLogger(), arbor.NewSteady(m.time), m.id, kept, w.Chance.Float64, uint64(m.life))
 	if err != nil {
 		panic(err)
 	}
@@ -190,7 +190,7 @@
 				f.Core.Transferred = true
 			}
 		}
-		to.do(to.life, func() { to.f.Hear(f) })
+		to.do(to.life, func() { to.f.Hear(m.ip, f) })
 	}
 	switch {
 	case how == "late" && !w.Odds(3):
--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -23,7 +23,6 @@
 	"ferrypitch/internal/nameplate"
 	"ferrypitch/internal/rack"
 	"ferrypitch/internal/ratchet"
-	"ferrypitch/internal/telltale"
 	"ferrypitch/internal/vise"
 )
 
@@ -49,8 +48,7 @@
 	routers map[*Router]struct{}
 	met     uint64            // routers, in this life
 	waiting map[uint64]waiter // proposals, by index
-	passed  map[uint64]passed
-	serial  uint64
+	passing
 	seqs    map[string]int64 // the newest call of each host
 	ending  bool
 	astray  bool               // the state here is not the one that the log builds; it is restored from the leader's
@@ -73,16 +71,11 @@
 	Store   func(w []ratchet.Write)             // in their order; ends in Saved
 }
 
-// passed is a call that another member was asked to answer.
-type passed struct {
-	answer func(belt.Answer)
-	until  int64
-	to     ratchet.ID
-}
-
 // Counts are what a member did.
 type Counts struct {
 	Calls, Refusals, Beats, Passed, Proposals, Leases, LeasesRefused, LeasesHeld, Questions, Promotions, Views, DiskFaults, Diverged atomic.Int64
+
+	Strays [strays]atomic.Int64 // what was ignored or refused, by why
 }
 
 // counts are by name, with those of fail-over while this member leads.
@@ -94,6 +87,9 @@
 		"state_diverged": f.Diverged.Load(), "snapshots_begun": f.core.Transfers, "snapshots_installed": f.core.Installed,
 		"snapshot_parts_sent": f.core.PartsSent, "snapshot_parts_ignored": f.core.PartsIgnored, "messages_for_another": f.core.Misdirected,
 		"link_bytes_sent": belt.Sent.Load(), "link_bytes_received": belt.Received.Load()}
+	for why, name := range strayNames {
+		all[name] = f.Strays[why].Load()
+	}
 	if f.mesh != nil {
 		all["frames_dropped"] = f.mesh.Drops.Load()
 	}
@@ -129,7 +125,7 @@
 		return err
 	}
 	defer d.Close()
-	f, err := New(plate, log, arbor.NewSteady(time.Now), id, kept, rand.Float64)
+	f, err := New(plate, log, arbor.NewSteady(time.Now), id, kept, rand.Float64, rand.Uint64())
 	if err != nil {
 		return err
 	}
@@ -179,11 +175,12 @@
 	})
 }
 
-// New readies a member from what its disk held; Wire comes before its first call. All calls are its owner's.
+// New readies a member from what its disk held; Wire comes before its first call. All calls are its owner's. life is drawn
+// anew for each life of its process.
 func New(plate *nameplate.Plate, log hclog.Logger, clock arbor.Steady, id drawer.Identity, kept ratchet.Restored,
-	chance func() float64) (*Forge, error) {
+	chance func() float64, life uint64) (*Forge, error) {
 	f := &Forge{plate: plate, log: log, clock: clock, queue: arbor.NewQueue(512), routers: map[*Router]struct{}{},
-		waiting: map[uint64]waiter{}, passed: map[uint64]passed{}, seqs: map[string]int64{}, id: id.ID}
+		waiting: map[uint64]waiter{}, passing: newPassing(life), seqs: map[string]int64{}, id: id.ID}
 	f.core = ratchet.New(id.ID, ratchet.Usual(plate.FaultBudget.Machines), kept, id.Founders, chance, clock.Now())
 	var err error
 	f.state, err = rack.Restore(kept.Snapshot.State)
@@ -198,13 +195,7 @@
 	now := f.clock.Now()
 	f.carry(f.core.Tick(now))
 	f.tend()
-	for serial, p := range f.passed {
-		if now <= p.until && p.to == f.core.Heard(now) {
-			continue
-		}
-		delete(f.passed, serial)
-		refuse(func(status int, body []byte) { p.answer(belt.Answer{Status: status, Body: body}) }, telltale.NoLeader, nil)
-	}
+	f.expire(now)
 	return f.leads && f.hoist.Active(f.state)
 }
 
@@ -300,7 +291,7 @@
 		f.leads = true
 		f.Views.Add(1)
 		f.led = f.state.Led - now
-		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.plate.BeatMs, now)
+		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.core.View(), f.plate.BeatMs, now)
 		f.hoist.Log = func(service, what, host string) { f.log.Info(what, "service", service, "host", host) }
 		f.log.Info("leads", "view", f.core.View(), "members", f.core.Members())
 	case (!f.core.IsLeader() || f.astray) && f.leads:
@@ -472,7 +463,7 @@
 		f.Questions.Add(1)
 		h, known := f.state.Hosts[q.Host]
 		if !known { // it has left
-			f.hoist.Replied(hoist.Reply{Serial: q.Serial, Refused: true}, now)
+			f.hoist.Replied(hoist.Reply{To: q, Refused: true}, now)
 			continue
 		}
 		f.reach.Ask(q, h)
--- a/internal/forge/world_test.go
+++ b/internal/forge/world_test.go
@@ -83,7 +83,7 @@
 	}
 	kept := m.disk
 	kept.Entries = slices.Clone(kept.Entries)
-	f, err := New(plate, hclog.NewNullLogger(), arbor.NewSteady(w.time), m.id, kept, w.Chance.Float64)
+	f, err := New(plate, hclog.NewNullLogger(), arbor.NewSteady(w.time), m.id, kept, w.Chance.Float64, uint64(m.life))
 	if err != nil {
 		panic(err)
 	}
@@ -126,7 +126,7 @@
 		life := to.life
 		w.In(m.order[ip]-w.Now, func() {
 			if !w.cut[[2]string{m.ip, ip}] {
-				to.do(life, func() { to.f.Hear(f) })
+				to.do(life, func() { to.f.Hear(m.ip, f) })
 			}
 		})
 	}
--- a/internal/headstock/council_test.go
+++ b/internal/headstock/council_test.go
@@ -127,7 +127,7 @@
 	if *only >= 0 {
 		log = hclog.New(&hclog.LoggerOptions{Output: noting{w, m.ip}, DisableTime: true})
 	}
-	f, err := forge.New(plate, log, arbor.NewSteady(w.clock(m.rate)), m.id, kept, w.Chance.Float64)
+	f, err := forge.New(plate, log, arbor.NewSteady(w.clock(m.rate)), m.id, kept, w.Chance.Float64, uint64(m.life))
 	if err != nil {
 		panic(err)
 	}
@@ -175,7 +175,7 @@
 		if m.cut || m.mute || to.cut || to.deaf || m.resets != resets || to.resets != theirs {
 			return
 		}
-		to.do(life, func() { to.f.Hear(f) })
+		to.do(life, func() { to.f.Hear(m.ip, f) })
 	})
 }
 
@@ -202,13 +202,16 @@
 func (m *member) ask(life int, q hoist.Question) {
 	w := m.c.w
 	w.In(w.Between(1*ms, 4*ms), func() {
-		r := hoist.Reply{Serial: q.Serial}
+		r := hoist.Reply{To: q}
 		back := w.Between(1*ms, 4*ms)
 		switch h := w.db.Host(q.Host); {
 		case h == nil || !h.Up && !h.Dark && !m.blind:
 			r.Refused = true
 		case !h.Up || h.Dark || m.blind || w.Now < w.frozen[h.ID]:
 			r.Silent, back = true, 350*ms
+			if h.Up && !h.Dark && !m.blind {
+				w.runsLate(q, h)
+			}
 		case m.c.answer != nil && m.c.answer(q, h):
 			r.Status = scribe.Status{Term: h.Term, Received: h.At(len(h.Log))}
 		default:
--- a/internal/headstock/world_test.go
+++ b/internal/headstock/world_test.go
@@ -28,6 +28,7 @@
 // read, no write twice, none lost, each promise kept, each statement on its own transaction's connection with the
 // values that its client was told.
 type world struct {
+	resets int // one write in so many meets a reset of its connection; 0: none
 	*stage.Stage
 	epoch   time.Time
 	db      *database.Group
@@ -129,7 +130,7 @@
 
 func newControl(w *world) *control {
 	c := &control{w: w, state: &rack.State{}}
-	c.jaw, c.hoist = vise.New(c.millis()-10*vise.Span), hoist.New("anvil", 1200, c.millis())
+	c.jaw, c.hoist = vise.New(c.millis()-10*vise.Span), hoist.New("anvil", 1, 1200, c.millis())
 	c.hoist.Log = func(service, what, host string) { w.Note("%s: %s %s", service, what, host) }
 	c.clear = func(i uint64) bool { return c.jaw.Clear(i, c.state.RouterNames(), c.millis()) }
 	return c
@@ -203,7 +204,7 @@
 					o = hoist.Unclear
 				}
 			}
-			w.In(w.Between(2*ms, 8*ms), func() { c.hoist.Called(p.Service, p.Host, o, c.millis()) })
+			w.In(w.Between(2*ms, 8*ms), func() { c.hoist.Called(p, o, c.millis()) })
 		})
 	}
 }
@@ -211,13 +212,16 @@
 func (c *control) ask(q hoist.Question) {
 	w, h := c.w, c.w.db.Host(q.Host)
 	w.In(w.Between(1*ms, 4*ms), func() {
-		r := hoist.Reply{Serial: q.Serial}
+		r := hoist.Reply{To: q}
 		back := w.Between(1*ms, 4*ms)
 		switch {
 		case !h.Up && !h.Dark:
 			r.Refused = true
 		case !h.Up || h.Dark || w.Now < w.frozen[h.ID]:
 			r.Silent, back = true, 350*ms
+			if h.Up && !h.Dark {
+				w.runsLate(q, h)
+			}
 		default:
 			r.Status = h.Control(q.Verb.Text(), q.Term)
 			if c.answer != nil {
@@ -231,6 +235,16 @@
 	})
 }
 
+// runsLate has a host that stands still do what it was told once it goes on, in no order.
+func (w *world) runsLate(q hoist.Question, h *database.Host) {
+	crashes := h.Crashes
+	w.In(w.frozen[h.ID]-w.Now+int64(q.Serial*97%300)*ms, func() {
+		if h.Up && h.Crashes == crashes {
+			h.Control(q.Verb.Text(), q.Term)
+		}
+	})
+}
+
 // dbConn is a router's connection to a host.
 type dbConn struct {
 	*database.Conn
@@ -239,6 +253,7 @@
 	k      *hostConn
 	in     []byte
 	closed bool
+	mute   bool  // what it says comes no more
 	order  int64 // what goes over one connection keeps its order
 }
 
@@ -248,7 +263,11 @@
 		return 0, false
 	}
 	b = slices.Clone(b)
-	c.later(c.r.w.Between(ms/2, 3*ms), func() { c.feed(b) })
+	w := c.r.w
+	if w.resets > 0 && w.Odds(w.resets) {
+		return c.reset(b)
+	}
+	c.later(w.Between(ms/2, 3*ms), func() { c.feed(b) })
 	return len(b), true
 }
 
@@ -277,7 +296,7 @@
 func (c *dbConn) answered(after int64, a scribe.Answer) {
 	w := c.r.w
 	c.later(after+w.Between(ms/2, 3*ms), func() {
-		if !c.H.Dark && !c.closed {
+		if !c.H.Dark && !c.closed && !c.mute {
 			c.r.run(c.life, func(r *Headstock) { r.arrived(c.k, &a, r.clock.Time()) })
 		}
 	})
