A member that is to end hands its seat on, by an agreed change

Leave asks the one that leads; it proposes the change of members, a learner that holds all that was delivered in the leaver's place. The leaver counts, votes and serves until a majority of the new members has on disk (Settled) that the change was delivered, is told so (LeaveReply) and ends. One that leads hands its seat on first, then its view. Where none stands by it keeps its seat and ends. Bounded by half of GraceS. Votes carry what their sender knows to be delivered: else, with the leader lost right after the change, the one that knows of it and the one that can lead may be two. Learners are 32 at most; messages to another life are passed over.

Ruled out: handing the view over first (the new leader knows no learner for up to 0.35 s, and the seat waits so long); ending once the leader has delivered the change (the next leader would still ask the one that has gone).

--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -50,6 +50,8 @@
 	serial  uint64
 	seqs    map[string]int64 // the newest call of each host
 	ending  bool
+	endBy   int64              // the latest that its seat is waited for to be handed on
+	seats   []ratchet.ID       // the members as last logged
 	arrived []ratchet.Delivery // not applied yet
 
 	delivering bool
@@ -336,6 +338,10 @@
 			w.done(err)
 		}
 	}
+	if m := f.core.Members(); !slices.Equal(m, f.seats) {
+		f.seats = m
+		f.log.Info("the members", "members", m, "index", f.state.Index)
+	}
 	for r := range f.routers {
 		r.news(f, news)
 	}
@@ -456,30 +462,46 @@
 		case <-reload:
 			f.queue.Put(arbor.Lists, f.reread)
 		case <-signals:
-			handed := make(chan struct{})
-			f.queue.Put(arbor.Lists, func() {
-				f.ending = true
-				if f.core.IsLeader() {
-					f.log.Info("hands its view over")
-					f.carry(f.core.TransferLeadership(f.clock.Now()))
-				}
-				close(handed)
-			})
-			<-handed
-			for range 30 { // until another leads, and what is under way is answered
-				time.Sleep(50 * time.Millisecond)
-				over := make(chan bool, 1)
-				f.queue.Put(arbor.Lists, func() { over <- !f.core.IsLeader() && len(f.passed) == 0 })
-				if <-over {
+			f.queue.Put(arbor.Lists, f.End)
+			for over := make(chan bool, 1); ; {
+				time.Sleep(30 * time.Millisecond)
+				if !f.queue.Put(arbor.Lists, func() { over <- f.Ended() }) || <-over {
 					time.Sleep(100 * time.Millisecond)
 					return
 				}
 			}
-			return
 		}
 	}
 }
 
+// End has this member hand on its seat and its view. It may stop once it is Ended; until then it serves on.
+func (f *Forge) End() {
+	grace := int64(f.plate.Bounds.GraceS * 1000)
+	if grace == 0 {
+		grace = 6000
+	}
+	f.ending, f.endBy = true, f.clock.Now()+grace/2
+	f.log.Info("is to end", "leads", f.core.IsLeader(), "members", f.core.Members())
+	f.carry(f.core.Leave(f.clock.Now()))
+}
+
+// Ended says that another has its seat, or none stands by to take it, and another leads, and what is under way is
+// answered; or that too much time has gone.
+func (f *Forge) Ended() bool {
+	now := f.clock.Now()
+	over, handed := f.core.Left()
+	switch {
+	case over && now < f.endBy:
+		f.endBy = now
+		f.log.Info("may end", "seat_handed_on", handed, "members", f.core.Members())
+	case !over && now < f.endBy:
+		return false
+	case !over: // no majority answers, or no learner holds all: its view at least is for another
+		f.carry(f.core.TransferLeadership(now))
+	}
+	return !f.core.IsLeader() && len(f.passed) == 0 || now > f.endBy+1500
+}
+
 // reread takes the settings in anew. Addresses of this machine stay as they were at its start.
 func (f *Forge) reread() {
 	p, err := nameplate.Read()
--- a/internal/ratchet/election.go
+++ b/internal/ratchet/election.go
@@ -88,7 +88,8 @@
 		c.askAt = c.now + int64(c.tries)*c.Beat + int64(c.chance()*float64(c.Jitter))
 	}
 	view, _ := c.viewAt(c.last())
-	m := Message{Kind: VoteRequest, Index: c.last(), Prev: view, PreVote: preVote, Transferred: transferred, Fresh: c.allFresh && !preVote}
+	m := c.telling(Message{Kind: VoteRequest, Index: c.last(), Prev: view, PreVote: preVote, Transferred: transferred,
+		Fresh: c.allFresh && !preVote})
 	to := map[ID]bool{}
 	for _, g := range c.active() {
 		for _, id := range g.members {
@@ -153,20 +154,46 @@
 // TransferLeadership hands the view over to the member that has most, if this one leads. Nothing is granted here any more.
 func (c *Core) TransferLeadership(now int64) Out {
 	c.clock(now)
+	c.transfer()
+	return c.take()
+}
+
+func (c *Core) transfer() {
 	if c.role != leader || c.transferring {
-		return c.take()
+		return
 	}
 	best := ID("")
 	for _, id := range c.others() {
-		if p := c.peers[id]; !p.learner && c.now < p.heardAt+c.Lease && (best == "" || p.match > c.peers[best].match) {
+		p := c.peers[id]
+		if p.learner || c.now >= p.heardAt+c.Lease {
+			continue
+		}
+		if best == "" || c.leaves(best) && !c.leaves(id) || c.leaves(best) == c.leaves(id) && p.match > c.peers[best].match {
 			best = id
 		}
 	}
 	if best != "" {
 		c.transferring, c.silenced = true, c.now
 		c.send(Message{Kind: Transfer, To: best})
+		if !c.member(c.id) { // nobody tells it who leads now
+			c.fall(best)
+		}
+	}
+}
+
+// telling adds what is known here to be delivered: where a leader is lost right after a change of members, what knows
+// of it and what can lead need not be the same member.
+func (c *Core) telling(m Message) Message {
+	m.Commit = max(c.commit, c.meta.Settled)
+	m.CommitView, _ = c.viewAt(m.Commit)
+	return m
+}
+
+// learn takes in what another knows to be delivered: with that entry alike, all before it are.
+func (c *Core) learn(m Message) {
+	if view, held := c.viewAt(m.Commit); held && m.Commit > c.commit && view == m.CommitView {
+		c.commitTo(m.Commit)
 	}
-	return c.take()
 }
 
 // asked answers a candidate. A member that has promised itself to a view, by hearing its leader or by an earlier life
@@ -193,7 +220,8 @@
 				c.askAt = c.now + 2*c.Beat + int64(c.chance()*float64(c.Jitter))
 			}
 		}
-		c.send(Message{Kind: Vote, To: m.From, PreVote: true, Granted: !bound && upToDate && newer, Fresh: !c.heard && upToDate})
+		c.send(c.telling(Message{Kind: Vote, To: m.From, PreVote: true, Granted: !bound && upToDate && newer,
+			Fresh: !c.heard && upToDate}))
 		return
 	}
 	if bound || m.View < c.meta.View {
@@ -213,5 +241,5 @@
 	c.meta.Vote = m.From
 	c.rest()
 	meta := c.meta
-	c.write(Write{Meta: &meta}, Message{Kind: Vote, To: m.From, Granted: true})
+	c.write(Write{Meta: &meta}, c.telling(Message{Kind: Vote, To: m.From, Granted: true}))
 }
--- a/internal/ratchet/log.go
+++ b/internal/ratchet/log.go
@@ -12,8 +12,8 @@
 }
 
 type pending struct {
-	seq, last uint64
-	messages  []Message
+	seq, last, settled uint64
+	messages           []Message
 }
 
 func (c *Core) last() uint64 { return c.base.Index + uint64(len(c.log)) }
@@ -42,7 +42,11 @@
 	for i := range after {
 		after[i].From, after[i].View = c.id, c.meta.View
 	}
-	c.waiting = append(c.waiting, pending{c.seq, c.last(), after})
+	settled := uint64(0)
+	if w.Meta != nil {
+		settled = w.Meta.Settled
+	}
+	c.waiting = append(c.waiting, pending{c.seq, c.last(), settled, after})
 	c.out.Writes = append(c.out.Writes, w)
 }
 
@@ -53,6 +57,7 @@
 		p := c.waiting[0]
 		c.waiting = c.waiting[1:]
 		c.saved = max(c.saved, min(p.last, c.last()))
+		c.settled = max(c.settled, p.settled)
 		for _, m := range p.messages {
 			if m.View == c.meta.View { // else what it says has been taken back since
 				c.out.Messages = append(c.out.Messages, m)
@@ -161,7 +166,7 @@
 		}
 	}
 	c.follow()
-	if c.role == leader && !c.member(c.id) { // it led until it was out
+	if c.role == leader && !c.member(c.id) && !c.departure.begun { // it led until it was out
 		c.fall("")
 	}
 }
@@ -175,6 +180,10 @@
 	switch m.Kind {
 	case HeartbeatReply:
 		p.confirmed = max(p.confirmed, min(m.Sent, c.now))
+		p.settled = max(p.settled, min(m.Index, c.last()))
+		if !m.Granted { // it is back, or stays after all
+			p.leavingAt = 0
+		}
 	case Accept:
 		p.sentAt = 0
 		p.match = max(p.match, min(m.Index, c.last()))
--- a/internal/ratchet/membership.go
+++ b/internal/ratchet/membership.go
@@ -1,6 +1,7 @@
 package ratchet
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 )
@@ -22,8 +23,18 @@
 	confirmed   int64 // the newest heartbeat that came back
 	heardAt     int64
 	learner     bool
+	settled     uint64 // the newest change of members that it knows, on disk, to be delivered
+	leavingAt   int64  // when it last said that it is to end; 0: it is not
 }
 
+// departure is how far a member that is to end has come.
+type departure struct {
+	begun, over, handed bool
+	begunAt, askAt      int64
+}
+
+const mostLearners = 32
+
 // Members are who counts, by the newest entry held.
 func (c *Core) Members() []ID { return c.configs[len(c.configs)-1].members }
 
@@ -86,7 +97,7 @@
 		}
 	}
 	for id, p := range c.peers {
-		if !c.member(id) && !p.learner {
+		if !c.member(id) && !p.learner && id != c.id {
 			delete(c.peers, id)
 		}
 	}
@@ -103,24 +114,26 @@
 	return all
 }
 
-// adopt makes a learner that holds all that was delivered a member, in the place of one at its address, or of one that
-// is silent, or beside the others while they are fewer than must be there. More than that would only make majorities
+// adopt makes a learner that holds all that was delivered a member, in the place of one at its address, of one that is
+// to end, or of one that is silent, or beside the others while they are fewer than must be there. More than that would only make majorities
 // greater: a member that is gone for good would count in them. One change at a time.
 func (c *Core) adopt() {
 	if len(c.active()) > 1 || !c.Holds(c.now) {
 		return
 	}
 	members := c.Members()
-	for _, id := range c.others() {
-		p := c.peers[id]
-		if !p.learner || p.match < c.commit || c.now > p.heardAt+c.Lease {
+	for _, id := range c.standby() {
+		if c.peers[id].match < c.commit {
 			continue
 		}
 		next := slices.DeleteFunc(slices.Clone(members), func(m ID) bool { return m != c.id && m.Address() == id.Address() })
 		if len(next) == len(members) {
-			i := slices.IndexFunc(next, func(m ID) bool {
-				return m != c.id && c.peers[m] != nil && c.now > c.peers[m].heardAt+c.Gone
-			})
+			i := slices.IndexFunc(next, c.leaves)
+			if i < 0 {
+				i = slices.IndexFunc(next, func(m ID) bool {
+					return m != c.id && c.peers[m] != nil && c.now > c.peers[m].heardAt+c.Gone
+				})
+			}
 			switch {
 			case i >= 0:
 				next = slices.Delete(next, i, i+1)
@@ -141,9 +154,125 @@
 		return
 	}
 	if c.peers[m.From] == nil {
+		learners := 0
+		for id, p := range c.peers {
+			switch {
+			case !p.learner:
+			case id.Address() == m.From.Address(): // an older life
+				delete(c.peers, id)
+			default:
+				learners++
+			}
+		}
+		if learners >= mostLearners {
+			c.strays++
+			return
+		}
 		c.peers[m.From] = &progress{next: min(m.Index, c.last()) + 1, heardAt: c.now, learner: true}
 	}
 	p := c.peers[m.From]
 	c.heartbeat(m.From)
 	c.feed(m.From, p)
 }
+
+// standby are the learners that are heard of, those that hold most first. One that is to end is forgotten when it says so.
+func (c *Core) standby() (all []ID) {
+	for _, id := range c.others() {
+		if p := c.peers[id]; p.learner && c.now <= p.heardAt+c.Lease {
+			all = append(all, id)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b ID) int { return cmp.Compare(c.peers[b].match, c.peers[a].match) })
+	return all
+}
+
+// leaves says that a member is to end: it has said so, and was not heard of otherwise since.
+func (c *Core) leaves(id ID) bool {
+	p := c.peers[id]
+	return p != nil && p.leavingAt > 0 && c.now <= p.leavingAt+c.Gone
+}
+
+// Leave has this member ask for its seat to be handed on, until Left. It goes on counting, voting and answering until then.
+func (c *Core) Leave(now int64) Out {
+	c.clock(now)
+	if d := &c.departure; !d.begun {
+		d.begun, d.begunAt = true, c.now
+	}
+	c.depart()
+	return c.take()
+}
+
+// Left says whether a member that leaves may end, and whether another has its seat. Where none stands by it keeps the
+// seat: it may come back with all that it holds, and a configuration without it would need all the others.
+func (c *Core) Left() (over, handed bool) { return c.departure.over, c.departure.handed }
+
+// depart asks the one that leads, again and again: it may change. One that leads itself hands its seat on first, so that
+// its view is left once, and by a member that goes on.
+func (c *Core) depart() {
+	d := &c.departure
+	if !d.begun || d.over || c.now < d.askAt {
+		return
+	}
+	d.askAt = c.now + c.Beat/2
+	switch {
+	case c.role != leader:
+		if c.leader != "" {
+			c.send(Message{Kind: Leave, To: c.leader, Sent: c.now})
+		}
+	case c.transferring:
+	case c.member(c.id) && c.awaits():
+		c.peers[c.id].leavingAt = c.now
+		c.adopt()
+	case c.member(c.id) || c.agreed():
+		d.over, d.handed = true, !c.member(c.id)
+		c.transfer()
+	}
+}
+
+// awaits says that a seat may yet be handed on: a learner is there, or has had no time to call, or a change is under way.
+func (c *Core) awaits() bool {
+	return len(c.active()) > 1 || len(c.standby()) > 0 || !c.Holds(c.now) || c.now < c.ledAt+c.Lease
+}
+
+// agreed says that a majority of the members has on disk that the last change of members was delivered. Before that, a
+// loss could leave none but such as would still ask those who are out.
+func (c *Core) agreed() bool {
+	all := c.active()
+	return len(all) == 1 && c.majority(func(id ID) bool {
+		if id == c.id {
+			return c.settled >= all[0].index
+		}
+		p := c.peers[id]
+		return p != nil && p.settled >= all[0].index
+	})
+}
+
+// left has a leader hand on the seat of a member that is to end, and tell it once it may.
+func (c *Core) left(m Message) {
+	if !c.Holds(c.now) {
+		return
+	}
+	p := c.peers[m.From]
+	switch {
+	case !c.member(m.From):
+		if p == nil {
+			c.strays++
+		}
+		delete(c.peers, m.From)
+		if c.agreed() {
+			c.send(c.telling(Message{Kind: LeaveReply, To: m.From, Sent: m.Sent, Granted: true}))
+		}
+	case c.awaits():
+		p.leavingAt = c.now
+		c.adopt()
+	default:
+		p.leavingAt = c.now // a learner that comes before it is back need not wait until it is silent for long
+		c.send(c.telling(Message{Kind: LeaveReply, To: m.From, Sent: m.Sent}))
+	}
+}
+
+func (c *Core) departed(m Message) {
+	if d := &c.departure; d.begun && m.From == c.leader && m.View == c.meta.View && m.Sent >= d.begunAt && m.Sent <= c.now {
+		d.over, d.handed = true, m.Granted
+	}
+}
--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -37,6 +37,8 @@
 	Vote                           // Granted
 	Transfer                       // a leader hands its view over
 	Join                           // a learner, or a member that nobody calls, asks to be called
+	Leave                          // a member that is to end asks for its seat to be handed on
+	LeaveReply                     // it may end. Granted: it counts no more; else none stands by, and it keeps its seat
 )
 
 // Message is what members say to each other.
@@ -50,10 +52,11 @@
 	Sent        int64
 	Entries     []Entry
 	Snapshot    *Snapshot
-	PreVote     bool // of VoteRequest and Vote
-	Transferred bool // of VoteRequest: the leader that was promised to has handed over
-	Granted     bool
-	Fresh       bool // of Vote: no leader was heard in this life; of VoteRequest: all members have said so
+	PreVote     bool   // of VoteRequest and Vote
+	Transferred bool   // of VoteRequest: the leader that was promised to has handed over
+	Granted     bool   // of HeartbeatReply: this member is leaving
+	CommitView  uint64 // of VoteRequest, Vote and LeaveReply: the view of the entry at Commit
+	Fresh       bool   // of Vote: no leader was heard in this life; of VoteRequest: all members have said so
 }
 
 // Out is what a call asks for. Messages that wait for a disk come out of Saved.
@@ -123,6 +126,9 @@
 	transferring bool
 	ledAt        int64 // when it began to lead
 	silenced     int64
+	settled      uint64 // of Meta.Settled, what is on disk
+	departure    departure
+	strays       int64
 	out          Out
 }
 
@@ -130,7 +136,7 @@
 func New(id ID, t Terms, kept Restored, founders []ID, chance func() float64, now int64) *Core {
 	c := &Core{Terms: t, id: id, now: now, startedAt: now, heardAt: now, chance: chance, meta: kept.Meta, base: kept.Snapshot,
 		log: kept.Entries}
-	c.commit, c.given, c.saved = c.base.Index, c.base.Index, c.last()
+	c.commit, c.given, c.saved, c.settled = c.base.Index, c.base.Index, c.last(), c.meta.Settled
 	c.configs = []config{{c.base.Index, c.base.Members}}
 	if c.base.Index == 0 && len(c.base.Members) == 0 {
 		c.configs[0].members = slices.Clone(founders)
@@ -176,11 +182,13 @@
 // Tick goes on to a time; it is to be called every Beat/3 or so.
 func (c *Core) Tick(now int64) Out {
 	c.clock(now)
+	c.depart()
 	switch {
 	case c.role == leader:
 		c.lead()
 	case c.now >= c.askAt && c.member(c.id):
 		c.ask(true, false)
+	case c.departure.begun: // it is to be called no more
 	case !c.member(c.id) || c.leader == "" && c.now > c.heardAt+3*c.Lease:
 		if c.now >= c.joinAt {
 			c.joinAt = c.now + c.Lease/2
@@ -193,16 +201,30 @@
 // Step takes in a member's message.
 func (c *Core) Step(m Message, now int64) Out {
 	c.clock(now)
+	if m.From == "" || m.From == c.id || m.To != "" && m.To != c.id { // to another life at this address
+		c.strays++
+		return c.take()
+	}
 	c.step(m)
 	return c.take()
 }
 
 func (c *Core) step(m Message) {
-	if m.Kind == Join {
+	switch m.Kind {
+	case Vote, VoteRequest, LeaveReply:
+		c.learn(m)
+	}
+	switch m.Kind {
+	case Join:
 		c.joined(m)
 		return
-	}
-	if m.Kind == VoteRequest {
+	case Leave:
+		c.left(m)
+		return
+	case LeaveReply:
+		c.departed(m)
+		return
+	case VoteRequest:
 		c.asked(m)
 		return
 	}
@@ -253,8 +275,8 @@
 	}
 	switch m.Kind {
 	case Heartbeat:
-		c.send(Message{Kind: HeartbeatReply, To: m.From, Sent: m.Sent})
 		c.commitTo(m.Commit)
+		c.send(Message{Kind: HeartbeatReply, To: m.From, Sent: m.Sent, Index: c.settled, Granted: c.departure.begun})
 	case Append:
 		c.appended(m)
 	case Install:
@@ -278,12 +300,13 @@
 	Members      []ID
 	Learners     []ID
 	Holds        bool
+	Strays       int64 // messages passed over: to another life, of one that is no member, by more than are kept account of
 }
 
 // Standing is a copy for counters and commands.
 func (c *Core) Standing(now int64) Standing {
 	s := Standing{ID: c.id, Leader: c.leader, View: c.meta.View, Base: c.base.Index, Commit: c.commit, Last: c.last(), Saved: c.saved,
-		Members: slices.Clone(c.Members()), Holds: c.Holds(now)}
+		Members: slices.Clone(c.Members()), Holds: c.Holds(now), Strays: c.strays}
 	for id, p := range c.peers {
 		if p.learner {
 			s.Learners = append(s.Learners, id)
