--- a/internal/ratchet/snapshot.go
+++ b/internal/ratchet/snapshot.go
@@ -72,9 +72,9 @@
 	state []byte
 }
 
-// Counts are of snapshots, and of messages for an earlier member at this address.
+// Counts are of snapshots, and of messages that are no message for this member.
 type Counts struct {
-	PartsSent, PartsIgnored, Transfers, Installed, Misdirected int64
+	PartsSent, PartsIgnored, Transfers, Installed, Strays int64
 }
 
 // Compact lets a snapshot of the state up to an index that was delivered stand for the entries before; keep of them
