--- a/internal/ratchet/snapshot_test.go
+++ b/internal/ratchet/snapshot_test.go
@@ -167,7 +167,7 @@
 		p := *parts(9, state, 100)[0]
 		spoil(&p)
 		c.Step(install("b", 1, &p), 1010)
-		require.Nil(t, c.taking, name)
+		require.True(t, c.taking == nil, name)
 		require.EqualValues(t, 1, c.PartsIgnored, name)
 	}
 	c := lagging()
@@ -249,6 +249,34 @@
 	require.Greater(t, leader.Transfers, int64(1), "begun anew where it is hopeless")
 }
 
+// What a snapshot stands for stays at hand for members and routers that lag a little, bound by number and by bytes.
+func TestEntriesForThoseThatLagAreBoundByNumberAndBytes(t *testing.T) {
+	terms := Usual(1)
+	terms.Kept = 500
+	c := New("a", terms, Restored{}, []ID{"a"}, func() float64 { return 0 }, 1000)
+	carry := func(o Out) {
+		for ; len(o.Writes) > 0; o = c.Saved(o.Writes[len(o.Writes)-1].Seq, 2000) {
+		}
+	}
+	carry(c.Tick(1500))
+	for range 30 {
+		_, o := c.Propose(make([]byte, 100), 2000)
+		carry(o)
+	}
+	for _, want := range []struct{ keep, most uint64 }{{20, 5}, {3, 3}} {
+		_, o := c.Propose(make([]byte, 100), 2000)
+		carry(o)
+		last := c.Commit()
+		carry(c.Compact(last, nil, want.keep, 2000))
+		bodies, ok := c.Entries(last - want.most)
+		require.True(t, ok && uint64(len(bodies)) == want.most)
+		_, ok = c.Entries(last - want.most - 1)
+		require.False(t, ok, "a snapshot stands for it")
+		_, ok = c.Entries(last + 1)
+		require.False(t, ok, "nobody is there yet")
+	}
+}
+
 // A member whose state is wrong is given the leader's, though it holds the log.
 func TestAStateThatIsWrongIsFetched(t *testing.T) {
 	w := newWorld(5, 3, 1)
