A difference that stands for more than a body may hold is tested

Need: taking the bound of a difference's result out was not caught, since the test's difference was short of bytes as well. Now nine copies of an eighth of the bound are refused. Result: caught when the bound is taken out.

--- a/internal/forge/state_test.go
+++ b/internal/forge/state_test.go
@@ -31,7 +31,7 @@
 	body    []byte // of it
 	under   []byte // under way
 	gap     int64
-	pad     int // bytes that are new in each version
+	pad     int  // bytes that are new in each version
 	calm    bool // no more changes
 	rate    int64
 }
--- a/internal/jig/diff_test.go
+++ b/internal/jig/diff_test.go
@@ -100,7 +100,14 @@
 		_, err := Patch(old, d)
 		require.ErrorIs(t, err, errDiff, name)
 	}
-	_, err := Read(append(bytes.Repeat([]byte(" "), Most), many(1, 1, same)...))
+	big := make([]byte, Most/8)
+	d := binary.AppendUvarint(nil, Most+Most/8)
+	for range 9 { // few bytes that stand for many
+		d = binary.AppendUvarint(append(d, 0, 0), Most/8)
+	}
+	_, err := Patch(big, d)
+	require.ErrorIs(t, err, errDiff)
+	_, err = Read(append(bytes.Repeat([]byte(" "), Most), many(1, 1, same)...))
 	require.ErrorContains(t, err, "at most")
 }
 
