--- a/internal/drawer/drawer_test.go
+++ b/internal/drawer/drawer_test.go
@@ -98,6 +98,42 @@
 	}
 }
 
+// A file that was cut anywhere, also in what was synced, is what was there after an earlier step, or that of a member that
+// knows nothing and has a name of its own; and it takes what comes.
+func TestAFileCutAnywhereIsAnEarlierOneOrNone(t *testing.T) {
+	folder := t.TempDir()
+	d, _, _, err := Open(folder, fresh)
+	require.NoError(t, err)
+	for _, s := range steps {
+		require.NoError(t, d.Store([]ratchet.Write{s.write}))
+	}
+	require.NoError(t, d.Close())
+	whole, err := os.ReadFile(filepath.Join(folder, "ratchet.db"))
+	require.NoError(t, err)
+	earlier, none := 0, 0
+	for at := 0; at < len(whole); at += 1 + len(whole)/30 {
+		other := t.TempDir()
+		require.NoError(t, os.WriteFile(filepath.Join(other, "ratchet.db"), whole[:at], 0o600))
+		got, id := held(t, other)
+		found := id == "learner" && got == "v0  s0 []"
+		none += map[bool]int{true: 1}[found]
+		for n, was := 0, "v0  s0 []"; n < len(steps) && !found; n++ {
+			found, was = id == "a" && reached(got, was, n), steps[n].want
+			earlier += map[bool]int{true: 1}[found]
+		}
+		require.True(t, found, "cut at %d of %d: %s holds %s", at, len(whole), id, got)
+		d, _, kept, err := Open(other, fresh)
+		require.NoError(t, err)
+		next := kept.Snapshot.Index + uint64(len(kept.Entries)) + 1
+		require.NoError(t, d.Store([]ratchet.Write{{From: next, Entries: []ratchet.Entry{entry(9, "after")}}}))
+		require.NoError(t, d.Close())
+		got, _ = held(t, other)
+		require.Contains(t, got, "9after")
+	}
+	require.Positive(t, none)
+	require.Greater(t, earlier, 12)
+}
+
 // reached says whether what is held is what a torn step may leave: as before, as after, or on the way, which takes only
 // what that step was to take.
 func reached(got, was string, n int) bool {
--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -500,7 +500,7 @@
 			}
 			seq := writes[len(writes)-1].Seq
 			f.queue.Put(arbor.Outcomes, func() { f.Saved(seq) })
-			if err := f.drawer.Shrink(8 << 20); err != nil {
+			if err := f.drawer.Shrink(2 << 20); err != nil {
 				f.log.Error("the file can't be made small", "error", err)
 			}
 		}
--- a/internal/forge/state_test.go
+++ b/internal/forge/state_test.go
@@ -243,7 +243,12 @@
 		if l := w.leader(); l != nil && w.Odds(2) {
 			p = l
 		}
-		how := w.Chance.IntN(3)
+		how := w.Chance.IntN(4)
+		old := p.disk
+		if how == 3 { // it comes back with a file of some time ago
+			old.Entries = slices.Clone(old.Entries)
+			w.Play(w.Between(500, 6000))
+		}
 		if how == 2 {
 			p.cut = true
 		} else {
@@ -259,6 +264,9 @@
 			p.start()
 		case 1:
 			p.start()
+		case 3:
+			p.disk = old
+			p.start()
 		}
 		p.cut = false
 		was := w.version
--- a/internal/ratchet/log.go
+++ b/internal/ratchet/log.go
@@ -206,7 +206,8 @@
 		}
 	case Refuse:
 		p.sentAt = 0
-		p.next = max(p.match+1, min(m.Index+1, p.next-1), 1)
+		p.match = min(p.match, m.Index) // less than it said it had: its disk was put back to an older one
+		p.next = max(min(m.Index+1, p.next-1), 1)
 		c.feed(m.From, p)
 	case InstallReply:
 		c.taken(m, p)
--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -271,7 +271,9 @@
 	switch m.Kind {
 	case Heartbeat:
 		c.send(Message{Kind: HeartbeatReply, To: m.From, Sent: m.Sent})
-		c.commitTo(m.Commit)
+		if c.commitTo(m.Commit); m.Commit > c.last() { // it is told of what it had, and its disk has no more
+			c.send(Message{Kind: Refuse, To: m.From, Index: c.last()})
+		}
 	case Append:
 		c.appended(m)
 	case Install:
