--- a/internal/ratchet/snapshot_test.go
+++ b/internal/ratchet/snapshot_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/zeebo/blake3"
+
+	"ferrypitch/internal/lab/stage"
 )
 
 // mangled has messages lost, doubled and reordered, and parts of snapshots changed on their way.
@@ -296,6 +298,54 @@
 	require.Empty(t, w.Broken, w.report())
 }
 
+// A member whose disk was put back to an older one is brought what it lacks, also where no change comes any more.
+func TestAMemberWithAnOlderDiskIsCaughtUp(t *testing.T) {
+	w := newWorld(5, 3, 1)
+	w.calm = true
+	w.In(500, w.propose)
+	w.Play(3000)
+	var m *member
+	for _, o := range w.members {
+		if !o.core.IsLeader() {
+			m = o
+		}
+	}
+	old := m.disk
+	old.Entries = slices.Clone(old.Entries)
+	w.Play(3000)
+	w.Stage = stage.New(5, w.Now, 1) // nothing is proposed any more
+	m.crash(true)
+	m.disk = old
+	for _, o := range w.members {
+		if o != m {
+			o.tick(o.life)
+		}
+	}
+	m.start()
+	w.Play(3000)
+	require.Equal(t, len(w.order)-1, int(m.core.Commit()))
+	require.Empty(t, w.Broken, w.report())
+}
+
+// What a member said that it had, and has no more, counts for nothing.
+func TestWhatAnOlderDiskLacksDoesNotCount(t *testing.T) {
+	c := New("a", Usual(1), Restored{}, []ID{"a", "b", "c"}, func() float64 { return 0 }, 1000)
+	c.meta.View, c.role, c.leader, c.heard, c.ledAt = 1, leader, "a", true, 2000
+	c.peers = map[ID]*progress{}
+	c.follow()
+	var o Out
+	for range 5 {
+		_, o = c.Propose([]byte("x"), 2000)
+	}
+	say := func(k Kind, index uint64) { c.Step(Message{Kind: k, From: "b", To: "a", View: 1, Index: index}, 2010) }
+	say(Accept, 5)
+	say(Refuse, 2)
+	c.Saved(o.Writes[len(o.Writes)-1].Seq, 2020)
+	require.EqualValues(t, 2, c.Commit(), "only this member holds the rest")
+	say(Accept, 5)
+	require.EqualValues(t, 5, c.Commit())
+}
+
 func FuzzInstall(f *testing.F) {
 	f.Add(uint64(9), uint64(5), uint64(0), []byte("state"), uint64(1))
 	f.Add(uint64(9), uint64(1)<<60, uint64(3), []byte("state"), uint64(2))
