--- a/internal/ratchet/log.go
+++ b/internal/ratchet/log.go
@@ -126,7 +126,11 @@
 }
 
 func (c *Core) feed(id ID, p *progress) {
-	if p.sentAt != 0 && c.now < p.sentAt+c.Again {
+	again := c.Again
+	if p.transfer != nil { // a part is acknowledged before it is on disk
+		again = 2 * c.Beat
+	}
+	if p.sentAt != 0 && c.now < p.sentAt+again {
 		return
 	}
 	if p.transfer != nil || p.refetch || p.next <= c.floor() {
@@ -215,7 +219,8 @@
 		}
 	case Refuse:
 		p.sentAt = 0
-		p.next = max(p.match+1, min(m.Index+1, p.next-1), 1)
+		p.match = min(p.match, m.Index) // less than it said it had: its disk was put back to an older one
+		p.next = max(min(m.Index+1, p.next-1), 1)
 		c.feed(m.From, p)
 	case InstallReply:
 		c.taken(m, p)
--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -305,6 +305,9 @@
 	case Heartbeat:
 		c.commitTo(m.Commit)
 		c.send(Message{Kind: HeartbeatReply, To: m.From, Sent: m.Sent, Index: c.settled, Granted: c.departure.begun})
+		if m.Commit > c.last() { // it is told of what it had, and its disk has no more
+			c.send(Message{Kind: Refuse, To: m.From, Index: c.last()})
+		}
 	case Append:
 		c.appended(m)
 	case Install:
--- a/internal/ratchet/snapshot_test.go
+++ b/internal/ratchet/snapshot_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/zeebo/blake3"
+
+	"ferrypitch/internal/lab/stage"
 )
 
 // mangled has messages lost, doubled and reordered, and parts of snapshots changed on their way.
@@ -167,7 +169,7 @@
 		p := *parts(9, state, 100)[0]
 		spoil(&p)
 		c.Step(install("b", 1, &p), 1010)
-		require.Nil(t, c.taking, name)
+		require.True(t, c.taking == nil, name)
 		require.EqualValues(t, 1, c.PartsIgnored, name)
 	}
 	c := lagging()
@@ -249,6 +251,34 @@
 	require.Greater(t, leader.Transfers, int64(1), "begun anew where it is hopeless")
 }
 
+// What a snapshot stands for stays at hand for members and routers that lag a little, bound by number and by bytes.
+func TestEntriesForThoseThatLagAreBoundByNumberAndBytes(t *testing.T) {
+	terms := Usual(1)
+	terms.Kept = 500
+	c := New("a", terms, Restored{}, []ID{"a"}, func() float64 { return 0 }, 1000)
+	carry := func(o Out) {
+		for ; len(o.Writes) > 0; o = c.Saved(o.Writes[len(o.Writes)-1].Seq, 2000) {
+		}
+	}
+	carry(c.Tick(1500))
+	for range 30 {
+		_, o := c.Propose(make([]byte, 100), 2000)
+		carry(o)
+	}
+	for _, want := range []struct{ keep, most uint64 }{{20, 5}, {3, 3}} {
+		_, o := c.Propose(make([]byte, 100), 2000)
+		carry(o)
+		last := c.Commit()
+		carry(c.Compact(last, nil, want.keep, 2000))
+		bodies, ok := c.Entries(last - want.most)
+		require.True(t, ok && uint64(len(bodies)) == want.most)
+		_, ok = c.Entries(last - want.most - 1)
+		require.False(t, ok, "a snapshot stands for it")
+		_, ok = c.Entries(last + 1)
+		require.False(t, ok, "nobody is there yet")
+	}
+}
+
 // A member whose state is wrong is given the leader's, though it holds the log.
 func TestAStateThatIsWrongIsFetched(t *testing.T) {
 	w := newWorld(5, 3, 1)
@@ -268,6 +298,54 @@
 	require.Empty(t, w.Broken, w.report())
 }
 
+// A member whose disk was put back to an older one is brought what it lacks, also where no change comes any more.
+func TestAMemberWithAnOlderDiskIsCaughtUp(t *testing.T) {
+	w := newWorld(5, 3, 1)
+	w.calm = true
+	w.In(500, w.propose)
+	w.Play(3000)
+	var m *member
+	for _, o := range w.members {
+		if !o.core.IsLeader() {
+			m = o
+		}
+	}
+	old := m.disk
+	old.Entries = slices.Clone(old.Entries)
+	w.Play(3000)
+	w.Stage = stage.New(5, w.Now, 1) // nothing is proposed any more
+	m.crash(true)
+	m.disk = old
+	for _, o := range w.members {
+		if o != m {
+			o.tick(o.life)
+		}
+	}
+	m.start()
+	w.Play(3000)
+	require.Equal(t, len(w.order)-1, int(m.core.Commit()))
+	require.Empty(t, w.Broken, w.report())
+}
+
+// What a member said that it had, and has no more, counts for nothing.
+func TestWhatAnOlderDiskLacksDoesNotCount(t *testing.T) {
+	c := New("a", Usual(1), Restored{}, []ID{"a", "b", "c"}, func() float64 { return 0 }, 1000)
+	c.meta.View, c.role, c.leader, c.heard, c.ledAt = 1, leader, "a", true, 2000
+	c.peers = map[ID]*progress{}
+	c.follow()
+	var o Out
+	for range 5 {
+		_, o = c.Propose([]byte("x"), 2000)
+	}
+	say := func(k Kind, index uint64) { c.Step(Message{Kind: k, From: "b", To: "a", View: 1, Index: index}, 2010) }
+	say(Accept, 5)
+	say(Refuse, 2)
+	c.Saved(o.Writes[len(o.Writes)-1].Seq, 2020)
+	require.EqualValues(t, 2, c.Commit(), "only this member holds the rest")
+	say(Accept, 5)
+	require.EqualValues(t, 5, c.Commit())
+}
+
 func FuzzInstall(f *testing.F) {
 	f.Add(uint64(9), uint64(5), uint64(0), []byte("state"), uint64(1))
 	f.Add(uint64(9), uint64(1)<<60, uint64(3), []byte("state"), uint64(2))
