--- a/internal/forge/calls.go
+++ b/internal/forge/calls.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -68,7 +69,11 @@
 		return
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, c.Most+1))
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded): // this process may have stood still meanwhile: that is no judgement on the call
+		tell(w, telltale.NoLeader, "it did not come in time")
+		return
+	case err != nil:
 		tell(w, telltale.BadBody, "it did not come whole")
 		return
 	}
@@ -117,7 +122,7 @@
 // handle answers a call if this member leads, and else passes it on to the one that does, once.
 func (f *Forge) handle(in call, pass bool, answer func(int, []byte)) {
 	c, id, ok := find(in.method, in.path)
-	leader := f.core.Leader()
+	leader := f.core.Heard(f.clock.Now())
 	switch {
 	case !ok:
 		refuse(answer, telltale.NoCall, nil)
--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -56,6 +56,9 @@
 
 	delivering bool
 
+	led    int64 // what makes this member's clock led time (rack.Change), while it leads
+	orders orders
+
 	Counts
 }
 
@@ -287,6 +290,7 @@
 	case holds && !f.leads:
 		f.leads = true
 		f.Views.Add(1)
+		f.led = f.state.Led - now
 		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.core.View(), f.plate.BeatMs, now)
 		f.hoist.Log = func(service, what, host string) { f.log.Info(what, "service", service, "host", host) }
 		f.log.Info("leads", "view", f.core.View(), "members", f.core.Members())
@@ -433,7 +437,9 @@
 
 // propose puts a change in the log; done is told once it is delivered, or that this is not known.
 func (f *Forge) propose(c rack.Change, done func(error)) {
-	index, out := f.core.Propose(rack.Encode(c), f.clock.Now())
+	now := f.clock.Now()
+	c.Led = now + f.led
+	index, out := f.core.Propose(rack.Encode(c), now)
 	if index == 0 {
 		done(errUnclear)
 		return
@@ -514,20 +520,11 @@
 		case <-reload:
 			f.queue.Put(arbor.Lists, f.reread)
 		case <-signals:
-			handed := make(chan struct{})
-			f.queue.Put(arbor.Lists, func() {
-				f.ending = true
-				if f.core.IsLeader() {
-					f.log.Info("hands its view over")
-					f.carry(f.core.TransferLeadership(f.clock.Now()))
-				}
-				close(handed)
-			})
-			<-handed
+			f.queue.Put(arbor.Lists, f.End)
 			for range 30 { // until another leads, and what is under way is answered
 				time.Sleep(50 * time.Millisecond)
 				over := make(chan bool, 1)
-				f.queue.Put(arbor.Lists, func() { over <- !f.core.IsLeader() && len(f.passed) == 0 })
+				f.queue.Put(arbor.Lists, func() { over <- f.Ended() })
 				if <-over {
 					time.Sleep(100 * time.Millisecond)
 					return
@@ -538,6 +535,18 @@
 	}
 }
 
+// End has this member hand on what it has. It may stop once it is Ended, and serves on until then.
+func (f *Forge) End() {
+	f.ending = true
+	if f.core.IsLeader() {
+		f.log.Info("hands its view over")
+		f.carry(f.core.TransferLeadership(f.clock.Now()))
+	}
+}
+
+// Ended says that another leads, and what is under way is answered.
+func (f *Forge) Ended() bool { return !f.core.IsLeader() && len(f.passed) == 0 }
+
 // reread takes the settings in anew. Addresses of this machine stay as they were at its start.
 func (f *Forge) reread() {
 	p, err := nameplate.Read()
--- a/internal/forge/passing.go
+++ b/internal/forge/passing.go
@@ -1,6 +1,7 @@
 package forge
 
 import (
+	"maps"
 	"slices"
 
 	"ferrypitch/internal/belt"
@@ -90,11 +91,16 @@
 	delete(p.passed, serial)
 }
 
-// expire forgets calls whose callers wait no longer.
-func (p *passing) expire(now int64) {
-	for serial, c := range p.passed {
-		if now > c.until {
-			p.over(serial)
+// expire tells the callers whose time is over, or whose call is with a member that leads no more, that no answer comes.
+func (f *Forge) expire(now int64) {
+	if len(f.passed) == 0 {
+		return
+	}
+	leader := f.core.Heard(now)
+	for _, serial := range slices.Sorted(maps.Keys(f.passed)) {
+		if c := f.passed[serial]; now > c.until || c.to != leader {
+			f.over(serial)
+			refuse(c.answer, telltale.NoLeader, nil)
 		}
 	}
 }
--- a/internal/forge/tongs.go
+++ b/internal/forge/tongs.go
@@ -86,10 +86,11 @@
 	if q.Verb == hoist.Pause || q.Verb == hoist.StepDown {
 		text += " " + strconv.FormatUint(q.Term, 10)
 	}
+	until := time.Now().Add(within) // from the decision on: a process that stood still since asks nothing
 	f.tasks.Go(func() error {
 		r := hoist.Reply{To: q}
 		h := t.take(q.Host)
-		a, err := t.answer(&h, host, q.Verb, text)
+		a, err := t.answer(&h, host, q.Verb, text, until)
 		var code *codeError
 		switch {
 		case errors.As(err, &code):
@@ -134,8 +135,7 @@
 
 // answer asks on a connection that is kept, or on a new one where that has ended and the table of calls lets the question
 // be asked again.
-func (t *tongs) answer(h **held, host rack.Host, verb hoist.Verb, text string) (scribe.Answer, error) {
-	until := time.Now().Add(within)
+func (t *tongs) answer(h **held, host rack.Host, verb hoist.Verb, text string, until time.Time) (scribe.Answer, error) {
 	if *h != nil {
 		a, moment, err := (*h).ask(text, until)
 		if err == nil {
@@ -256,8 +256,10 @@
 func (f *Forge) promote(p hoist.Promotion) {
 	address := f.plate.Provider.Address
 	f.log.Info("a host is named to the platform", "service", p.Service, "host", p.Host, "fence", p.Fence)
+	ctx, end := context.WithTimeout(f.ctx, 900*time.Millisecond) // from the decision on
 	f.tasks.Go(func() error {
-		o := f.call(address, p)
+		defer end()
+		o := f.call(ctx, address, p)
 		f.queue.Put(arbor.Outcomes, func() { f.Called(p, o) })
 		return nil
 	})
@@ -272,9 +274,7 @@
 	f.tend()
 }
 
-func (f *Forge) call(address string, p hoist.Promotion) hoist.Outcome {
-	ctx, end := context.WithTimeout(f.ctx, 900*time.Millisecond)
-	defer end()
+func (f *Forge) call(ctx context.Context, address string, p hoist.Promotion) hoist.Outcome {
 	body, _ := json.Marshal(map[string]string{"Service": p.Service, "Id": p.Host})
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/promotion", address), bytes.NewReader(body))
 	if err != nil {
--- a/internal/rack/packed.go
+++ b/internal/rack/packed.go
@@ -35,7 +35,7 @@
 
 // Pack is an order, checked here with this plan for a result, as the log is to carry it.
 func (s *State) Pack(c *Configure, plan *jig.Plan) *Configure {
-	p := &Configure{Base: c.Base, Amend: c.Amend, Body: plan.Body, Packed: Packed{Sent: digest(c), Was: s.sum, Whole: digestOf(plan.Body)}}
+	p := &Configure{Base: c.Base, Amend: c.Amend, Body: plan.Body, Packed: Packed{Sent: c.Identity().Sum, Was: s.sum, Whole: digestOf(plan.Body)}}
 	if s.plan != nil {
 		if d := jig.Diff(s.plan, plan); len(d) < len(plan.Body) {
 			p.Body, p.Diff = nil, d
@@ -64,12 +64,12 @@
 	return jig.Next(s.plan, body)
 }
 
-func (c *Configure) encode() []byte {
+func (c *Configure) encode(led int64) []byte {
 	b := append(make([]byte, 0, 80+len(c.Body)+len(c.Diff)), packed, 1, 0)
 	if c.Amend {
 		b[2] = 1
 	}
-	b = binary.AppendVarint(b, c.Base)
+	b = binary.AppendVarint(binary.AppendVarint(b, led), c.Base)
 	for _, sum := range [][16]byte{c.Sent, c.Was, c.Whole} {
 		b = append(b, sum[:]...)
 	}
@@ -78,26 +78,29 @@
 }
 
 // decodeConfigure refuses what no Configure gives.
-func decodeConfigure(b []byte) (*Configure, error) {
+func decodeConfigure(b []byte) (c *Configure, led int64, err error) {
 	bad := fmt.Errorf("a configuration of %d bytes in the log: not whole", len(b))
 	if len(b) < 3 || b[1] != 1 || b[2] > 1 {
-		return nil, bad
+		return nil, 0, bad
 	}
-	c := &Configure{Amend: b[2] == 1}
-	base, n := binary.Varint(b[3:])
-	if n <= 0 {
-		return nil, bad
+	c = &Configure{Amend: b[2] == 1}
+	b = b[3:]
+	for _, v := range []*int64{&led, &c.Base} {
+		n := 0
+		if *v, n = binary.Varint(b); n <= 0 {
+			return nil, 0, bad
+		}
+		b = b[n:]
 	}
-	c.Base, b = base, b[3+n:]
 	for _, sum := range []*[16]byte{&c.Sent, &c.Was, &c.Whole} {
 		if len(b) < 16 {
-			return nil, bad
+			return nil, 0, bad
 		}
 		*sum, b = [16]byte(b[:16]), b[16:]
 	}
 	size, n := binary.Uvarint(b)
 	if n <= 0 || size > uint64(len(b)-n) {
-		return nil, bad
+		return nil, 0, bad
 	}
 	b = b[n:]
 	if size > 0 {
@@ -106,5 +109,5 @@
 	if rest := b[size:]; len(rest) > 0 {
 		c.Body = rest
 	}
-	return c, nil
+	return c, led, nil
 }
