A kept connection that ended, was reset or talks by itself is seen before it is used

Need: the look at a connection at rest was tested on scripted connections only. Change: a test on loopback. Result: passes; with the look taken out (always at rest) it fails in each of its three cases.

--- a/internal/forge/tongs_test.go
+++ b/internal/forge/tongs_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ferrypitch/internal/detent"
 	"ferrypitch/internal/hoist"
 	"ferrypitch/internal/rack"
 )
@@ -125,3 +126,30 @@
 	require.Error(t, err)
 	require.Empty(t, said)
 }
+
+// What is kept is looked at before it is used: whether it has ended, or says something that nobody asked for.
+func TestAConnectionAtRestIsLookedAt(t *testing.T) {
+	for name, do := range map[string]func(host net.Conn){
+		"ended":   func(host net.Conn) { host.Close() },
+		"reset":   func(host net.Conn) { host.(*net.TCPConn).SetLinger(0); host.Close() },
+		"talking": func(host net.Conn) { host.Write([]byte(row)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			c, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer c.Close()
+			host, err := l.Accept()
+			require.NoError(t, err)
+			defer host.Close()
+			require.False(t, spoken(c), "it is at rest")
+			do(host)
+			require.Eventually(t, func() bool { return spoken(c) }, 5*time.Second, time.Millisecond)
+			_, m, err := (&held{conn: c}).ask("PAUSE 7", time.Now().Add(time.Second))
+			require.ErrorIs(t, err, errStale)
+			require.Equal(t, detent.Unsaid, m)
+		})
+	}
+}
