--- a/internal/forge/passing.go
+++ b/internal/forge/passing.go
@@ -91,17 +91,15 @@
 	delete(p.passed, serial)
 }
 
-// expire tells the callers whose time is over, or whose call is with a member that leads no more, that no answer comes.
+// expire gives up calls whose callers wait no longer, and those at a member that is not heard as the leader any more.
 func (f *Forge) expire(now int64) {
-	if len(f.passed) == 0 {
-		return
-	}
-	leader := f.core.Heard(now)
 	for _, serial := range slices.Sorted(maps.Keys(f.passed)) {
-		if c := f.passed[serial]; now > c.until || c.to != leader {
-			f.over(serial)
-			refuse(c.answer, telltale.NoLeader, nil)
+		p := f.passed[serial]
+		if now <= p.until && p.to == f.core.Heard(now) {
+			continue
 		}
+		f.over(serial)
+		refuse(p.answer, telltale.NoLeader, nil)
 	}
 }
 
--- a/internal/forge/tongs_test.go
+++ b/internal/forge/tongs_test.go
@@ -87,7 +87,7 @@
 				fresh := &socket{said: &said, writes: -1, comes: idle, then: row}
 				dials := 0
 				tongs := &tongs{dial: func(string, time.Duration) (net.Conn, error) { dials++; return fresh, nil }}
-				a, err := tongs.answer(&h, rack.Host{ID: "h1", Service: "db", Address: "h1:1"}, verb, verb.Text(), time.Now().Add(time.Second))
+				a, err := tongs.answer(&h, rack.Host{ID: "h1", Service: "db", Address: "h1:1"}, verb, verb.Text(), time.Now().Add(within))
 				require.Len(t, said, want)
 				if err != nil {
 					require.Zero(t, dials, "it was given up, and nothing else begun")
@@ -115,14 +115,14 @@
 		fresh := &socket{said: &said, writes: -1, comes: comes, fails: io.EOF}
 		tongs := &tongs{dial: func(string, time.Duration) (net.Conn, error) { return fresh, nil }}
 		var h *held
-		_, err := tongs.answer(&h, rack.Host{ID: "h1", Service: "db", Address: "h1:1"}, hoist.Pause, "PAUSE 4", time.Now().Add(time.Second))
+		_, err := tongs.answer(&h, rack.Host{ID: "h1", Service: "db", Address: "h1:1"}, hoist.Pause, "PAUSE 4", time.Now().Add(within))
 		require.ErrorContains(t, err, want)
 		require.Nil(t, h)
 		require.True(t, fresh.closed)
 	}
 	tongs := &tongs{dial: func(string, time.Duration) (net.Conn, error) { return nil, errors.New("refused") }}
 	var h *held
-	_, err := tongs.answer(&h, rack.Host{}, hoist.Pause, "PAUSE 4", time.Now().Add(time.Second))
+	_, err := tongs.answer(&h, rack.Host{}, hoist.Pause, "PAUSE 4", time.Now().Add(within))
 	require.Error(t, err)
 	require.Empty(t, said)
 }
--- a/internal/ratchet/cutoff_test.go
+++ b/internal/ratchet/cutoff_test.go
@@ -176,6 +176,6 @@
 	require.Empty(t, c.Step(Message{Kind: Append, From: "a", To: "b", View: 3, Entries: []Entry{{View: 3, Body: []byte("x")}}}, 1010))
 	require.Empty(t, c.Step(Message{Kind: Heartbeat, From: "a", To: "b", View: 3, Sent: 1}, 1011))
 	require.Zero(t, c.View())
-	require.EqualValues(t, 2, c.Misdirected)
+	require.EqualValues(t, 2, c.Strays)
 	require.NotEmpty(t, c.Step(Message{Kind: Heartbeat, From: "a", To: "b+1", View: 3, Sent: 1}, 1012).Messages)
 }
--- a/internal/ratchet/ratchet_test.go
+++ b/internal/ratchet/ratchet_test.go
@@ -28,6 +28,9 @@
 	calm       bool
 	slow       bool   // disks
 	out        string // a defence taken out
+	mangle     func(m *Message) (copies int)
+	leaving    int  // members that are told to end, and have not ended
+	still      bool // nothing else strikes
 }
 
 type member struct {
@@ -158,6 +161,13 @@
 		took = w.Between(1, 600)
 	}
 	life := to.life
+	if w.mangle != nil {
+		for range w.mangle(&msg) {
+			again := msg
+			w.In(w.Between(1, 60), func() { to.do(life, func() { to.carry(to.core.Step(again, w.Now)) }) })
+		}
+		return
+	}
 	w.In(took, func() {
 		if !to.cut[from.address] {
 			to.do(life, func() { to.carry(to.core.Step(msg, w.Now)) })
@@ -275,7 +285,7 @@
 
 func (w *world) strike() {
 	w.In(w.Between(300, 2500), w.strike)
-	if w.calm || w.lostNow() >= w.lost {
+	if w.calm || w.still || w.lostNow()+w.leaving >= w.lost {
 		return
 	}
 	m := w.members[w.Chance.IntN(len(w.members))]
