Messages of the log count only from their sender's address

Need: Ask and Answer are taken by the address that their connection comes from; votes, heartbeats and entries were taken on their word alone. Ruled out: a list of addresses (learners come at new ones; each names its own). Change: such a message is ignored and counted as messages_of_another.

--- a/internal/forge/callers_test.go
+++ b/internal/forge/callers_test.go
@@ -392,6 +392,16 @@
 	}
 }
 
+// A message of the log counts from where its sender is.
+func TestAMessageOfTheLogCountsOnlyFromItsSender(t *testing.T) {
+	for from, leads := range map[string]ratchet.ID{"10.0.0.2": "10.0.0.2", "10.0.0.3": "", "10.9.9.9": ""} {
+		d := newDesk("10.0.0.1", "10.0.0.1", "10.0.0.2", "10.0.0.3")
+		d.f.Hear(from, &belt.Frame{Core: &ratchet.Message{Kind: ratchet.Heartbeat, From: "10.0.0.2", To: "10.0.0.1", View: 4, Sent: 1}})
+		require.Equal(t, leads, d.f.core.Leader(), "from %s", from)
+		require.EqualValues(t, map[bool]int64{true: 1}[leads == ""], d.f.counts()["messages_of_another"])
+	}
+}
+
 // What is out is bounded in number and bytes, and what came by whom as well.
 func TestWhatIsPassedOnIsBounded(t *testing.T) {
 	d := newDesk("10.0.0.1", "10.0.0.1", "10.0.0.2", "10.0.0.3")
--- a/internal/forge/passing.go
+++ b/internal/forge/passing.go
@@ -60,13 +60,14 @@
 	answerLife                 // to another life or another member's call
 	answerOther                // from another member than was asked
 	answerOdd                  // no status
+	messageAstray              // of the log: not from where its sender is
 	replyStray                 // of a host or the platform, to no question of this view that is out
 	strays
 )
 
 var strayNames = [strays]string{askUnknown: "asks_of_unknown", askElsewhere: "asks_misdirected", askTwice: "asks_repeated",
 	askTooMany: "asks_over_limit", answerUnknown: "answers_to_nothing", answerLate: "answers_late", answerLife: "answers_of_other_life",
-	answerOther: "answers_of_other_member", answerOdd: "answers_malformed", replyStray: "replies_stray"}
+	answerOther: "answers_of_other_member", answerOdd: "answers_malformed", messageAstray: "messages_of_another", replyStray: "replies_stray"}
 
 func (f *Forge) ignored(why stray) { f.Strays[why].Add(1) }
 
--- a/internal/forge/routers.go
+++ b/internal/forge/routers.go
@@ -89,6 +89,8 @@
 // Hear takes in a frame of another member, from the address that its connection came from.
 func (f *Forge) Hear(from string, frame *belt.Frame) {
 	switch {
+	case frame.Core != nil && frame.Core.From.Address() != from:
+		f.ignored(messageAstray)
 	case frame.Core != nil:
 		f.carry(f.core.Step(*frame.Core, f.clock.Now()))
 	case frame.Ask != nil:
