--- a/internal/rack/taken.go
+++ b/internal/rack/taken.go
@@ -27,6 +27,9 @@
 
 // Identity of an order. It does not hang on how the log carries the change.
 func (c *Configure) Identity() Identity {
+	if c.isPacked() {
+		return Identity{c.Base, c.Sent}
+	}
 	h := blake3.New()
 	if c.Amend {
 		h.Write([]byte{1}) // no body that can be read begins so
--- a/internal/ratchet/cutoff_test.go
+++ b/internal/ratchet/cutoff_test.go
@@ -132,6 +132,24 @@
 	}
 }
 
+// That some have heard no leader in their lives proves nothing while one that may lead has not said so.
+func TestTwoFreshMembersOfThreeWaitForTheirPromises(t *testing.T) {
+	b := newBare(t, "a", "b", "c")
+	b.elect("c", "a")
+	b.cores["c"].beatAt = 0
+	b.tick("c")
+	b.bring(func(m Message) bool { return true })
+	b.start("a", "a", "b", "c")
+	b.start("b", "a", "b", "c")
+	for range 15 {
+		b.now += 40
+		b.tick("a")
+		b.tick("b")
+		b.bring(between("a", "b"))
+		require.LessOrEqual(t, len(b.holders()), 1, "%v hold a view", b.holders())
+	}
+}
+
 // Who joins knows its seeds only: the one that leads need not be among them.
 func TestALearnerJoinsByAFollower(t *testing.T) {
 	b := newBare(t, "a", "b", "c")
@@ -151,3 +169,13 @@
 	require.Equal(t, b.cores["c"].Commit(), b.cores["d+1"].Commit())
 	require.Equal(t, ID("c"), b.cores["d+1"].Leader())
 }
+
+// An empty disk at a member's address is another member: what is meant for the one before says nothing to it.
+func TestWhatIsMeantForAnEarlierMemberAtTheAddressIsIgnored(t *testing.T) {
+	c := New("b+1", Usual(1), Restored{}, nil, func() float64 { return 0 }, 1000)
+	require.Empty(t, c.Step(Message{Kind: Append, From: "a", To: "b", View: 3, Entries: []Entry{{View: 3, Body: []byte("x")}}}, 1010))
+	require.Empty(t, c.Step(Message{Kind: Heartbeat, From: "a", To: "b", View: 3, Sent: 1}, 1011))
+	require.Zero(t, c.View())
+	require.EqualValues(t, 2, c.Misdirected)
+	require.NotEmpty(t, c.Step(Message{Kind: Heartbeat, From: "a", To: "b+1", View: 3, Sent: 1}, 1012).Messages)
+}
