--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -23,7 +23,6 @@
 	"ferrypitch/internal/nameplate"
 	"ferrypitch/internal/rack"
 	"ferrypitch/internal/ratchet"
-	"ferrypitch/internal/telltale"
 	"ferrypitch/internal/vise"
 )
 
@@ -49,11 +48,12 @@
 	routers map[*Router]struct{}
 	met     uint64            // routers, in this life
 	waiting map[uint64]waiter // proposals, by index
-	passed  map[uint64]passed
-	serial  uint64
+	passing
 	seqs    map[string]int64 // the newest call of each host
 	ending  bool
 	astray  bool               // the state here is not the one that the log builds; it is restored from the leader's
+	endBy   int64              // the latest that its seat is waited for to be handed on
+	seats   []ratchet.ID       // the members as last logged
 	arrived []ratchet.Delivery // not applied yet
 
 	delivering bool
@@ -73,16 +73,11 @@
 	Store   func(w []ratchet.Write)             // in their order; ends in Saved
 }
 
-// passed is a call that another member was asked to answer.
-type passed struct {
-	answer func(belt.Answer)
-	until  int64
-	to     ratchet.ID
-}
-
 // Counts are what a member did.
 type Counts struct {
 	Calls, Refusals, Beats, Passed, Proposals, Leases, LeasesRefused, LeasesHeld, Questions, Promotions, Views, DiskFaults, Diverged atomic.Int64
+
+	Strays [strays]atomic.Int64 // what was ignored or refused, by why
 }
 
 // counts are by name, with those of fail-over while this member leads.
@@ -92,8 +87,11 @@
 		"questions":  f.Questions.Load(),
 		"promotions": f.Promotions.Load(), "views_led": f.Views.Load(), "disk_faults": f.DiskFaults.Load(),
 		"state_diverged": f.Diverged.Load(), "snapshots_begun": f.core.Transfers, "snapshots_installed": f.core.Installed,
-		"snapshot_parts_sent": f.core.PartsSent, "snapshot_parts_ignored": f.core.PartsIgnored, "messages_for_another": f.core.Misdirected,
+		"snapshot_parts_sent": f.core.PartsSent, "snapshot_parts_ignored": f.core.PartsIgnored, "log_messages_stray": f.core.Strays,
 		"link_bytes_sent": belt.Sent.Load(), "link_bytes_received": belt.Received.Load()}
+	for why, name := range strayNames {
+		all[name] = f.Strays[why].Load()
+	}
 	if f.mesh != nil {
 		all["frames_dropped"] = f.mesh.Drops.Load()
 	}
@@ -129,7 +127,7 @@
 		return err
 	}
 	defer d.Close()
-	f, err := New(plate, log, arbor.NewSteady(time.Now), id, kept, rand.Float64)
+	f, err := New(plate, log, arbor.NewSteady(time.Now), id, kept, rand.Float64, rand.Uint64())
 	if err != nil {
 		return err
 	}
@@ -179,11 +177,12 @@
 	})
 }
 
-// New readies a member from what its disk held; Wire comes before its first call. All calls are its owner's.
+// New readies a member from what its disk held; Wire comes before its first call. All calls are its owner's. life is drawn
+// anew for each life of its process.
 func New(plate *nameplate.Plate, log hclog.Logger, clock arbor.Steady, id drawer.Identity, kept ratchet.Restored,
-	chance func() float64) (*Forge, error) {
+	chance func() float64, life uint64) (*Forge, error) {
 	f := &Forge{plate: plate, log: log, clock: clock, queue: arbor.NewQueue(512), routers: map[*Router]struct{}{},
-		waiting: map[uint64]waiter{}, passed: map[uint64]passed{}, seqs: map[string]int64{}, id: id.ID}
+		waiting: map[uint64]waiter{}, passing: newPassing(life), seqs: map[string]int64{}, id: id.ID}
 	f.core = ratchet.New(id.ID, ratchet.Usual(plate.FaultBudget.Machines), kept, id.Founders, chance, clock.Now())
 	var err error
 	f.state, err = rack.Restore(kept.Snapshot.State)
@@ -198,13 +197,7 @@
 	now := f.clock.Now()
 	f.carry(f.core.Tick(now))
 	f.tend()
-	for serial, p := range f.passed {
-		if now <= p.until && p.to == f.core.Heard(now) {
-			continue
-		}
-		delete(f.passed, serial)
-		refuse(func(status int, body []byte) { p.answer(belt.Answer{Status: status, Body: body}) }, telltale.NoLeader, nil)
-	}
+	f.expire(now)
 	return f.leads && f.hoist.Active(f.state)
 }
 
@@ -300,7 +293,7 @@
 		f.leads = true
 		f.Views.Add(1)
 		f.led = f.state.Led - now
-		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.plate.BeatMs, now)
+		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.core.View(), f.plate.BeatMs, now)
 		f.hoist.Log = func(service, what, host string) { f.log.Info(what, "service", service, "host", host) }
 		f.log.Info("leads", "view", f.core.View(), "members", f.core.Members())
 	case (!f.core.IsLeader() || f.astray) && f.leads:
@@ -361,6 +354,10 @@
 	if f.astray {
 		return
 	}
+	if m := f.core.Members(); !slices.Equal(m, f.seats) {
+		f.seats = m
+		f.log.Info("the members", "members", m, "index", f.state.Index)
+	}
 	for _, r := range f.served() {
 		r.news(f, news)
 	}
@@ -472,7 +469,7 @@
 		f.Questions.Add(1)
 		h, known := f.state.Hosts[q.Host]
 		if !known { // it has left
-			f.hoist.Replied(hoist.Reply{Serial: q.Serial, Refused: true}, now)
+			f.hoist.Replied(hoist.Reply{To: q, Refused: true}, now)
 			continue
 		}
 		f.reach.Ask(q, h)
@@ -530,31 +527,44 @@
 			f.queue.Put(arbor.Lists, f.reread)
 		case <-signals:
 			f.queue.Put(arbor.Lists, f.End)
-			for range 30 { // until another leads, and what is under way is answered
-				time.Sleep(50 * time.Millisecond)
-				over := make(chan bool, 1)
-				f.queue.Put(arbor.Lists, func() { over <- f.Ended() })
-				if <-over {
+			for over := make(chan bool, 1); ; {
+				time.Sleep(30 * time.Millisecond)
+				if !f.queue.Put(arbor.Lists, func() { over <- f.Ended() }) || <-over {
 					time.Sleep(100 * time.Millisecond)
 					return
 				}
 			}
-			return
 		}
 	}
 }
 
-// End has this member hand on what it has. It may stop once it is Ended, and serves on until then.
+// End has this member hand on its seat and its view. It may stop once it is Ended; until then it serves on.
 func (f *Forge) End() {
-	f.ending = true
-	if f.core.IsLeader() {
-		f.log.Info("hands its view over")
-		f.carry(f.core.TransferLeadership(f.clock.Now()))
+	grace := int64(f.plate.Bounds.GraceS * 1000)
+	if grace == 0 {
+		grace = 6000
 	}
+	f.ending, f.endBy = true, f.clock.Now()+grace/2
+	f.log.Info("is to end", "leads", f.core.IsLeader(), "members", f.core.Members())
+	f.carry(f.core.Leave(f.clock.Now()))
 }
 
-// Ended says that another leads, and what is under way is answered.
-func (f *Forge) Ended() bool { return !f.core.IsLeader() && len(f.passed) == 0 }
+// Ended says that another has its seat, or none stands by to take it, and another leads, and what is under way is
+// answered; or that too much time has gone.
+func (f *Forge) Ended() bool {
+	now := f.clock.Now()
+	over, handed := f.core.Left()
+	switch {
+	case over && now < f.endBy:
+		f.endBy = now
+		f.log.Info("may end", "seat_handed_on", handed, "members", f.core.Members())
+	case !over && now < f.endBy:
+		return false
+	case !over: // no majority answers, or no learner holds all: its view at least is for another
+		f.carry(f.core.TransferLeadership(now))
+	}
+	return !f.core.IsLeader() && len(f.passed) == 0 || now > f.endBy+1500
+}
 
 // reread takes the settings in anew. Addresses of this machine stay as they were at its start.
 func (f *Forge) reread() {
--- a/internal/forge/silence_test.go
+++ b/internal/forge/silence_test.go
@@ -15,6 +15,7 @@
 
 	"ferrypitch/internal/hoist"
 	"ferrypitch/internal/nameplate"
+	"ferrypitch/internal/rack"
 )
 
 // agreed is a calm world whose members agree, with the one that leads and one that follows.
@@ -83,7 +84,7 @@
 		written <- n
 	}()
 	h := &held{conn: mine}
-	_, err := newTongs(f).answer(&h, "db", "127.0.0.1:1", "h1", "STEPDOWN 7", time.Now().Add(-time.Second))
+	_, err := newTongs(f).answer(&h, rack.Host{ID: "h1", Service: "db", Address: "127.0.0.1:1"}, hoist.StepDown, "STEPDOWN 7", time.Now().Add(-time.Second))
 	require.Error(t, err)
 	hosts.Close()
 	require.Zero(t, <-written, "a host is told to step down by a decision that is over")
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -344,7 +344,7 @@
 		if err != nil || plan == nil {
 			return err
 		}
-		s.plan, s.Config, s.Gen, s.sum = plan, plan.Body, plan.Generation, digestOf(plan.Body)
+		s.plan, s.Config, s.Gen, s.sum = plan, plan.Body, plan.Generation, whole(c.Configure, plan)
 		s.take(c.Configure.Identity())
 	case c.Enter != nil:
 		h := *c.Enter
--- a/internal/ratchet/snapshot.go
+++ b/internal/ratchet/snapshot.go
@@ -68,12 +68,13 @@
 type taking struct {
 	Part
 	by    uint64 // the view whose leader sent of it last
+	at    int64  // when it last grew
 	state []byte
 }
 
-// Counts are of snapshots, and of messages for an earlier member at this address.
+// Counts are of snapshots, and of messages that are no message for this member.
 type Counts struct {
-	PartsSent, PartsIgnored, Transfers, Installed, Misdirected int64
+	PartsSent, PartsIgnored, Transfers, Installed, Strays int64
 }
 
 // Compact lets a snapshot of the state up to an index that was delivered stand for the entries before; keep of them
@@ -174,14 +175,15 @@
 	}
 	have := c.taking
 	if have == nil || !have.of(t) {
-		if have != nil && have.by == m.View && have.Index >= t.Index || t.Offset != 0 {
+		// A leader goes on to newer ones only, so an older one is late, unless what is held has come to a stand.
+		if have != nil && have.by == m.View && have.Index > t.Index && c.now < have.at+2*c.Again || t.Offset != 0 {
 			c.PartsIgnored++
 			if have == nil {
 				reply(0)
 			}
 			return
 		}
-		have = &taking{Part: *t}
+		have = &taking{Part: *t, at: c.now}
 		have.Bytes = nil
 		c.taking = have
 	}
@@ -191,7 +193,7 @@
 		reply(len(have.state))
 		return
 	}
-	have.state = append(have.state, t.Bytes...)
+	have.state, have.at = append(have.state, t.Bytes...), c.now
 	if uint64(len(have.state)) < have.Size {
 		reply(len(have.state))
 		return
