A leader that hears nobody lets go of those that hear it; orders after a loss measured

Need: where a cut is one way, a leader that no answer reaches went on beating for two leases; its followers kept their promise to it, and no order was confirmed for 3.3 s. "Orders go on at the majority's side at once." Change: a leader whose lease is over binds nobody that it has not heard for a lease: it sends no heartbeat and no entries, only asks whether the member is there (a pre-vote of one that has nothing). An answer makes it heard again, and counts for no lease. It still keeps its view for two leases, to go on at once where a majority comes back. Ruled out: falling sooner. Where both followers were killed and are back after a second, a leader that has fallen waits for an election, and for the promises of the lives before.

--- a/internal/forge/cutoff_test.go
+++ b/internal/forge/cutoff_test.go
@@ -39,6 +39,7 @@
 	drift     float64
 	out       string // a defence taken out
 	calm      bool
+	still     bool     // operators send nothing more
 	held      []func() // messages that come once the cuts are over
 
 	chain    []link // versions that were taken, in order; the first is none
@@ -47,7 +48,6 @@
 	reads    int
 	answers  int // late ones: those of a member that stood still between judging and answering
 	leased   int
-	lastOK   int64
 }
 
 type link struct {
@@ -349,7 +349,7 @@
 }
 
 func (o *cutOperator) next() {
-	if o.w.calm && o.orders > 0 && o.w.Now > o.w.lastOK+100000 {
+	if o.w.still {
 		return
 	}
 	o.read(func() {
@@ -410,7 +410,7 @@
 			w.Broke("LOST: an order is confirmed and was not taken")
 			return
 		}
-		w.confirms, w.lastOK = w.confirms+1, w.Now
+		w.confirms++
 		w.tell(i)
 	case status == http.StatusPreconditionFailed:
 		w.refused++
--- a/internal/ratchet/election.go
+++ b/internal/ratchet/election.go
@@ -72,8 +72,18 @@
 	c.adopt()
 }
 
+// unheard says that a member was silent for so long that a leader which has lost its majority must not bind it any
+// more: it may hear well, and be heard by all others. It is only asked whether it is there.
+func (c *Core) unheard(p *progress) bool {
+	return c.now > p.heardAt+c.Lease && c.now > max(c.heldUntil(), c.ledAt+c.Lease)
+}
+
 func (c *Core) heartbeat(id ID) {
 	p := c.peers[id]
+	if c.unheard(p) {
+		c.send(Message{Kind: VoteRequest, To: id, PreVote: true}) // as one that has nothing, it stops no other
+		return
+	}
 	c.send(Message{Kind: Heartbeat, To: id, Sent: c.now, Commit: min(c.commit, p.match)})
 }
 
--- a/internal/ratchet/log.go
+++ b/internal/ratchet/log.go
@@ -101,7 +101,7 @@
 }
 
 func (c *Core) feed(id ID, p *progress) {
-	if p.sentAt != 0 && c.now < p.sentAt+c.Again {
+	if p.sentAt != 0 && c.now < p.sentAt+c.Again || c.unheard(p) {
 		return
 	}
 	if p.next > c.last() && p.match == c.last() {
--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -227,6 +227,9 @@
 			c.askAt = c.now
 			return
 		}
+		if p := c.peers[m.From]; c.role == leader && p != nil {
+			p.heardAt = c.now
+		}
 		if c.role == candidate && c.preVote {
 			c.votes[m.From] = c.votes[m.From] || m.Granted
 			c.fresh[m.From] = m.Fresh && m.Round == c.round
