--- a/internal/forge/cutoff_test.go
+++ b/internal/forge/cutoff_test.go
@@ -116,7 +116,7 @@
 	}
 	kept := m.disk
 	kept.Entries = slices.Clone(kept.Entries)
-	f, err := New(plate, hclog.NewNullLogger(), arbor.NewSteady(m.time), m.id, kept, w.Chance.Float64)
+	f, err := New(plate, hclog.NewNullLogger(), arbor.NewSteady(m.time), m.id, kept, w.Chance.Float64, uint64(m.life))
 	if err != nil {
 		panic(err)
 	}
@@ -190,7 +190,7 @@
 				f.Core.Transferred = true
 			}
 		}
-		to.do(to.life, func() { to.f.Hear(f) })
+		to.do(to.life, func() { to.f.Hear(m.ip, f) })
 	}
 	switch {
 	case how == "late" && !w.Odds(3):
@@ -314,11 +314,15 @@
 	}
 	first := max(1, slices.IndexFunc(w.chain, func(l link) bool { return l.sum == all[0].Sum })) // older ones are forgotten
 	for i, t := range all {
+		gen := m.f.state.Gen // what the next one builds on
+		if i+1 < len(all) {
+			gen = all[i+1].Base
+		}
 		switch at := first + i; {
 		case at >= len(w.chain):
-			w.chain = append(w.chain, link{gen: t.Generation, sum: t.Sum, at: w.Now})
-		case w.chain[at].gen != t.Generation || w.chain[at].sum != t.Sum:
-			w.Broke("%s took %d in place %d, where %d was", m.ip, t.Generation, at, w.chain[at].gen)
+			w.chain = append(w.chain, link{gen: gen, sum: t.Sum, at: w.Now})
+		case w.chain[at].gen != gen || w.chain[at].sum != t.Sum:
+			w.Broke("%s took %d in place %d, where %d was", m.ip, gen, at, w.chain[at].gen)
 		}
 	}
 }
@@ -761,7 +765,7 @@
 			continue
 		}
 		for _, m := range w.members {
-			if m.up && m.f.leads && !slices.ContainsFunc(m.f.state.Taken, func(t rack.Digest) bool { return t.Sum == l.sum }) && i > len(w.chain)-100 {
+			if m.up && m.f.leads && !slices.ContainsFunc(m.f.state.Taken, func(t rack.Taken) bool { return t.Sum == l.sum }) && i > len(w.chain)-100 {
 				w.Broke("LOST: %d was told and is gone", l.gen)
 			}
 		}
--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -22,7 +23,6 @@
 	"ferrypitch/internal/nameplate"
 	"ferrypitch/internal/rack"
 	"ferrypitch/internal/ratchet"
-	"ferrypitch/internal/telltale"
 	"ferrypitch/internal/vise"
 )
 
@@ -46,15 +46,19 @@
 	leads   bool // this member has begun to act as the one that leads
 	mesh    *belt.Mesh
 	routers map[*Router]struct{}
+	met     uint64            // routers, in this life
 	waiting map[uint64]waiter // proposals, by index
-	passed  map[uint64]passed
-	serial  uint64
+	passing
 	seqs    map[string]int64 // the newest call of each host
 	ending  bool
+	astray  bool               // the state here is not the one that the log builds; it is restored from the leader's
 	arrived []ratchet.Delivery // not applied yet
 
 	delivering bool
 
+	led    int64 // what makes this member's clock led time (rack.Change), while it leads
+	orders orders
+
 	Counts
 }
 
@@ -67,16 +71,11 @@
 	Store   func(w []ratchet.Write)             // in their order; ends in Saved
 }
 
-// passed is a call that another member was asked to answer.
-type passed struct {
-	answer func(belt.Answer)
-	until  int64
-	to     ratchet.ID
-}
-
 // Counts are what a member did.
 type Counts struct {
-	Calls, Refusals, Beats, Passed, Proposals, Leases, LeasesRefused, LeasesHeld, Questions, Promotions, Views, DiskFaults atomic.Int64
+	Calls, Refusals, Beats, Passed, Proposals, Leases, LeasesRefused, LeasesHeld, Questions, Promotions, Views, DiskFaults, Diverged atomic.Int64
+
+	Strays [strays]atomic.Int64 // what was ignored or refused, by why
 }
 
 // counts are by name, with those of fail-over while this member leads.
@@ -85,7 +84,12 @@
 		"proposals": f.Proposals.Load(), "leases": f.Leases.Load(), "leases_refused": f.LeasesRefused.Load(), "leases_held_back": f.LeasesHeld.Load(),
 		"questions":  f.Questions.Load(),
 		"promotions": f.Promotions.Load(), "views_led": f.Views.Load(), "disk_faults": f.DiskFaults.Load(),
+		"state_diverged": f.Diverged.Load(), "snapshots_begun": f.core.Transfers, "snapshots_installed": f.core.Installed,
+		"snapshot_parts_sent": f.core.PartsSent, "snapshot_parts_ignored": f.core.PartsIgnored, "messages_for_another": f.core.Misdirected,
 		"link_bytes_sent": belt.Sent.Load(), "link_bytes_received": belt.Received.Load()}
+	for why, name := range strayNames {
+		all[name] = f.Strays[why].Load()
+	}
 	if f.mesh != nil {
 		all["frames_dropped"] = f.mesh.Drops.Load()
 	}
@@ -121,7 +125,7 @@
 		return err
 	}
 	defer d.Close()
-	f, err := New(plate, log, arbor.NewSteady(time.Now), id, kept, rand.Float64)
+	f, err := New(plate, log, arbor.NewSteady(time.Now), id, kept, rand.Float64, rand.Uint64())
 	if err != nil {
 		return err
 	}
@@ -171,11 +175,12 @@
 	})
 }
 
-// New readies a member from what its disk held; Wire comes before its first call. All calls are its owner's.
+// New readies a member from what its disk held; Wire comes before its first call. All calls are its owner's. life is drawn
+// anew for each life of its process.
 func New(plate *nameplate.Plate, log hclog.Logger, clock arbor.Steady, id drawer.Identity, kept ratchet.Restored,
-	chance func() float64) (*Forge, error) {
+	chance func() float64, life uint64) (*Forge, error) {
 	f := &Forge{plate: plate, log: log, clock: clock, queue: arbor.NewQueue(512), routers: map[*Router]struct{}{},
-		waiting: map[uint64]waiter{}, passed: map[uint64]passed{}, seqs: map[string]int64{}, id: id.ID}
+		waiting: map[uint64]waiter{}, passing: newPassing(life), seqs: map[string]int64{}, id: id.ID}
 	f.core = ratchet.New(id.ID, ratchet.Usual(plate.FaultBudget.Machines), kept, id.Founders, chance, clock.Now())
 	var err error
 	f.state, err = rack.Restore(kept.Snapshot.State)
@@ -190,13 +195,7 @@
 	now := f.clock.Now()
 	f.carry(f.core.Tick(now))
 	f.tend()
-	for serial, p := range f.passed {
-		if now <= p.until && p.to == f.core.Heard(now) {
-			continue
-		}
-		delete(f.passed, serial)
-		refuse(func(status int, body []byte) { p.answer(belt.Answer{Status: status, Body: body}) }, telltale.NoLeader, nil)
-	}
+	f.expire(now)
 	return f.leads && f.hoist.Active(f.state)
 }
 
@@ -286,23 +285,27 @@
 func (f *Forge) lead() {
 	now := f.clock.Now()
 	switch holds := f.core.Holds(now); {
+	case holds && f.astray:
+		f.carry(f.core.TransferLeadership(now))
 	case holds && !f.leads:
 		f.leads = true
 		f.Views.Add(1)
-		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.plate.BeatMs, now)
+		f.led = f.state.Led - now
+		f.jaw, f.hoist = vise.New(now), hoist.New(f.plate.Node, f.core.View(), f.plate.BeatMs, now)
 		f.hoist.Log = func(service, what, host string) { f.log.Info(what, "service", service, "host", host) }
 		f.log.Info("leads", "view", f.core.View(), "members", f.core.Members())
-	case !f.core.IsLeader() && f.leads:
+	case (!f.core.IsLeader() || f.astray) && f.leads:
 		f.leads = false
 		f.log.Info("leads no more", "view", f.core.View())
-		for r := range f.routers {
+		for _, r := range f.served() {
 			r.close()
 		}
 		clear(f.routers)
-		for _, w := range f.waiting {
-			w.done(errUnclear)
+		waiting := f.waiting
+		f.waiting = map[uint64]waiter{}
+		for _, index := range slices.Sorted(maps.Keys(waiting)) {
+			waiting[index].done(errUnclear)
 		}
-		clear(f.waiting)
 	}
 }
 
@@ -313,24 +316,30 @@
 			s, err := rack.Restore(d.Snapshot.State)
 			if err != nil {
 				f.log.Error("a snapshot can't be read", "error", err)
+				f.stray()
 				continue
 			}
 			s.Index = d.Index
-			f.state = s
+			f.state, f.astray = s, false
 			news.Snapshot, news.Entries, news.Index = d.Snapshot.State, nil, d.Index
 			continue
 		}
-		var err error
-		if len(d.Body) > 0 {
-			var c rack.Change
-			if c, err = rack.Decode(d.Body); err == nil {
-				err = f.state.Apply(d.Index, c)
-				f.note(c)
-			} else {
-				f.log.Error("a change can't be read", "index", d.Index, "error", err)
+		if f.astray {
+			continue
+		}
+		c, err := f.apply(f.state, d)
+		if errors.Is(err, rack.ErrDiverged) {
+			f.Diverged.Add(1)
+			f.log.Error("this member's state is not what a change builds on; it is built anew", "index", d.Index)
+			var built bool
+			if err, built = f.rebuild(d.Index); !built {
+				f.stray()
+				continue
 			}
 		}
-		f.state.Index = max(f.state.Index, d.Index)
+		if c != nil {
+			f.note(*c)
+		}
 		news.Entries, news.Index = append(news.Entries, d.Body), d.Index
 		if w, ok := f.waiting[d.Index]; ok {
 			delete(f.waiting, d.Index)
@@ -340,14 +349,63 @@
 			w.done(err)
 		}
 	}
-	for r := range f.routers {
+	if f.astray {
+		return
+	}
+	for _, r := range f.served() {
 		r.news(f, news)
 	}
-	if standing := f.core.Standing(0); f.state.Index-standing.Base > 400 {
+	entries, bytes := f.core.Logged()
+	if base := f.core.Base(); entries > logEntries || bytes > max(logBytes, 2*len(base.State)) {
 		f.carry(f.core.Compact(f.state.Index, f.state.Snapshot(), 200, f.clock.Now()))
 	}
 }
 
+// A snapshot takes the place of the log once it has so many entries, or so many bytes and twice those of the last one.
+const (
+	logEntries = 400
+	logBytes   = 512 << 10
+)
+
+// apply has a state take in an entry, if it holds a change.
+func (f *Forge) apply(s *rack.State, d ratchet.Delivery) (*rack.Change, error) {
+	if len(d.Body) == 0 {
+		s.Index = max(s.Index, d.Index)
+		return nil, nil
+	}
+	c, err := rack.Decode(d.Body)
+	if err != nil {
+		f.log.Error("a change can't be read", "index", d.Index, "error", err)
+		s.Index = max(s.Index, d.Index)
+		return nil, err
+	}
+	return &c, s.Apply(d.Index, c)
+}
+
+// rebuild makes the state up to an entry anew of this member's own snapshot and log; err is what that entry met.
+func (f *Forge) rebuild(to uint64) (err error, built bool) {
+	base := f.core.Base()
+	bodies, ok := f.core.Entries(base.Index)
+	s, bad := rack.Restore(base.State)
+	if bad != nil || !ok {
+		return bad, false
+	}
+	s.Index = base.Index
+	for i, body := range bodies[:to-base.Index] {
+		if _, err = f.apply(s, ratchet.Delivery{Index: base.Index + uint64(i) + 1, Body: body}); errors.Is(err, rack.ErrDiverged) {
+			return err, false
+		}
+	}
+	f.state = s
+	return err, true
+}
+
+// stray has this member lead no more, and asks for the state of the one that does.
+func (f *Forge) stray() {
+	f.astray = true
+	f.carry(f.core.Refetch(f.clock.Now()))
+}
+
 // note tells fail-over and hosts' accounts of a change.
 func (f *Forge) note(c rack.Change) {
 	switch {
@@ -379,7 +437,9 @@
 
 // propose puts a change in the log; done is told once it is delivered, or that this is not known.
 func (f *Forge) propose(c rack.Change, done func(error)) {
-	index, out := f.core.Propose(rack.Encode(c), f.clock.Now())
+	now := f.clock.Now()
+	c.Led = now + f.led
+	index, out := f.core.Propose(rack.Encode(c), now)
 	if index == 0 {
 		done(errUnclear)
 		return
@@ -403,7 +463,7 @@
 		f.Questions.Add(1)
 		h, known := f.state.Hosts[q.Host]
 		if !known { // it has left
-			f.hoist.Replied(hoist.Reply{Serial: q.Serial, Refused: true}, now)
+			f.hoist.Replied(hoist.Reply{To: q, Refused: true}, now)
 			continue
 		}
 		f.reach.Ask(q, h)
@@ -460,20 +520,11 @@
 		case <-reload:
 			f.queue.Put(arbor.Lists, f.reread)
 		case <-signals:
-			handed := make(chan struct{})
-			f.queue.Put(arbor.Lists, func() {
-				f.ending = true
-				if f.core.IsLeader() {
-					f.log.Info("hands its view over")
-					f.carry(f.core.TransferLeadership(f.clock.Now()))
-				}
-				close(handed)
-			})
-			<-handed
+			f.queue.Put(arbor.Lists, f.End)
 			for range 30 { // until another leads, and what is under way is answered
 				time.Sleep(50 * time.Millisecond)
 				over := make(chan bool, 1)
-				f.queue.Put(arbor.Lists, func() { over <- !f.core.IsLeader() && len(f.passed) == 0 })
+				f.queue.Put(arbor.Lists, func() { over <- f.Ended() })
 				if <-over {
 					time.Sleep(100 * time.Millisecond)
 					return
@@ -484,6 +535,18 @@
 	}
 }
 
+// End has this member hand on what it has. It may stop once it is Ended, and serves on until then.
+func (f *Forge) End() {
+	f.ending = true
+	if f.core.IsLeader() {
+		f.log.Info("hands its view over")
+		f.carry(f.core.TransferLeadership(f.clock.Now()))
+	}
+}
+
+// Ended says that another leads, and what is under way is answered.
+func (f *Forge) Ended() bool { return !f.core.IsLeader() && len(f.passed) == 0 }
+
 // reread takes the settings in anew. Addresses of this machine stay as they were at its start.
 func (f *Forge) reread() {
 	p, err := nameplate.Read()
--- a/internal/forge/silence_test.go
+++ b/internal/forge/silence_test.go
@@ -15,10 +15,11 @@
 
 	"ferrypitch/internal/hoist"
 	"ferrypitch/internal/nameplate"
+	"ferrypitch/internal/rack"
 )
 
-// settled is a calm world whose members agree, with the one that leads and one that follows.
-func settled(t *testing.T) (w *cutWorld, leader, follower *cutMember) {
+// agreed is a calm world whose members agree, with the one that leads and one that follows.
+func agreed(t *testing.T) (w *cutWorld, leader, follower *cutMember) {
 	w = newCutWorld(5, 3, 0, 0, "")
 	w.calm = true
 	w.Play(3000)
@@ -36,7 +37,7 @@
 // A member that passes calls on and hears no more of the one that leads says so while its callers still wait, and
 // passes nothing on to it from then on.
 func TestACallPassedOnToASilentLeaderIsAnsweredSoon(t *testing.T) {
-	w, leader, follower := settled(t)
+	w, leader, follower := agreed(t)
 	leader.cutOff(20000)
 	for _, o := range w.members { // whole
 		if o != leader {
@@ -59,7 +60,7 @@
 
 // A call whose body this process was too late to read is no bad one: it may have stood still meanwhile.
 func TestABodyThatWasNotReadInTimeIsNotJudged(t *testing.T) {
-	_, _, m := settled(t)
+	_, _, m := agreed(t)
 	for err, want := range map[error]int{os.ErrDeadlineExceeded: http.StatusServiceUnavailable, io.ErrUnexpectedEOF: http.StatusBadRequest} {
 		w := httptest.NewRecorder()
 		r := httptest.NewRequest(http.MethodPost, "/Config.Replace", io.MultiReader(&late{err}))
@@ -83,7 +84,7 @@
 		written <- n
 	}()
 	h := &held{conn: mine}
-	_, err := newTongs(f).answer(&h, "db", "127.0.0.1:1", "h1", "STEPDOWN 7", time.Now().Add(-time.Second))
+	_, err := newTongs(f).answer(&h, rack.Host{ID: "h1", Service: "db", Address: "127.0.0.1:1"}, hoist.StepDown, "STEPDOWN 7", time.Now().Add(-time.Second))
 	require.Error(t, err)
 	hosts.Close()
 	require.Zero(t, <-written, "a host is told to step down by a decision that is over")
