A lathe leaves a member that takes its connection and says nothing after 0.4 s

Need: a member that stands still takes connections, by its kernel, and never welcomes anybody. A lathe waited a second for that; with 0.7 s until it leaves the frozen leader that is more than what is left of its lease (1.58 s from when it asked). Ruled out: fewer than 0.4 s; a member that starts, or syncs a full machine's routers, is slow for moments. Test: internal/headstock/link_test.go; with a second it fails: "1.012s is not less than 900ms", now 0.41 s.

--- /dev/null
+++ b/internal/headstock/link_test.go
@@ -0,0 +1,39 @@
+package headstock
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/belt"
+	"ferrypitch/internal/nameplate"
+)
+
+// A member that stands still takes connections, by its kernel, and never welcomes anybody: a lease that runs is not
+// spent on waiting for it.
+func TestAMemberThatStandsStillIsLeftSoon(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	port := l.Addr().(*net.TCPAddr).Port
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	h := newHeadstock(&nameplate.Plate{Node: "n", Ip: "127.0.0.1", PortRange: []int{port, port}}, hclog.NewNullLogger(), arbor.NewSteady(time.Now), 1)
+	h.ctx = ctx
+	go func() {
+		for range h.queue.Ready {
+			for h.step() {
+			}
+		}
+	}()
+	k := &link{h: h, out: make(chan *belt.Frame)}
+	begun := time.Now()
+	require.False(t, k.follow("127.0.0.1"))
+	require.Less(t, time.Since(begun), 900*time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(begun), greeting)
+}
--- a/internal/headstock/news.go
+++ b/internal/headstock/news.go
@@ -28,6 +28,7 @@
 const (
 	renewEvery = 300 * time.Millisecond
 	deaf       = 700 * time.Millisecond // a member that says nothing for so long is left
+	greeting   = 400 * time.Millisecond // one that stands still takes a connection, and says nothing at all
 )
 
 // say sends a frame to the member that leads, if there is one.
@@ -116,7 +117,7 @@
 	if c.Send(&belt.Frame{Hello: &belt.Hello{Node: h.plate.Node, Life: h.life, Zone: h.plate.Zone, From: index}}, time.Second) != nil {
 		return false
 	}
-	f, err := c.Receive(time.Second)
+	f, err := c.Receive(greeting)
 	if err != nil || f.Welcome == nil {
 		return false
 	}
