--- a/internal/forge/cutoff_test.go
+++ b/internal/forge/cutoff_test.go
@@ -39,6 +39,7 @@
 	drift     float64
 	out       string // a defence taken out
 	calm      bool
+	still     bool     // operators send nothing more
 	held      []func() // messages that come once the cuts are over
 
 	chain    []link // versions that were taken, in order; the first is none
@@ -47,7 +48,6 @@
 	reads    int
 	answers  int // late ones: those of a member that stood still between judging and answering
 	leased   int
-	lastOK   int64
 }
 
 type link struct {
@@ -353,7 +353,7 @@
 }
 
 func (o *cutOperator) next() {
-	if o.w.calm && o.orders > 0 && o.w.Now > o.w.lastOK+100000 {
+	if o.w.still {
 		return
 	}
 	o.read(func() {
@@ -414,7 +414,7 @@
 			w.Broke("LOST: an order is confirmed and was not taken")
 			return
 		}
-		w.confirms, w.lastOK = w.confirms+1, w.Now
+		w.confirms++
 		w.tell(i)
 	case status == http.StatusPreconditionFailed:
 		w.refused++
@@ -820,7 +820,7 @@
 	}
 	for _, out := range all {
 		caught := ""
-		for seed := 0; seed < 300 && caught == ""; seed++ {
+		for seed := 0; seed < 1000 && caught == ""; seed++ {
 			drift := 0.05
 			if out == "drift" {
 				drift = 0.3
--- a/internal/ratchet/log.go
+++ b/internal/ratchet/log.go
@@ -130,7 +130,7 @@
 	if p.transfer != nil { // a part is acknowledged before it is on disk
 		again = 2 * c.Beat
 	}
-	if p.sentAt != 0 && c.now < p.sentAt+again {
+	if p.sentAt != 0 && c.now < p.sentAt+again || c.unheard(p) {
 		return
 	}
 	if p.transfer != nil || p.refetch || p.next <= c.floor() {
