--- a/internal/forge/state_test.go
+++ b/internal/forge/state_test.go
@@ -48,7 +48,9 @@
 	slow  int64 // how many times as long its disk takes
 	free  int64 // when its disk is done with what it was given
 	order map[string]int64
-	bytes int64 // sent
+	bytes int64 // sent, without calls that were passed on
+
+	stored, syncs int64
 }
 
 func newMill(seed uint64, routes int, gap int64) *mill {
@@ -111,10 +113,9 @@
 			size += int64(len(f.Core.Part.Bytes))
 		}
 	}
-	if f.Ask != nil {
+	if p.bytes += size; f.Ask != nil {
 		size += int64(len(f.Ask.Body))
 	}
-	p.bytes += size
 	p.order[ip] = max(p.order[ip], w.Now) + size/w.rate
 	for _, to := range w.posts {
 		if to.ip() == ip && to != p {
@@ -138,6 +139,7 @@
 			size += len(one.Snapshot.State)
 		}
 	}
+	p.stored, p.syncs = p.stored+int64(size), p.syncs+1
 	p.queue = append(p.queue, x...)
 	seq := x[len(x)-1].Seq
 	p.free = max(p.free, w.Now) + (1+int64(size)/100_000)*p.slow
