--- a/internal/forge/state_test.go
+++ b/internal/forge/state_test.go
@@ -80,7 +80,7 @@
 	kept := p.disk
 	kept.Entries = slices.Clone(kept.Entries)
 	clock := arbor.NewSteady(func() time.Time { return time.UnixMilli(w.Now) })
-	f, err := New(plate, hclog.NewNullLogger(), clock, p.id, kept, w.Chance.Float64)
+	f, err := New(plate, hclog.NewNullLogger(), clock, p.id, kept, w.Chance.Float64, uint64(p.life))
 	if err != nil {
 		panic(err)
 	}
@@ -93,6 +93,9 @@
 func (p *post) tick(life int) {
 	p.do(life, func() {
 		p.f.Tick()
+		if l := p.w.leader(); l == p && p.f.state.Gen < p.w.version {
+			p.w.Broke("%s leads with version %d, %d was acknowledged", p.id.ID, p.f.state.Gen, p.w.version)
+		}
 		p.w.In(50, func() { p.tick(life) })
 	})
 }
@@ -122,7 +125,7 @@
 			life := to.life
 			w.In(p.order[ip]-w.Now+w.Between(1, 4), func() {
 				if !p.cut && !to.cut {
-					to.do(life, func() { to.f.Hear(f) })
+					to.do(life, func() { to.f.Hear(p.ip(), f) })
 				}
 			})
 		}
@@ -331,6 +334,7 @@
 	require.NoError(t, err)
 	spoilt.Gen--
 	spoilt.Index--
+	spoilt.Taken = spoilt.Taken[:len(spoilt.Taken)-1]
 	body := bytes.Replace(spoilt.Config, []byte(`"TargetMs":150`), []byte(`"TargetMs":151`), 1)
 	require.NoError(t, spoilt.Apply(spoilt.Index+1, rack.Change{Configure: &rack.Configure{Base: spoilt.Gen, Body: body}}))
 	return spoilt
--- a/internal/ratchet/election.go
+++ b/internal/ratchet/election.go
@@ -80,7 +80,8 @@
 // ask begins an election: first whether votes would be had, then for them.
 func (c *Core) ask(preVote, transferred bool) {
 	c.role, c.leader, c.preVote, c.transferred = candidate, "", preVote, transferred
-	c.votes, c.fresh = map[ID]bool{c.id: preVote}, map[ID]bool{c.id: !c.heard}
+	free := !c.promised() // its own vote is bound like any other's
+	c.votes, c.fresh = map[ID]bool{c.id: preVote && free}, map[ID]bool{c.id: !c.heard}
 	if c.rounds++; preVote { // asking whether votes would be had harms nobody
 		c.askAt = c.now + c.Beat/2 + int64(c.chance()*float64(c.Jitter)/2)
 	} else { // two at once may take each other's votes; slow disks need longer each time
@@ -88,7 +89,8 @@
 		c.askAt = c.now + int64(c.tries)*c.Beat + int64(c.chance()*float64(c.Jitter))
 	}
 	view, _ := c.viewAt(c.last())
-	m := Message{Kind: VoteRequest, Index: c.last(), Prev: view, PreVote: preVote, Transferred: transferred, Fresh: c.allFresh && !preVote}
+	m := c.telling(Message{Kind: VoteRequest, Index: c.last(), Prev: view, PreVote: preVote, Transferred: transferred,
+		Fresh: c.allFresh && !preVote})
 	to := map[ID]bool{}
 	for _, g := range c.active() {
 		for _, id := range g.members {
@@ -102,7 +104,9 @@
 		all = append(all, id)
 	}
 	slices.Sort(all)
-	if preVote {
+	if preVote { // an answer of another round may be old: whoever was fresh then may have promised itself since
+		c.round++
+		m.Round = c.round
 		for _, id := range all {
 			m.To = id
 			c.send(m)
@@ -112,7 +116,7 @@
 	}
 	c.meta.View, c.meta.Vote = c.meta.View+1, c.id
 	meta := c.meta
-	messages := []Message{{Kind: Vote, To: c.id, Granted: true}}
+	messages := []Message{{Kind: Vote, To: c.id, Granted: free || transferred || m.Fresh}}
 	for _, id := range all {
 		m.To = id
 		messages = append(messages, m)
@@ -121,6 +125,10 @@
 }
 
 func (c *Core) elected() {
+	if c.role == candidate && !c.member(c.id) { // it has learnt from a vote that it is out
+		c.fall("")
+		return
+	}
 	// Where all members are in lives in which none has heard a leader, none leads: there is no lease to wait out.
 	c.allFresh = c.preVote && c.all(func(id ID) bool { return c.fresh[id] })
 	if c.role == candidate && c.allFresh {
@@ -139,7 +147,11 @@
 	c.peers = map[ID]*progress{}
 	c.follow()
 	c.peers[c.id].match = c.saved
-	c.append(Entry{View: c.meta.View})
+	first := Entry{View: c.meta.View}
+	if c.configs[len(c.configs)-1].index == 0 { // learners are told no other way who the first members were
+		first.Members = c.Members()
+	}
+	c.append(first)
 	c.began = c.last()
 	c.lead()
 }
@@ -153,28 +165,57 @@
 // TransferLeadership hands the view over to the member that has most, if this one leads. Nothing is granted here any more.
 func (c *Core) TransferLeadership(now int64) Out {
 	c.clock(now)
+	c.transfer()
+	return c.take()
+}
+
+func (c *Core) transfer() {
 	if c.role != leader || c.transferring {
-		return c.take()
+		return
 	}
 	best := ID("")
 	for _, id := range c.others() {
-		if p := c.peers[id]; !p.learner && c.now < p.heardAt+c.Lease && (best == "" || p.match > c.peers[best].match) {
+		p := c.peers[id]
+		if p.learner || c.now >= p.heardAt+c.Lease {
+			continue
+		}
+		if best == "" || c.leaves(best) && !c.leaves(id) || c.leaves(best) == c.leaves(id) && p.match > c.peers[best].match {
 			best = id
 		}
 	}
 	if best != "" {
 		c.transferring, c.silenced = true, c.now
 		c.send(Message{Kind: Transfer, To: best})
+		if !c.member(c.id) { // nobody tells it who leads now
+			c.fall(best)
+		}
 	}
-	return c.take()
 }
 
-// asked answers a candidate. A member that has promised itself to a view, by hearing its leader or by an earlier life
-// that may have, gives no vote until that is over, and takes part in nothing newer meanwhile.
+// telling adds what is known here to be delivered: where a leader is lost right after a change of members, what knows
+// of it and what can lead need not be the same member.
+func (c *Core) telling(m Message) Message {
+	m.Commit = max(c.commit, c.meta.Settled)
+	m.CommitView, _ = c.viewAt(m.Commit)
+	return m
+}
+
+// learn takes in what another knows to be delivered: with that entry alike, all before it are.
+func (c *Core) learn(m Message) {
+	if view, held := c.viewAt(m.Commit); held && m.Commit > c.commit && view == m.CommitView {
+		c.commitTo(m.Commit)
+	}
+}
+
+// promised says that a leader may count on this member: one that it has heard, or that an earlier life may have heard.
+func (c *Core) promised() bool { return c.now < max(c.heardAt, c.startedAt)+c.Lease }
+
+// asked answers a candidate. A member that has promised itself to a view gives no vote until that is over, and takes
+// part in nothing newer meanwhile.
 func (c *Core) asked(m Message) {
 	view, _ := c.viewAt(c.last())
 	upToDate := m.Prev > view || m.Prev == view && m.Index >= c.last()
-	bound := c.now < max(c.heardAt, c.startedAt)+c.Lease || c.role == leader && c.now < c.heldUntil()+c.Lease/5
+	bound := c.promised() || c.role == leader && c.now < c.heldUntil()+c.Lease/5
 	if m.Transferred && m.From != "" && c.role == follower && c.now >= c.startedAt+c.Lease {
 		bound = false
 	}
@@ -193,7 +234,8 @@
 				c.askAt = c.now + 2*c.Beat + int64(c.chance()*float64(c.Jitter))
 			}
 		}
-		c.send(Message{Kind: Vote, To: m.From, PreVote: true, Granted: !bound && upToDate && newer, Fresh: !c.heard && upToDate})
+		c.send(c.telling(Message{Kind: Vote, To: m.From, PreVote: true, Granted: !bound && upToDate && newer,
+			Fresh: !c.heard && upToDate, Round: m.Round}))
 		return
 	}
 	if bound || m.View < c.meta.View {
@@ -213,5 +255,5 @@
 	c.meta.Vote = m.From
 	c.rest()
 	meta := c.meta
-	c.write(Write{Meta: &meta}, Message{Kind: Vote, To: m.From, Granted: true})
+	c.write(Write{Meta: &meta}, c.telling(Message{Kind: Vote, To: m.From, Granted: true}))
 }
--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -39,6 +39,8 @@
 	Join                           // a learner, or a member that nobody calls, asks to be called
 	InstallReply                   // how much of a snapshot is here
 	Refetch                        // a member whose state is wrong asks for a snapshot, whatever it holds
+	Leave                          // a member that is to end asks for its seat to be handed on
+	LeaveReply                     // it may end. Granted: it counts no more; else none stands by, and it keeps its seat
 )
 
 // Message is what members say to each other.
@@ -51,11 +53,13 @@
 	Commit      uint64
 	Sent        int64
 	Entries     []Entry
-	Part        *Part // of Install and InstallReply
-	PreVote     bool  // of VoteRequest and Vote
-	Transferred bool  // of VoteRequest: the leader that was promised to has handed over
-	Granted     bool
-	Fresh       bool // of Vote: no leader was heard in this life; of VoteRequest: all members have said so
+	Part        *Part  // of Install and InstallReply
+	PreVote     bool   // of VoteRequest and Vote
+	Transferred bool   // of VoteRequest: the leader that was promised to has handed over
+	Granted     bool   // of HeartbeatReply: this member is leaving
+	Fresh       bool   // of Vote: no leader was heard in this life; of VoteRequest: all members have said so
+	Round       uint64 // of a pre-vote: which one; an answer brings it back, and counts for no other
+	CommitView  uint64 // of VoteRequest, Vote and LeaveReply: the view of the entry at Commit
 }
 
 // Out is what a call asks for. Messages that wait for a disk come out of Saved.
@@ -123,8 +127,9 @@
 	fresh        map[ID]bool // members that have heard no leader in their present lives
 	heard        bool        // a leader was, in this life, or this one led
 	allFresh     bool
-	tries        int64 // elections since a leader was heard
-	rounds       int   // and times that this member asked at all
+	tries        int64  // elections since a leader was heard
+	rounds       int    // and times that this member asked at all
+	round        uint64 // of this life's pre-votes, counted from where chance put it
 	peers        map[ID]*progress
 	began        uint64 // the index of this leader's first entry
 	beatAt       int64
@@ -134,6 +139,8 @@
 	taking       *taking // a snapshot that comes in parts
 	refetch      bool    // the state here is wrong
 	refetchAt    int64
+	settled      uint64 // of Meta.Settled, what is on disk
+	departure    departure
 	out          Out
 
 	Counts
@@ -143,7 +150,7 @@
 func New(id ID, t Terms, kept Restored, founders []ID, chance func() float64, now int64) *Core {
 	c := &Core{Terms: t, id: id, now: now, startedAt: now, heardAt: now, chance: chance, meta: kept.Meta, base: kept.Snapshot,
 		log: kept.Entries, oldView: kept.Snapshot.View}
-	c.commit, c.given, c.saved = c.base.Index, c.base.Index, c.last()
+	c.commit, c.given, c.saved, c.settled = c.base.Index, c.base.Index, c.last(), c.meta.Settled
 	c.configs = []config{{c.base.Index, c.base.Members}}
 	if c.base.Index == 0 && len(c.base.Members) == 0 {
 		c.configs[0].members = slices.Clone(founders)
@@ -154,13 +161,23 @@
 			c.configs = append(c.configs, config{c.base.Index + uint64(i) + 1, e.Members})
 		}
 	}
-	c.askAt = now + c.Beat/2 + int64(c.chance()*float64(c.Jitter)/2)
+	drawn := c.chance()
+	c.askAt = now + c.Beat/2 + int64(drawn*float64(c.Jitter)/2)
+	c.round = uint64(drawn*(1<<50)) << 13
 	return c
 }
 
 // Leader is who leads, as far as known; empty: nobody.
 func (c *Core) Leader() ID { return c.leader }
 
+// Heard is the leader, where it was heard lately enough to be worth asking; empty: nobody. Its lease may run longer.
+func (c *Core) Heard(now int64) ID {
+	if c.role != leader && now > c.heardAt+c.Lease*2/3 {
+		return ""
+	}
+	return c.leader
+}
+
 // View is the newest view that this member takes part in.
 func (c *Core) View() uint64 { return c.meta.View }
 
@@ -193,11 +210,13 @@
 		c.refetchAt = c.now + c.Lease
 		c.send(Message{Kind: Refetch, To: c.leader})
 	}
+	c.depart()
 	switch {
 	case c.role == leader:
 		c.lead()
 	case c.now >= c.askAt && c.member(c.id):
 		c.ask(true, false)
+	case c.departure.begun: // it is to be called no more
 	case !c.member(c.id) || c.leader == "" && c.now > c.heardAt+3*c.Lease:
 		if c.now >= c.joinAt {
 			c.joinAt = c.now + c.Lease/2
@@ -210,16 +229,30 @@
 // Step takes in a member's message.
 func (c *Core) Step(m Message, now int64) Out {
 	c.clock(now)
+	if m.From == "" || m.From == c.id || m.To != "" && m.To != c.id { // for who was at this address before: what it held is not held here
+		c.Strays++
+		return c.take()
+	}
 	c.step(m)
 	return c.take()
 }
 
 func (c *Core) step(m Message) {
-	if m.Kind == Join {
+	switch m.Kind {
+	case Vote, VoteRequest, LeaveReply:
+		c.learn(m)
+	}
+	switch m.Kind {
+	case Join:
 		c.joined(m)
 		return
-	}
-	if m.Kind == VoteRequest {
+	case Leave:
+		c.left(m)
+		return
+	case LeaveReply:
+		c.departed(m)
+		return
+	case VoteRequest:
 		c.asked(m)
 		return
 	}
@@ -234,7 +267,7 @@
 		}
 		if c.role == candidate && c.preVote {
 			c.votes[m.From] = c.votes[m.From] || m.Granted
-			c.fresh[m.From] = m.Fresh
+			c.fresh[m.From] = m.Fresh && m.Round == c.round
 			c.elected()
 		}
 		return
@@ -270,8 +303,9 @@
 	}
 	switch m.Kind {
 	case Heartbeat:
-		c.send(Message{Kind: HeartbeatReply, To: m.From, Sent: m.Sent})
-		if c.commitTo(m.Commit); m.Commit > c.last() { // it is told of what it had, and its disk has no more
+		c.commitTo(m.Commit)
+		c.send(Message{Kind: HeartbeatReply, To: m.From, Sent: m.Sent, Index: c.settled, Granted: c.departure.begun})
+		if m.Commit > c.last() { // it is told of what it had, and its disk has no more
 			c.send(Message{Kind: Refuse, To: m.From, Index: c.last()})
 		}
 	case Append:
@@ -297,12 +331,13 @@
 	Members      []ID
 	Learners     []ID
 	Holds        bool
+	Strays       int64 // messages passed over: to another life, of one that is no member, by more than are kept account of
 }
 
 // Standing is a copy for counters and commands.
 func (c *Core) Standing(now int64) Standing {
 	s := Standing{ID: c.id, Leader: c.leader, View: c.meta.View, Base: c.base.Index, Commit: c.commit, Last: c.last(), Saved: c.saved,
-		Members: slices.Clone(c.Members()), Holds: c.Holds(now)}
+		Members: slices.Clone(c.Members()), Holds: c.Holds(now), Strays: c.Strays}
 	for id, p := range c.peers {
 		if p.learner {
 			s.Learners = append(s.Learners, id)
--- a/internal/ratchet/snapshot.go
+++ b/internal/ratchet/snapshot.go
@@ -58,12 +58,18 @@
 		uint64(len(p.Bytes)) <= p.Size-p.Offset && len(p.Members) <= membersMost
 }
 
-// transfer is a snapshot on its way to a member: one part is out at a time, at Offset.
+// transfer is a snapshot on its way to a member, who has it up to Offset; few parts are out at a time.
 type transfer struct {
 	Part
-	state []byte
+	next   uint64 // what is to be sent
+	resent bool   // from Offset on, since later parts came there
+	at     int64  // when Offset last changed
+	state  []byte
 }
 
+// window is how many parts are out at a time.
+const window = 4
+
 // taking is a snapshot of which some parts have come.
 type taking struct {
 	Part
@@ -72,9 +78,9 @@
 	state []byte
 }
 
-// Counts are of snapshots.
+// Counts are of snapshots, and of messages that are no message for this member.
 type Counts struct {
-	PartsSent, PartsIgnored, Transfers, Installed int64
+	PartsSent, PartsIgnored, Transfers, Installed, Strays int64
 }
 
 // Compact lets a snapshot of the state up to an index that was delivered stand for the entries before; keep of them
@@ -133,26 +139,43 @@
 		p.transfer = &transfer{state: c.base.State, Part: Part{Index: c.base.Index, View: c.base.View, Members: c.base.Members,
 			Sum: [16]byte(sum[:16]), Size: uint64(len(c.base.State))}}
 	}
-	part := p.transfer.Part
-	part.Bytes = p.transfer.state[part.Offset:min(part.Size, part.Offset+uint64(c.Part))]
+	t, again := p.transfer, p.sentAt != 0
+	if again { // nothing was heard for a while
+		t.next = t.Offset
+	}
+	for ; again || t.next < min(t.Size, t.Offset+window*uint64(c.Part)) || t.Size == 0; again = false {
+		part := t.Part
+		part.Offset = t.next
+		part.Bytes = t.state[t.next:min(t.Size, t.next+uint64(c.Part))]
+		t.next += uint64(len(part.Bytes))
+		c.PartsSent++
+		c.send(Message{Kind: Install, To: id, Part: &part, Commit: c.commit})
+		if t.Size == 0 {
+			break
+		}
+	}
 	p.sentAt = c.now
-	c.PartsSent++
-	c.send(Message{Kind: Install, To: id, Part: &part, Commit: c.commit})
 }
 
-// taken goes on with a transfer, from where the other side has come to. What says nothing new is not answered: parts that
-// are lost are sent again after a while.
+// taken goes on with a transfer, from where the other side has come to. Where it says twice that it has no more, a part
+// was lost. Other parts that are lost are sent again after a while.
 func (c *Core) taken(m Message, p *progress) {
 	t := p.transfer
 	if t == nil || m.Part == nil || !m.Part.of(&t.Part) || m.Part.Offset > t.Size {
 		c.PartsIgnored++
 		return
 	}
-	if m.Part.Offset == t.Offset {
+	switch at := m.Part.Offset; {
+	case at > t.Offset:
+		t.Offset, t.next, t.resent, t.at = at, max(t.next, at), false, c.now
+	case at < t.Offset && (at == 0 || c.now > t.at+c.Again/2): // it began anew: this is no answer that was late
+		t.Offset, t.next, t.resent, t.at = at, at, false, c.now
+	case at == t.Offset && at < t.next && !t.resent:
+		t.next, t.resent = at, true
+	default:
 		return
 	}
-	p.sentAt, t.Offset = 0, m.Part.Offset
-	if t.Offset == t.Size { // its disk is at work
+	if p.sentAt = 0; t.Offset == t.Size { // its disk is at work
 		p.sentAt = c.now
 		return
 	}
@@ -176,9 +199,9 @@
 	have := c.taking
 	if have == nil || !have.of(t) {
 		// A leader goes on to newer ones only, so an older one is late, unless what is held has come to a stand.
-		if have != nil && have.by == m.View && have.Index > t.Index && c.now < have.at+2*c.Again || t.Offset != 0 {
-			c.PartsIgnored++
-			if have == nil {
+		late := have != nil && have.by == m.View && have.Index > t.Index && c.now < have.at+2*c.Again
+		if late || t.Offset != 0 {
+			if c.PartsIgnored++; !late {
 				reply(0)
 			}
 			return
--- a/internal/standin/database/database.go
+++ b/internal/standin/database/database.go
@@ -51,6 +51,7 @@
 	Applied int
 	Lag     int64
 	Conns   map[*Conn]bool
+	Crashes int
 	opened  int
 	acks    []ack
 }
@@ -151,7 +152,7 @@
 	for same > 0 && h.Log[same-1].Term != from.Log[same-1].Term {
 		same--
 	}
-	h.Log = append(h.Log[:same:same], from.Log[same:]...)
+	h.Log = append(h.Log[:same], from.Log[same:]...)
 	h.Applied = min(h.Applied, same)
 	n, term := len(h.Log), from.Term
 	g.In(h.Lag, func() {
@@ -225,6 +226,7 @@
 	}
 	g.Note("%s crashes, dark %v, leader %v", h.ID, dark, h.Leader)
 	h.Up, h.Dark, h.acks = false, dark, nil
+	h.Crashes++
 	for _, c := range slices.SortedFunc(maps.Keys(h.Conns), func(a, b *Conn) int { return a.serial - b.serial }) {
 		c.Close()
 		if !dark {
@@ -437,10 +439,10 @@
 // Same says whether a connection has just these values.
 func (c *Conn) Same(values map[string]string) bool { return maps.Equal(c.Values, values) }
 
-// Find is where a datum stands, in the first log that holds it.
+// Find is where a datum stands last, in the first log that holds it.
 func (g *Group) Find(data string) (scribe.Position, bool) {
 	for _, h := range g.Hosts {
-		for i, e := range h.Log {
+		for i, e := range slices.Backward(h.Log) { // it is asked for what was written just now
 			if slices.Contains(e.Data, data) {
 				return h.At(i + 1), true
 			}
