--- a/internal/standin/database/database.go
+++ b/internal/standin/database/database.go
@@ -182,14 +182,14 @@
 	if !h.Up {
 		return false
 	}
-	if h.Leader {
-		return true
-	}
 	term := h.Term
 	for _, o := range g.Hosts {
 		term = max(term, o.Term)
 	}
-	h.Term, h.Leader, h.Paused = term+1, true, 0
+	if h.Leader && h.Term == term { // the present primary; one that only has not heard of its successor is none
+		return true
+	}
+	h.Term, h.Leader, h.Paused, h.acks = term+1, true, 0, nil
 	g.Note("%s is promoted to term %d with %d entries", h.ID, h.Term, len(h.Log))
 	for _, o := range g.Hosts {
 		if o == h {
@@ -236,7 +236,7 @@
 	g.In(back, func() {
 		h.Up, h.Dark, h.Paused = true, false, 0
 		for _, o := range g.Hosts {
-			if o.Leader && o.Term > h.Term && h.Leader {
+			if o.Term > h.Term && h.Leader { // another was promoted, whether it leads still or not
 				h.Leader, h.Applied = false, len(h.Log)
 			}
 		}
