--- a/internal/ratchet/election.go
+++ b/internal/ratchet/election.go
@@ -99,7 +99,8 @@
 		c.askAt = c.now + int64(c.tries)*c.Beat + int64(c.chance()*float64(c.Jitter))
 	}
 	view, _ := c.viewAt(c.last())
-	m := Message{Kind: VoteRequest, Index: c.last(), Prev: view, PreVote: preVote, Transferred: transferred, Fresh: c.allFresh && !preVote}
+	m := c.telling(Message{Kind: VoteRequest, Index: c.last(), Prev: view, PreVote: preVote, Transferred: transferred,
+		Fresh: c.allFresh && !preVote})
 	to := map[ID]bool{}
 	for _, g := range c.active() {
 		for _, id := range g.members {
@@ -134,6 +135,10 @@
 }
 
 func (c *Core) elected() {
+	if c.role == candidate && !c.member(c.id) { // it has learnt from a vote that it is out
+		c.fall("")
+		return
+	}
 	// Where all members are in lives in which none has heard a leader, none leads: there is no lease to wait out.
 	c.allFresh = c.preVote && c.all(func(id ID) bool { return c.fresh[id] })
 	if c.role == candidate && c.allFresh {
@@ -152,7 +157,11 @@
 	c.peers = map[ID]*progress{}
 	c.follow()
 	c.peers[c.id].match = c.saved
-	c.append(Entry{View: c.meta.View})
+	first := Entry{View: c.meta.View}
+	if c.configs[len(c.configs)-1].index == 0 { // learners are told no other way who the first members were
+		first.Members = c.Members()
+	}
+	c.append(first)
 	c.began = c.last()
 	c.lead()
 }
@@ -166,20 +175,46 @@
 // TransferLeadership hands the view over to the member that has most, if this one leads. Nothing is granted here any more.
 func (c *Core) TransferLeadership(now int64) Out {
 	c.clock(now)
+	c.transfer()
+	return c.take()
+}
+
+func (c *Core) transfer() {
 	if c.role != leader || c.transferring {
-		return c.take()
+		return
 	}
 	best := ID("")
 	for _, id := range c.others() {
-		if p := c.peers[id]; !p.learner && c.now < p.heardAt+c.Lease && (best == "" || p.match > c.peers[best].match) {
+		p := c.peers[id]
+		if p.learner || c.now >= p.heardAt+c.Lease {
+			continue
+		}
+		if best == "" || c.leaves(best) && !c.leaves(id) || c.leaves(best) == c.leaves(id) && p.match > c.peers[best].match {
 			best = id
 		}
 	}
 	if best != "" {
 		c.transferring, c.silenced = true, c.now
 		c.send(Message{Kind: Transfer, To: best})
+		if !c.member(c.id) { // nobody tells it who leads now
+			c.fall(best)
+		}
+	}
+}
+
+// telling adds what is known here to be delivered: where a leader is lost right after a change of members, what knows
+// of it and what can lead need not be the same member.
+func (c *Core) telling(m Message) Message {
+	m.Commit = max(c.commit, c.meta.Settled)
+	m.CommitView, _ = c.viewAt(m.Commit)
+	return m
+}
+
+// learn takes in what another knows to be delivered: with that entry alike, all before it are.
+func (c *Core) learn(m Message) {
+	if view, held := c.viewAt(m.Commit); held && m.Commit > c.commit && view == m.CommitView {
+		c.commitTo(m.Commit)
 	}
-	return c.take()
 }
 
 // promised says that a leader may count on this member: one that it has heard, or that an earlier life may have heard.
@@ -209,7 +244,8 @@
 				c.askAt = c.now + 2*c.Beat + int64(c.chance()*float64(c.Jitter))
 			}
 		}
-		c.send(Message{Kind: Vote, To: m.From, PreVote: true, Granted: !bound && upToDate && newer, Fresh: !c.heard && upToDate, Round: m.Round})
+		c.send(c.telling(Message{Kind: Vote, To: m.From, PreVote: true, Granted: !bound && upToDate && newer,
+			Fresh: !c.heard && upToDate, Round: m.Round}))
 		return
 	}
 	if bound || m.View < c.meta.View {
@@ -229,5 +265,5 @@
 	c.meta.Vote = m.From
 	c.rest()
 	meta := c.meta
-	c.write(Write{Meta: &meta}, Message{Kind: Vote, To: m.From, Granted: true})
+	c.write(Write{Meta: &meta}, c.telling(Message{Kind: Vote, To: m.From, Granted: true}))
 }
