Benchmarks of the cores by size, for the page on capacity

Need: docs/CAPACITY.md is worked out from slopes, and only four benchmarks were there, none of the control side.

--- /dev/null
+++ b/internal/belt/capacity_test.go
@@ -0,0 +1,78 @@
+package belt
+
+import (
+	"bytes"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"ferrypitch/internal/lab/extent"
+	"ferrypitch/internal/rack"
+	"ferrypitch/internal/ratchet"
+)
+
+// still is a connection whose bytes stay here.
+type still struct {
+	net.Conn
+	bytes.Buffer
+}
+
+func (s *still) Read(b []byte) (int, error)       { return s.Buffer.Read(b) }
+func (s *still) Write(b []byte) (int, error)      { return s.Buffer.Write(b) }
+func (s *still) SetReadDeadline(time.Time) error  { return nil }
+func (s *still) SetWriteDeadline(time.Time) error { return nil }
+
+// Each kind of frame: its bytes on a connection that has carried one before, and the first one's, and what it costs to
+// encode and to decode.
+func BenchmarkFrame(b *testing.B) {
+	body := func(c rack.Change) [][]byte { return [][]byte{rack.Encode(c)} }
+	members := []string{"10.1.0.11", "10.2.0.8", "10.3.0.9"}
+	host := extent.Host(10)
+	state := extent.Full.State()
+	beat := []byte(`{"Service":"lecture-core-3","Address":"10.11.0.4:5432","Zone":"waco-hall","Generation":"g1","Capacity":7,` +
+		`"State":"serving","ColdLeftMs":0,"DbRole":"replica","CallSeq":123456}`)
+	for _, c := range []struct {
+		name  string
+		frame Frame
+	}{
+		{"hello", Frame{Hello: &Hello{Node: extent.Router(7), Life: 1 << 60, Zone: "waco-hall", From: 12345}}},
+		{"welcome", Frame{Welcome: &Welcome{Node: "core-waco-hall-0", Leads: true, Members: members, Routers: append(members, members...)[:5]}}},
+		{"renew", Frame{Renew: &Renew{Serial: 12345, Applied: 12345, Sessions: 3250}}},
+		{"lease", Frame{Lease: &Lease{Serial: 12345, Granted: true, Index: 12345, Routers: 1200}}},
+		{"suspect", Frame{Suspect: &Suspect{Service: host.Service, Host: host.ID}}},
+		{"news/lead", Frame{News: &News{Index: 12345, Members: members,
+			Entries: body(rack.Change{Lead: &rack.NewLead{Service: host.Service, Host: host.ID, Term: 3, Took: 300}})}}},
+		{"news/host", Frame{News: &News{Index: 12345, Members: members, Entries: body(rack.Change{Enter: &host})}}},
+		{"news/configuration", Frame{News: &News{Index: 12345, Members: members,
+			Entries: body(rack.Change{Configure: &rack.Configure{Base: 1, Body: extent.Full.Config(2)}})}}},
+		{"news/snapshot", Frame{News: &News{Index: 12345, Members: members, Snapshot: state.Snapshot()}}},
+		{"heartbeat", Frame{Core: &ratchet.Message{Kind: ratchet.Heartbeat, From: "10.1.0.11", To: "10.2.0.8", View: 3, Sent: 1 << 40, Commit: 12345}}},
+		{"append", Frame{Core: &ratchet.Message{Kind: ratchet.Append, From: "10.1.0.11", To: "10.2.0.8", View: 3, Index: 12344, Prev: 3, Commit: 12344,
+			Entries: []ratchet.Entry{{View: 3, Body: body(rack.Change{Enter: &host})[0]}}}}},
+		{"accept", Frame{Core: &ratchet.Message{Kind: ratchet.Accept, From: "10.2.0.8", To: "10.1.0.11", View: 3, Index: 12345}}},
+		{"beat-passed-on", Frame{Ask: &Ask{From: "10.2.0.8", Serial: 12345, Method: "POST", Path: "/Instances.Heartbeat/" + host.ID, Body: beat}}},
+		{"beat-answered", Frame{Answer: &Answer{Serial: 12345, Status: 200, Body: []byte(strings.Repeat("x", 32))}}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			s := &still{}
+			k := Wrap(s)
+			once := func() (n int) {
+				if err := k.Send(&c.frame, time.Second); err != nil {
+					b.Fatal(err)
+				}
+				n = s.Len()
+				if _, err := k.Receive(time.Second); err != nil {
+					b.Fatal(err)
+				}
+				return n
+			}
+			first, next := once(), once()
+			for b.Loop() {
+				once()
+			}
+			b.ReportMetric(float64(first), "bytes-first")
+			b.ReportMetric(float64(next), "bytes")
+		})
+	}
+}
--- /dev/null
+++ b/internal/headstock/capacity_test.go
@@ -0,0 +1,88 @@
+package headstock
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"ferrypitch/internal/arbor"
+	"ferrypitch/internal/belt"
+	"ferrypitch/internal/lab/extent"
+	"ferrypitch/internal/nameplate"
+	"ferrypitch/internal/rack"
+	"ferrypitch/internal/scribe"
+	"ferrypitch/rules"
+)
+
+// following is a router that holds a state and has no sessions; none of its connections opens.
+func following(e extent.Extent) *Headstock {
+	h := newHeadstock(&nameplate.Plate{Node: "edge-waco-hall-0", Zone: "waco-hall"}, hclog.NewNullLogger(), arbor.NewSteady(time.Now), 1)
+	h.ctx = context.Background()
+	h.say = func(*belt.Frame) {}
+	h.dial = func(n *host, asked rules.Tenth, lead uint64) {
+		h.later = append(h.later, func() { n.opened(&hostConn{host: n, opened: asked}, scribe.Answer{}, errors.New("not here"), lead) })
+	}
+	s := e.State()
+	if !h.news(&belt.News{Snapshot: s.Snapshot(), Index: s.Index}) {
+		panic("a snapshot is not taken")
+	}
+	for h.step() {
+	}
+	return h
+}
+
+func sizes(b *testing.B, run func(b *testing.B, h *Headstock, e extent.Extent)) {
+	for _, e := range extent.All {
+		b.Run(e.String(), func(b *testing.B) { run(b, following(e), e) })
+	}
+}
+
+// A change of one lead, from its frame to the module.
+func BenchmarkNews(b *testing.B) {
+	sizes(b, func(b *testing.B, h *Headstock, e extent.Extent) {
+		term := uint64(1)
+		for b.Loop() {
+			term++
+			c := rack.Encode(rack.Change{Lead: &rack.NewLead{Service: extent.Service(3), Host: extent.Host(9 + int(term)%3).ID, Term: term}})
+			h.news(&belt.News{Entries: [][]byte{c}, Index: h.state.Index + 1})
+		}
+	})
+}
+
+// What is looked at with each lease and each 50 ms.
+func BenchmarkRounds(b *testing.B) {
+	sizes(b, func(b *testing.B, h *Headstock, e extent.Extent) {
+		for b.Loop() {
+			h.rounds(h.clock.Time())
+		}
+	})
+}
+
+// The module's look at its hosts, each 50 ms.
+func BenchmarkLook(b *testing.B) {
+	sizes(b, func(b *testing.B, h *Headstock, e extent.Extent) {
+		at := h.moment()
+		for b.Loop() {
+			at += 500
+			h.module.Clock(at)
+			h.module.Woke()
+			h.later = nil
+		}
+	})
+}
+
+// A start with a snapshot.
+func BenchmarkStart(b *testing.B) {
+	sizes(b, func(b *testing.B, _ *Headstock, e extent.Extent) {
+		s := e.State()
+		snapshot := s.Snapshot()
+		for b.Loop() {
+			h := newHeadstock(&nameplate.Plate{Node: "edge-waco-hall-0", Zone: "waco-hall"}, hclog.NewNullLogger(), arbor.NewSteady(time.Now), 1)
+			h.dial = func(*host, rules.Tenth, uint64) {}
+			h.news(&belt.News{Snapshot: snapshot, Index: s.Index})
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/extent/extent.go
@@ -0,0 +1,81 @@
+// Package extent makes control state of a given size, for benchmarks: so many routers before so many databases of three
+// hosts each, with names and addresses as long as those of the deployments.
+package extent
+
+import (
+	"bytes"
+	"fmt"
+
+	"ferrypitch/internal/rack"
+)
+
+// Extent is a size.
+type Extent struct{ Routers, Databases int }
+
+// Full is the size that docs/CAPACITY.md is worked out for.
+var Full = Extent{1200, 2600}
+
+// All are the sizes that are measured, in the proportion of Full.
+var All = []Extent{{30, 65}, {100, 217}, {300, 650}, Full}
+
+func (e Extent) String() string { return fmt.Sprintf("routers=%d", e.Routers) }
+
+// Hosts is how many there are.
+func (e Extent) Hosts() int { return 3 * e.Databases }
+
+// Service is a database's name.
+func Service(i int) string { return fmt.Sprintf("lecture-core-%d", i) }
+
+// Host is the nth of all; the first of each three leads.
+func Host(n int) rack.Host {
+	return rack.Host{ID: fmt.Sprintf("lecture-core-%d-h%d-1", n/3, n%3), Service: Service(n / 3),
+		Address: fmt.Sprintf("10.%d.%d.%d:5432", 10+n%3, n/3/250, 1+n/3%250), Zone: "waco-hall", Generation: "g1", Capacity: 7,
+		Since: uint64(n + 1)}
+}
+
+// Router is the nth.
+func Router(n int) string { return fmt.Sprintf("edge-waco-hall-%d", n) }
+
+// Config is a configuration with a service and a route for each database.
+func (e Extent) Config(generation int64) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"Generation":%d,"Routes":[`, generation)
+	for i := range e.Databases {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"Name":"upload-desk-%d","Host":"upload-desk-%d.example","PathPrefix":"/","Kind":"leader","DeadlineMs":2000,`+
+			`"TargetMs":250,"Priority":1,"Service":%q,"MaxTries":2}`, i, i, Service(i))
+	}
+	b.WriteString(`],"Services":[`)
+	for i := range e.Databases {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"Name":%q,"MaxConns":82,"SyncReplicas":1}`, Service(i))
+	}
+	b.WriteString(`],"Limits":{"TxnIdleMs":5000}}`)
+	return b.Bytes()
+}
+
+// State holds all that, each database led by its first host. It is put together directly: applying as many changes takes
+// time that grows with the square.
+func (e Extent) State() *rack.State {
+	s := &rack.State{}
+	if err := s.Apply(1, rack.Change{Configure: &rack.Configure{Body: e.Config(1)}}); err != nil {
+		panic(err)
+	}
+	s.Hosts, s.Leads, s.Routers = map[string]rack.Host{}, map[string]rack.Lead{}, map[string]uint64{}
+	for n := range e.Hosts() {
+		h := Host(n)
+		s.Hosts[h.ID] = h
+		if s.Index++; n%3 == 0 {
+			s.Leads[h.Service] = rack.Lead{Host: h.ID, Term: 1, At: s.Index}
+		}
+	}
+	for n := range e.Routers {
+		s.Index++
+		s.Routers[Router(n)] = s.Index
+	}
+	return s
+}
--- /dev/null
+++ b/internal/rack/capacity_test.go
@@ -0,0 +1,97 @@
+package rack_test
+
+import (
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ferrypitch/internal/lab/extent"
+	"ferrypitch/internal/rack"
+)
+
+// The figures of docs/CAPACITY.md: what the replicated state costs at a size.
+
+func sizes(b *testing.B, run func(b *testing.B, e extent.Extent)) {
+	for _, e := range extent.All {
+		b.Run(e.String(), func(b *testing.B) { run(b, e) })
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	sizes(b, func(b *testing.B, e extent.Extent) {
+		s := e.State()
+		for b.Loop() {
+			b.ReportMetric(float64(len(s.Snapshot())), "bytes")
+		}
+	})
+}
+
+// What a router or a member does with a snapshot, and what the state that comes of it holds of memory.
+func BenchmarkRestore(b *testing.B) {
+	sizes(b, func(b *testing.B, e extent.Extent) {
+		snapshot := e.State().Snapshot()
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		held, err := rack.Restore(snapshot)
+		require.NoError(b, err)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		for b.Loop() {
+			rack.Restore(snapshot)
+		}
+		b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+		runtime.KeepAlive(held)
+	})
+}
+
+func BenchmarkConfigure(b *testing.B) {
+	sizes(b, func(b *testing.B, e extent.Extent) {
+		s := e.State()
+		for b.Loop() {
+			c := rack.Change{Configure: &rack.Configure{Base: s.Gen, Body: e.Config(s.Gen + 1)}}
+			b.ReportMetric(float64(len(rack.Encode(c))), "bytes")
+			require.NoError(b, s.Apply(s.Index+1, c))
+		}
+	})
+}
+
+// A host enters a state that holds all others.
+func BenchmarkEnter(b *testing.B) {
+	sizes(b, func(b *testing.B, e extent.Extent) {
+		s := e.State()
+		h := extent.Host(e.Hosts())
+		body := rack.Encode(rack.Change{Enter: &h})
+		for b.Loop() {
+			c, err := rack.Decode(body)
+			require.NoError(b, err)
+			require.NoError(b, s.Apply(s.Index+1, c))
+			delete(s.Hosts, h.ID)
+		}
+		b.ReportMetric(float64(len(body)), "bytes")
+	})
+}
+
+func BenchmarkLead(b *testing.B) {
+	sizes(b, func(b *testing.B, e extent.Extent) {
+		s := e.State()
+		body := rack.Encode(rack.Change{Lead: &rack.NewLead{Service: extent.Service(3), Host: extent.Host(10).ID, Term: 2}})
+		for b.Loop() {
+			c, err := rack.Decode(body)
+			require.NoError(b, err)
+			require.NoError(b, s.Apply(s.Index+1, c))
+		}
+		b.ReportMetric(float64(len(body)), "bytes")
+	})
+}
+
+// Each renewal of a lease asks for this.
+func BenchmarkRecalled(b *testing.B) {
+	sizes(b, func(b *testing.B, e extent.Extent) {
+		s := e.State()
+		for b.Loop() {
+			s.Recalled()
+		}
+	})
+}
--- /dev/null
+++ b/internal/vise/capacity_test.go
@@ -0,0 +1,47 @@
+package vise_test
+
+import (
+	"testing"
+
+	"ferrypitch/internal/lab/extent"
+	"ferrypitch/internal/vise"
+)
+
+// A renewal, and the count of those that hold leases, which goes out with each.
+func BenchmarkRenew(b *testing.B) {
+	for _, e := range extent.All {
+		b.Run(e.String(), func(b *testing.B) {
+			j := vise.New(0)
+			for i := range e.Routers {
+				j.Renew(extent.Router(i), 1, 1, 0, 1)
+			}
+			b.Run("grant", func(b *testing.B) {
+				for b.Loop() {
+					j.Renew("edge-waco-hall-7", 1, 1, 0, 1)
+				}
+			})
+			b.Run("count", func(b *testing.B) {
+				for b.Loop() {
+					j.Live(1)
+				}
+			})
+		})
+	}
+}
+
+// Whether a lead that was taken back is handed back by all: asked at each tick while a move goes on.
+func BenchmarkClear(b *testing.B) {
+	for _, e := range extent.All {
+		b.Run(e.String(), func(b *testing.B) {
+			j := vise.New(0)
+			for i := range e.Routers {
+				j.Renew(extent.Router(i), 1, 2, 0, 5000)
+			}
+			for b.Loop() {
+				if !j.Clear(2, nil, 5001) {
+					b.Fatal("all have applied it")
+				}
+			}
+		})
+	}
+}
