--- a/internal/belt/capacity_test.go
+++ b/internal/belt/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -76,3 +77,27 @@
 		})
 	}
 }
+
+// What a connection that has carried a renewal and a lease holds of memory, without its goroutines.
+func BenchmarkConn(b *testing.B) {
+	const many = 200
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		held := make([]*Conn, many)
+		for i := range held {
+			held[i] = Wrap(&still{})
+			for range 2 {
+				held[i].Send(&Frame{Renew: &Renew{Serial: 1}}, time.Second)
+				held[i].Receive(time.Second)
+				held[i].Send(&Frame{Lease: &Lease{Serial: 1}}, time.Second)
+				held[i].Receive(time.Second)
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(held)
+	}
+	b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/many, "heap-bytes/conn")
+}
--- a/internal/headstock/capacity_test.go
+++ b/internal/headstock/capacity_test.go
@@ -1,8 +1,12 @@
 package headstock
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"errors"
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -10,6 +14,7 @@
 
 	"ferrypitch/internal/arbor"
 	"ferrypitch/internal/belt"
+	"ferrypitch/internal/feeler"
 	"ferrypitch/internal/lab/extent"
 	"ferrypitch/internal/nameplate"
 	"ferrypitch/internal/rack"
@@ -74,15 +79,56 @@
 	})
 }
 
-// A start with a snapshot.
+// A start with a snapshot, and what a router holds of memory then.
 func BenchmarkStart(b *testing.B) {
 	sizes(b, func(b *testing.B, _ *Headstock, e extent.Extent) {
 		s := e.State()
 		snapshot := s.Snapshot()
-		for b.Loop() {
+		begin := func() *Headstock {
 			h := newHeadstock(&nameplate.Plate{Node: "edge-waco-hall-0", Zone: "waco-hall"}, hclog.NewNullLogger(), arbor.NewSteady(time.Now), 1)
 			h.dial = func(*host, rules.Tenth, uint64) {}
 			h.news(&belt.News{Snapshot: snapshot, Index: s.Index})
+			return h
+		}
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		held := begin()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		for b.Loop() {
+			begin()
 		}
+		b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+		runtime.KeepAlive(held)
 	})
 }
+
+// A datagram between routers, made, encoded and decoded; each router sends about four a second.
+func BenchmarkDatagram(b *testing.B) {
+	for _, e := range extent.All {
+		b.Run(e.String(), func(b *testing.B) {
+			at := func(n int) string { return fmt.Sprintf("10.1.%d.%d:7440", n/250, 1+n%250) }
+			f := feeler.New(extent.Router(0), at(0), 1, feeler.Usual(), func(n int) int { return n / 2 }, 0)
+			f.SetControl([]string{"10.1.0.11", "10.2.0.8", "10.3.0.9"}, 12345)
+			for n := 1; n < e.Routers; n++ {
+				f.Heard(feeler.Message{Kind: feeler.Ack, From: at(n), News: []feeler.News{{Name: extent.Router(n), Address: at(n), Incarnation: 1 << 60}}}, 0)
+			}
+			size := 0
+			for b.Loop() {
+				out := f.Heard(feeler.Message{Kind: feeler.Ping, From: at(1), Serial: 7}, 1)
+				var w bytes.Buffer
+				if err := gob.NewEncoder(&w).Encode(out[0].Message); err != nil {
+					b.Fatal(err)
+				}
+				size = w.Len()
+				var m feeler.Message
+				if err := gob.NewDecoder(&w).Decode(&m); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "bytes")
+			b.ReportMetric(float64(len(f.Live())), "known")
+		})
+	}
+}
--- a/internal/lab/extent/extent.go
+++ b/internal/lab/extent/extent.go
@@ -36,16 +36,17 @@
 // Router is the nth.
 func Router(n int) string { return fmt.Sprintf("edge-waco-hall-%d", n) }
 
-// Config is a configuration with a service and a route for each database.
+// Config is a configuration with a service for each database, and a route of each kind.
 func (e Extent) Config(generation int64) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, `{"Generation":%d,"Routes":[`, generation)
-	for i := range e.Databases {
+	for i := range 3 * e.Databases {
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		fmt.Fprintf(&b, `{"Name":"upload-desk-%d","Host":"upload-desk-%d.example","PathPrefix":"/","Kind":"leader","DeadlineMs":2000,`+
-			`"TargetMs":250,"Priority":1,"Service":%q,"MaxTries":2}`, i, i, Service(i))
+		kind := [...]string{`"leader"`, `"bounded_staleness","StalenessMs":1500`, `"owned","StalenessMs":2500`}[i%3]
+		fmt.Fprintf(&b, `{"Name":"desk-%d","Host":"desk-%d.example","PathPrefix":"/","Kind":%s,"DeadlineMs":2000,"TargetMs":250,`+
+			`"Priority":1,"Service":%q,"MaxTries":2}`, i, i, kind, Service(i/3))
 	}
 	b.WriteString(`],"Services":[`)
 	for i := range e.Databases {
