--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -32,11 +32,13 @@
 	Append                         // entries behind Index of View Prev
 	Accept                         // they are on disk up to Index
 	Refuse                         // they do not fit; Index is where to try
-	Install                        // a snapshot
+	Install                        // a part of a snapshot
 	VoteRequest                    // for a vote; PreVote: whether one would be had
 	Vote                           // Granted
 	Transfer                       // a leader hands its view over
 	Join                           // a learner, or a member that nobody calls, asks to be called
+	InstallReply                   // how much of a snapshot is here
+	Refetch                        // a member whose state is wrong asks for a snapshot, whatever it holds
 )
 
 // Message is what members say to each other.
@@ -49,11 +51,12 @@
 	Commit      uint64
 	Sent        int64
 	Entries     []Entry
-	Snapshot    *Snapshot
-	PreVote     bool // of VoteRequest and Vote
-	Transferred bool // of VoteRequest: the leader that was promised to has handed over
+	Part        *Part // of Install and InstallReply
+	PreVote     bool  // of VoteRequest and Vote
+	Transferred bool  // of VoteRequest: the leader that was promised to has handed over
 	Granted     bool
-	Fresh       bool // of Vote: no leader was heard in this life; of VoteRequest: all members have said so
+	Fresh       bool   // of Vote: no leader was heard in this life; of VoteRequest: all members have said so
+	Round       uint64 // of a pre-vote: which one; an answer brings it back, and counts for no other
 }
 
 // Out is what a call asks for. Messages that wait for a disk come out of Saved.
@@ -79,11 +82,15 @@
 	Again  int64 // after which entries are sent again
 	Gone   int64 // a member silent for so long makes way for a learner
 	Most   int   // how many members there are at most; others stand by
+	Part   int   // bytes of a part of a snapshot
+	Kept   int   // bytes of entries that a snapshot stands for and that stay in memory, for members that lag a little
+	Behind int   // and of those behind a snapshot that a member is taking
 }
 
 // Usual are terms for a network of a few milliseconds, where so many members may be lost at once.
 func Usual(lost int) Terms {
-	return Terms{Lease: 700, Beat: 130, Jitter: 200, Again: 400, Gone: 2000, Most: 2*max(lost, 1) + 1}
+	return Terms{Lease: 700, Beat: 130, Jitter: 200, Again: 400, Gone: 2000, Most: 2*max(lost, 1) + 1,
+		Part: 128 << 10, Kept: 256 << 10, Behind: 4 << 20}
 }
 
 // Core is one member. It is not safe for use by several goroutines.
@@ -96,6 +103,8 @@
 
 	meta    Meta
 	base    Snapshot // Index 0: none
+	old     []Entry  // up to base.Index, for members that lag
+	oldView uint64   // of the entry before old
 	log     []Entry  // from base.Index+1 on
 	commit  uint64
 	given   uint64 // delivered
@@ -115,21 +124,27 @@
 	fresh        map[ID]bool // members that have heard no leader in their present lives
 	heard        bool        // a leader was, in this life, or this one led
 	allFresh     bool
-	tries        int64 // elections since a leader was heard
-	rounds       int   // and times that this member asked at all
+	tries        int64  // elections since a leader was heard
+	rounds       int    // and times that this member asked at all
+	round        uint64 // of this life's pre-votes, counted from where chance put it
 	peers        map[ID]*progress
 	began        uint64 // the index of this leader's first entry
 	beatAt       int64
 	transferring bool
 	ledAt        int64 // when it began to lead
 	silenced     int64
+	taking       *taking // a snapshot that comes in parts
+	refetch      bool    // the state here is wrong
+	refetchAt    int64
 	out          Out
+
+	Counts
 }
 
 // New starts a member. founders are the first members, for a first start with an empty disk; a learner has none.
 func New(id ID, t Terms, kept Restored, founders []ID, chance func() float64, now int64) *Core {
 	c := &Core{Terms: t, id: id, now: now, startedAt: now, heardAt: now, chance: chance, meta: kept.Meta, base: kept.Snapshot,
-		log: kept.Entries}
+		log: kept.Entries, oldView: kept.Snapshot.View}
 	c.commit, c.given, c.saved = c.base.Index, c.base.Index, c.last()
 	c.configs = []config{{c.base.Index, c.base.Members}}
 	if c.base.Index == 0 && len(c.base.Members) == 0 {
@@ -141,13 +156,23 @@
 			c.configs = append(c.configs, config{c.base.Index + uint64(i) + 1, e.Members})
 		}
 	}
-	c.askAt = now + c.Beat/2 + int64(c.chance()*float64(c.Jitter)/2)
+	drawn := c.chance()
+	c.askAt = now + c.Beat/2 + int64(drawn*float64(c.Jitter)/2)
+	c.round = uint64(drawn*(1<<50)) << 13
 	return c
 }
 
 // Leader is who leads, as far as known; empty: nobody.
 func (c *Core) Leader() ID { return c.leader }
 
+// Heard is the leader, where it was heard lately enough to be worth asking; empty: nobody. Its lease may run longer.
+func (c *Core) Heard(now int64) ID {
+	if c.role != leader && now > c.heardAt+c.Lease*2/3 {
+		return ""
+	}
+	return c.leader
+}
+
 // View is the newest view that this member takes part in.
 func (c *Core) View() uint64 { return c.meta.View }
 
@@ -176,6 +201,10 @@
 // Tick goes on to a time; it is to be called every Beat/3 or so.
 func (c *Core) Tick(now int64) Out {
 	c.clock(now)
+	if c.refetch && c.role == follower && c.leader != "" && c.now >= c.refetchAt {
+		c.refetchAt = c.now + c.Lease
+		c.send(Message{Kind: Refetch, To: c.leader})
+	}
 	switch {
 	case c.role == leader:
 		c.lead()
@@ -198,6 +227,10 @@
 }
 
 func (c *Core) step(m Message) {
+	if m.To != "" && m.To != c.id { // for who was at this address before: what it held is not held here
+		c.Misdirected++
+		return
+	}
 	if m.Kind == Join {
 		c.joined(m)
 		return
@@ -217,7 +250,7 @@
 		}
 		if c.role == candidate && c.preVote {
 			c.votes[m.From] = c.votes[m.From] || m.Granted
-			c.fresh[m.From] = m.Fresh
+			c.fresh[m.From] = m.Fresh && m.Round == c.round
 			c.elected()
 		}
 		return
@@ -264,7 +297,7 @@
 			c.votes[m.From] = true
 			c.elected()
 		}
-	case HeartbeatReply, Accept, Refuse:
+	case HeartbeatReply, Accept, Refuse, InstallReply, Refetch:
 		c.replied(m)
 	}
 }
