Capacity benchmarks follow the log's differences

Change: BenchmarkOrder checks and packs an order in which one route differs, BenchmarkConfigure applies it.

--- a/internal/belt/capacity_test.go
+++ b/internal/belt/capacity_test.go
@@ -46,7 +46,7 @@
 			Entries: body(rack.Change{Lead: &rack.NewLead{Service: host.Service, Host: host.ID, Term: 3, Took: 300}})}}},
 		{"news/host", Frame{News: &News{Index: 12345, Members: members, Entries: body(rack.Change{Enter: &host})}}},
 		{"news/configuration", Frame{News: &News{Index: 12345, Members: members,
-			Entries: body(rack.Change{Configure: &rack.Configure{Base: 1, Body: extent.Full.Config(2)}})}}},
+			Entries: body(extent.Full.Order(state))}}},
 		{"news/snapshot", Frame{News: &News{Index: 12345, Members: members, Snapshot: state.Snapshot()}}},
 		{"heartbeat", Frame{Core: &ratchet.Message{Kind: ratchet.Heartbeat, From: "10.1.0.11", To: "10.2.0.8", View: 3, Sent: 1 << 40, Commit: 12345}}},
 		{"append", Frame{Core: &ratchet.Message{Kind: ratchet.Append, From: "10.1.0.11", To: "10.2.0.8", View: 3, Index: 12344, Prev: 3, Commit: 12344,
--- a/internal/lab/extent/extent.go
+++ b/internal/lab/extent/extent.go
@@ -36,7 +36,8 @@
 // Router is the nth.
 func Router(n int) string { return fmt.Sprintf("edge-waco-hall-%d", n) }
 
-// Config is a configuration with a service for each database, and a route of each kind.
+// Config is a configuration with a service for each database, and a route of each kind; the first route differs in each
+// generation.
 func (e Extent) Config(generation int64) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, `{"Generation":%d,"Routes":[`, generation)
@@ -44,9 +45,13 @@
 		if i > 0 {
 			b.WriteByte(',')
 		}
+		deadline := int64(2000)
+		if i == 0 {
+			deadline += generation
+		}
 		kind := [...]string{`"leader"`, `"bounded_staleness","StalenessMs":1500`, `"owned","StalenessMs":2500`}[i%3]
-		fmt.Fprintf(&b, `{"Name":"desk-%d","Host":"desk-%d.example","PathPrefix":"/","Kind":%s,"DeadlineMs":2000,"TargetMs":250,`+
-			`"Priority":1,"Service":%q,"MaxTries":2}`, i, i, kind, Service(i/3))
+		fmt.Fprintf(&b, `{"Name":"desk-%d","Host":"desk-%d.example","PathPrefix":"/","Kind":%s,"DeadlineMs":%d,"TargetMs":250,`+
+			`"Priority":1,"Service":%q,"MaxTries":2}`, i, i, kind, deadline, Service(i/3))
 	}
 	b.WriteString(`],"Services":[`)
 	for i := range e.Databases {
@@ -59,6 +64,16 @@
 	return b.Bytes()
 }
 
+// Order is an operator's change of one route, as the log carries it on top of a state.
+func (e Extent) Order(s *rack.State) rack.Change {
+	c := &rack.Configure{Base: s.Gen, Body: e.Config(s.Gen + 1)}
+	plan, err := s.Check(c)
+	if err != nil {
+		panic(err)
+	}
+	return rack.Change{Configure: s.Pack(c, plan)}
+}
+
 // State holds all that, each database led by its first host. It is put together directly: applying as many changes takes
 // time that grows with the square.
 func (e Extent) State() *rack.State {
--- a/internal/rack/capacity_test.go
+++ b/internal/rack/capacity_test.go
@@ -46,13 +46,39 @@
 	})
 }
 
+// A whole configuration in which one route differs: what its order costs where it is checked, and what it costs each
+// member and each router that applies it.
+func BenchmarkOrder(b *testing.B) {
+	sizes(b, func(b *testing.B, e extent.Extent) {
+		s := e.State()
+		for b.Loop() {
+			b.ReportMetric(float64(len(rack.Encode(e.Order(s)))), "bytes")
+		}
+		b.ReportMetric(float64(len(s.Config)), "bytes-sent")
+	})
+}
+
 func BenchmarkConfigure(b *testing.B) {
 	sizes(b, func(b *testing.B, e extent.Extent) {
 		s := e.State()
+		other := e.State()
+		var bodies [][]byte
+		for i := range 20 {
+			c := e.Order(other)
+			bodies = append(bodies, rack.Encode(c))
+			require.NoError(b, other.Apply(other.Index+uint64(i)+1, c))
+		}
+		n := 0
 		for b.Loop() {
-			c := rack.Change{Configure: &rack.Configure{Base: s.Gen, Body: e.Config(s.Gen + 1)}}
-			b.ReportMetric(float64(len(rack.Encode(c))), "bytes")
+			if n == len(bodies) {
+				b.StopTimer()
+				s, n = e.State(), 0
+				b.StartTimer()
+			}
+			c, err := rack.Decode(bodies[n])
+			require.NoError(b, err)
 			require.NoError(b, s.Apply(s.Index+1, c))
+			n++
 		}
 	})
 }
