--- a/internal/belt/capacity_test.go
+++ b/internal/belt/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"runtime"
 	"strings"
@@ -78,26 +79,37 @@
 	}
 }
 
-// What a connection that has carried a renewal and a lease holds of memory, without its goroutines.
+// What a connection holds of memory, without its goroutines: one that has carried renewals and leases, and one that has
+// carried news of a length besides.
 func BenchmarkConn(b *testing.B) {
-	const many = 200
-	var before, after runtime.MemStats
-	for b.Loop() {
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		held := make([]*Conn, many)
-		for i := range held {
-			held[i] = Wrap(&still{})
-			for range 2 {
-				held[i].Send(&Frame{Renew: &Renew{Serial: 1}}, time.Second)
-				held[i].Receive(time.Second)
-				held[i].Send(&Frame{Lease: &Lease{Serial: 1}}, time.Second)
-				held[i].Receive(time.Second)
+	const many = 50
+	for _, news := range []int{0, 64 << 10, 1 << 20} {
+		b.Run(fmt.Sprintf("news=%d", news), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				held := make([]*Conn, many)
+				for i := range held {
+					s := &still{}
+					k := Wrap(s)
+					held[i] = k
+					for _, f := range []*Frame{{Lease: &Lease{Serial: 1}}, {Renew: &Renew{Serial: 1}}, {News: &News{Snapshot: make([]byte, news)}}} {
+						if k.Send(f, time.Second) != nil {
+							b.Fatal("not sent")
+						}
+						if f.News != nil { // what is read is the other side's
+							s.Buffer = bytes.Buffer{}
+						} else if _, err := k.Receive(time.Second); err != nil {
+							b.Fatal(err)
+						}
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(held)
 			}
-		}
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		runtime.KeepAlive(held)
+			b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/many, "heap-bytes/conn")
+		})
 	}
-	b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/many, "heap-bytes/conn")
 }
