--- a/internal/ratchet/ratchet.go
+++ b/internal/ratchet/ratchet.go
@@ -136,6 +136,7 @@
 	transferring bool
 	ledAt        int64 // when it began to lead
 	silenced     int64
+	heir         ID      // that is to lead next, and has not been told yet
 	taking       *taking // a snapshot that comes in parts
 	refetch      bool    // the state here is wrong
 	refetchAt    int64
