--- a/internal/forge/state_test.go
+++ b/internal/forge/state_test.go
@@ -274,8 +274,14 @@
 			p.start()
 		}
 		p.cut = false
-		was := w.version
-		w.Play(4000)
+		was, behind, whole := w.version, w.version-p.f.state.Gen, int64(-1)
+		for at := int64(20); at <= 4000; at += 20 {
+			if w.Play(20); whole < 0 && p.f.state.Gen >= was && !p.f.astray {
+				whole = at
+			}
+		}
+		t.Logf("%s, %d routes, %d changes behind, a disk %d times as slow: whole after %d ms",
+			[]string{"empty", "restarted", "cut off", "put back to an older file"}[how], w.routes, behind, p.slow, whole)
 		if p.f.state.Gen < was || p.f.astray {
 			w.Broke("%s (how %d, %d times slow) stands at version %d, %d was before it came back", p.id.ID, how, p.slow, p.f.state.Gen, was)
 		}
