A test of session reads has its hosts lag before the program can ask where they stand

Ruled out: the program (c's position was true when told). Change: the hosts lag before the start; the assertions stay.

--- a/cmd/ferrypitch/program_test.go
+++ b/cmd/ferrypitch/program_test.go
@@ -69,10 +69,11 @@
 }
 
 func TestASessionReadIsHeldToItsToken(t *testing.T) {
-	s := begin(t, 3, nil)
-	for _, h := range s.hosts[1:] {
-		h.behind(10 * time.Minute)
-	}
+	s := prepared(t, 3, nil, func(s *stand) {
+		for _, h := range s.hosts[1:] {
+			h.behind(10 * time.Minute)
+		}
+	})
 	c := s.client()
 	after := strconv.FormatInt(time.Now().Add(-time.Minute).UnixMilli(), 10)
 	for range 5 {
