An order that names no base builds on nothing, as before

Need: since orders are remembered by led time a missing X-Base-Version was refused, where it had meant 0. Ruled out: taking a blank of spaces or a sign for a number, these stay refused by name. Change: no header is 0.

--- a/internal/forge/operators.go
+++ b/internal/forge/operators.go
@@ -27,8 +27,11 @@
 	bytes   int
 }
 
-// version reads the version that an order builds on.
+// version reads the version that an order builds on; where none is named, it builds on nothing.
 func (c *call) version() (int64, error) {
+	if c.base == "" {
+		return 0, nil
+	}
 	v, err := strconv.ParseUint(c.base, 10, 63)
 	if err != nil {
 		return 0, fmt.Errorf("X-Base-Version: %.40q is no version", c.base)
