Proxy: what never ran is rejected at once when the lease is lost, also in new sessions

Cause: a proxy without a lease held each new session for 0.9 s and then closed it with an error, which a client counts as a connection cut without an answer; statements that waited for a host waited on. Sessions that have just begun are not drained. Tests of internal/proxy pass.

--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -23,6 +23,7 @@
 	throttled              atomic.Int64 // statements for which the policy found no host in time
 	failed                 atomic.Int64 // statements that the policy gave up, which may have run
 	leaseExpiredBeforeSend atomic.Int64 // statements not sent, since a lease or a primary's epoch had ended
+	rejectedAtLeaseLoss    atomic.Int64 // statements that waited for a host when the lease expired
 	floorUnknown           atomic.Int64 // reads that had to go to the primary, since no floor (least position to see) was known
 	acksAfterRevocation    atomic.Int64 // writes acknowledged by a primary that was revoked meanwhile
 	responsesLost          atomic.Int64 // transactions ended since a response counts as lost
@@ -61,6 +62,7 @@
 		"throttled":                 c.throttled.Load(),
 		"failed":                    c.failed.Load(),
 		"lease_expired_before_send": c.leaseExpiredBeforeSend.Load(),
+		"rejected_at_lease_loss":    c.rejectedAtLeaseLoss.Load(),
 		"floor_unknown":             c.floorUnknown.Load(),
 		"acks_after_revocation":     c.acksAfterRevocation.Load(),
 		"responses_lost":            c.responsesLost.Load(),
--- a/internal/proxy/greeting.go
+++ b/internal/proxy/greeting.go
@@ -12,19 +12,22 @@
 	waitingClientTimeout = 900 * time.Millisecond
 )
 
-// waitingClient is a session that began while this proxy had no valid lease. It waits for one for a short time: a client that
-// is rejected has to connect again.
+// waitingClient is a session whose database this proxy does not know, and that began while no valid lease said whether the
+// configuration is the newest. It waits for a lease for a short time: the route may have been added just now.
 type waitingClient struct {
 	session   *clientSession
 	arrivedAt time.Time
 }
 
-// beginSession handles a client's CONNECT.
+// beginSession handles a client's CONNECT. A session whose route is known begins also without a valid lease: each of its
+// statements is then served or rejected by what the lease allows at that moment.
 func (s *Server) beginSession(client *clientSession, database string) {
 	client.database = database
 	client.id = s.nextID()
 	client.policyKey = formatID(client.id)
-	if !s.configCurrent() && len(s.waiting) < maxWaitingClients && !s.shuttingDown {
+	client.idleSince = s.clock.Time()
+	known := s.routes[database] != nil
+	if !known && !s.configCurrent() && len(s.waiting) < maxWaitingClients && !s.shuttingDown {
 		s.waiting = append(s.waiting, waitingClient{session: client, arrivedAt: s.clock.Time()})
 		return
 	}
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -105,6 +105,10 @@
 		return
 	}
 	stmt.deadline = message.receivedAt.Add(stmt.route.deadline)
+	if s.needsLease(stmt) && !s.leaseValid() {
+		s.reject(stmt, errcode.NoValidLease, stmt.route.comebackMs())
+		return
+	}
 	client.statement = stmt
 	s.submit(stmt)
 }
@@ -204,10 +208,5 @@
 	if stmt.commandID == "" {
 		return
 	}
-	stmt.command.Abandon()
-	if stmt.attempt.conn == nil && !stmt.attempt.over && stmt.command.Host != nil {
-		s.endAttempt(stmt, policy.Expired)
-		return
-	}
-	s.forgetIfOver(stmt)
+	s.withdraw(stmt)
 }
--- a/internal/proxy/sweep.go
+++ b/internal/proxy/sweep.go
@@ -10,8 +10,8 @@
 	"ferrypitch/policy"
 )
 
-// staleConfigGrace is how long a proxy without a valid lease keeps idle sessions. Other proxies may have a lease: clients are
-// let go to them.
+// staleConfigGrace is how long a proxy without a valid lease keeps sessions that ask for nothing. Other proxies may have a
+// lease: clients are let go to them.
 const staleConfigGrace = 500 * time.Millisecond
 
 // sweep checks all that is bound to time instead of an event. It runs every sweepInterval, with each lease and at shutdown.
@@ -31,12 +31,9 @@
 	}
 	if s.configCurrent() {
 		s.leaseValidAt = now
-	} else if now.Sub(s.leaseValidAt) > staleConfigGrace {
-		for _, client := range s.sessionsByAge() {
-			if client.idle() {
-				client.drain()
-			}
-		}
+	} else {
+		s.rejectUnsentStatements()
+		s.drainWithoutLease(now)
 	}
 	s.rollBackIdleTransactions(now)
 }
