Control: hand-over from a stalled disk, leases checked at the write, fail-over mends

A first heartbeat that came late removed the host that had its address by then. Change: consensus hands over after 500 ms where a majority of the others has on disk what its own disk has not, and bounds pending writes; the queue to the disk never blocks; Server.MayAct is looked at right before each write, by any goroutine; unsettled promotions of other hosts are waited for; in the first 3 s of a system's life fail-over waits for the old primary's position; a nominee must have what the primary has written since the others were paused; the known host is asked before another takes its address.

--- a/internal/control/consensus/config.go
+++ b/internal/control/consensus/config.go
@@ -8,6 +8,7 @@
 	HeartbeatMs           int64 // interval of a leader's heartbeats
 	ElectionJitterMs      int64 // most that is added at random to an election timer
 	RetransmitMs          int64 // after which entries that were not acknowledged are sent again
+	DiskTimeoutMs         int64 // a leader whose disk takes longer for a write hands over
 	RemovalTimeoutMs      int64 // a member silent for this long may be replaced by a learner
 	MaxMembers            int   // voting members at most; further ones remain learners
 	ChunkBytes            int   // data bytes of a snapshot chunk
@@ -23,6 +24,7 @@
 		HeartbeatMs:           130,
 		ElectionJitterMs:      200,
 		RetransmitMs:          400,
+		DiskTimeoutMs:         500,
 		RemovalTimeoutMs:      2000,
 		MaxMembers:            2*max(maxFailures, 1) + 1,
 		ChunkBytes:            128 << 10,
--- /dev/null
+++ b/internal/control/consensus/disk_test.go
@@ -0,0 +1,89 @@
+package consensus
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stallDisk has a node's writes wait from now on.
+func (n *network) stallDisk(id ID) { n.stalled = id }
+
+// runFor ticks all nodes but those in down, and delivers their messages.
+func (n *network) runFor(durationMs int64, down ...ID) {
+	isDown := map[ID]bool{}
+	for _, id := range down {
+		isDown[id] = true
+	}
+	for end := n.nowMs + durationMs; n.nowMs < end; n.nowMs += 20 {
+		for _, id := range []ID{"a", "b", "c"} {
+			if !isDown[id] {
+				n.tick(id)
+			}
+		}
+		n.deliver(func(m Message) bool { return !isDown[m.From] && !isDown[m.To] })
+	}
+}
+
+// A leader whose disk has stalled hands over within its bound and a few messages, and what was proposed meanwhile is committed.
+func TestLeaderWithAStalledDiskHandsOver(t *testing.T) {
+	n := newNetworkLedByC(t)
+	n.runFor(600)
+	require.Equal(t, []ID{"c"}, n.leaseHolders())
+	n.stallDisk("c")
+	index, ready := n.nodes["c"].Propose([]byte("x"), n.nowMs)
+	n.handleReady("c", ready)
+	stalledAtMs := n.nowMs
+	for holders := n.leaseHolders(); len(holders) != 1 || holders[0] == "c"; holders = n.leaseHolders() {
+		n.requireOneLease()
+		n.runFor(20)
+		require.Less(t, n.nowMs-stalledAtMs, n.nodes["c"].DiskTimeoutMs+300, "it has not handed over")
+	}
+	require.EqualValues(t, 1, n.nodes["c"].DiskHandovers)
+	n.runFor(300)
+	require.GreaterOrEqual(t, n.nodes[n.leaseHolders()[0]].CommitIndex(), index)
+	n.runFor(3000)
+	require.Len(t, n.leaseHolders(), 1)
+}
+
+// Where no other leader could be elected without its disk, a leader stays: it can still grant leases.
+func TestLeaderWithAStalledDiskStaysWhereNobodyElseCanLead(t *testing.T) {
+	n := newNetworkLedByC(t)
+	n.runFor(600)
+	n.stallDisk("c")
+	_, ready := n.nodes["c"].Propose([]byte("x"), n.nowMs)
+	n.handleReady("c", ready)
+	n.runFor(4000, "a")
+	require.Equal(t, []ID{"c"}, n.leaseHolders())
+	require.Zero(t, n.nodes["c"].DiskHandovers)
+}
+
+// Writes that wait for a stalled disk are bounded: a leader refuses proposals, a follower ignores entries.
+func TestPendingWritesAreBounded(t *testing.T) {
+	n := newNetworkLedByC(t)
+	n.runFor(600)
+	n.stallDisk("c")
+	refused := 0
+	for range 2 * maxPendingWrites {
+		index, ready := n.nodes["c"].Propose([]byte("x"), n.nowMs)
+		if index == 0 {
+			refused++
+		}
+		n.handleReady("c", ready)
+	}
+	require.GreaterOrEqual(t, refused, maxPendingWrites)
+	require.LessOrEqual(t, n.nodes["c"].UnpersistedWrites(), maxPendingWrites)
+
+	n = newNetworkLedByC(t)
+	n.runFor(600)
+	n.stallDisk("a")
+	for range 2 * maxPendingWrites {
+		_, ready := n.nodes["c"].Propose([]byte("x"), n.nowMs)
+		n.handleReady("c", ready)
+		n.deliver(everyMessage)
+		n.nowMs += n.nodes["c"].RetransmitMs
+		n.handleReady("c", n.nodes["c"].Tick(n.nowMs))
+		n.deliver(everyMessage)
+	}
+	require.LessOrEqual(t, n.nodes["a"].UnpersistedWrites(), maxPendingWrites)
+}
--- a/internal/control/consensus/leader.go
+++ b/internal/control/consensus/leader.go
@@ -43,6 +43,7 @@
 		n.becomeFollower("")
 		return
 	}
+	n.handOverIfDiskStalled()
 	heartbeatDue := n.nowMs >= n.leadership.nextHeartbeatAtMs
 	if heartbeatDue {
 		n.leadership.nextHeartbeatAtMs = n.nowMs + n.HeartbeatMs
--- a/internal/control/consensus/lease.go
+++ b/internal/control/consensus/lease.go
@@ -18,10 +18,15 @@
 
 // HoldsLease says that no other leader can have been elected by now, and that everything committed in earlier terms has
 // been committed here (6.4, 6.4.1). Only then may the caller answer reads or acknowledge writes.
-func (n *Node) HoldsLease(nowMs int64) bool {
-	return n.role == leader && !n.leadership.transferring &&
-		n.leadership.termStartIndex > 0 && n.commitIndex >= n.leadership.termStartIndex &&
-		nowMs < n.leaseUntilMs()
+func (n *Node) HoldsLease(nowMs int64) bool { return nowMs < n.LeaseEndMs() }
+
+// LeaseEndMs returns when HoldsLease will be false unless the lease is renewed; 0 if it is false already, whatever the time.
+func (n *Node) LeaseEndMs() int64 {
+	committedOwnTerm := n.leadership.termStartIndex > 0 && n.commitIndex >= n.leadership.termStartIndex
+	if n.role != leader || n.leadership.transferring || !committedOwnTerm {
+		return 0
+	}
+	return n.leaseUntilMs()
 }
 
 // RecentLeader returns the leader if it was heard within two thirds of a lease, and so is worth asking, else nothing. By
--- a/internal/control/consensus/network_test.go
+++ b/internal/control/consensus/network_test.go
@@ -13,6 +13,7 @@
 	nodes    map[ID]*Node
 	disks    map[ID]*RestoredState
 	inFlight []Message
+	stalled  ID      // whose disk takes no writes
 	drawn    float64 // what the nodes draw as random numbers; grows with each start
 }
 
@@ -54,6 +55,9 @@
 
 func (n *network) handleReady(id ID, ready Ready) {
 	n.inFlight = append(n.inFlight, ready.Messages...)
+	if id == n.stalled {
+		return
+	}
 	for _, write := range ready.Writes {
 		n.disks[id].ApplyWrite(write)
 		n.handleReady(id, n.nodes[id].Persisted(write.Seq, n.nowMs))
--- a/internal/control/consensus/ready.go
+++ b/internal/control/consensus/ready.go
@@ -34,10 +34,11 @@
 
 // pendingWrite is a write that is not on disk yet, and what follows from it once it is.
 type pendingWrite struct {
-	seq         uint64
-	lastIndex   uint64    // last entry of the log with this write
-	configIndex uint64    // HardState.CommittedConfigIndex, if the write holds a hard state
-	messages    []Message // to be sent then
+	seq           uint64
+	requestedAtMs int64
+	lastIndex     uint64    // last entry of the log with this write
+	configIndex   uint64    // HardState.CommittedConfigIndex, if the write holds a hard state
+	messages      []Message // to be sent then
 }
 
 // takeReady empties n.ready: each exported call returns it once, so that nothing is written, sent or applied twice.
@@ -63,7 +64,7 @@
 	for i := range after {
 		after[i].From, after[i].Term = n.id, n.hardState.Term
 	}
-	pending := pendingWrite{seq: write.Seq, lastIndex: n.log.lastIndex(), messages: after}
+	pending := pendingWrite{seq: write.Seq, requestedAtMs: n.nowMs, lastIndex: n.log.lastIndex(), messages: after}
 	if write.HardState != nil {
 		pending.configIndex = write.HardState.CommittedConfigIndex
 	}
--- a/internal/control/consensus/replication.go
+++ b/internal/control/consensus/replication.go
@@ -8,10 +8,11 @@
 )
 
 // Propose appends data for the state machine to the log. It returns the index where the data will be committed, if this
-// leader's term lasts until then; 0 if this node does not lead or is transferring its leadership.
+// leader's term lasts until then; 0 if this node does not lead, is transferring its leadership, or has a stalled disk that as
+// many writes wait for as may.
 func (n *Node) Propose(data []byte, nowMs int64) (index uint64, ready Ready) {
 	n.advanceClock(nowMs)
-	if n.role != leader || n.leadership.transferring {
+	if n.role != leader || n.leadership.transferring || n.diskBacklogFull() {
 		return 0, n.takeReady()
 	}
 	n.appendEntry(Entry{Term: n.hardState.Term, Data: data})
@@ -74,7 +75,7 @@
 
 // stepAppend takes in entries that follow this log, and replaces those that differ (3.5).
 func (n *Node) stepAppend(m Message) {
-	if !n.acceptLeader(m.From) {
+	if !n.acceptLeader(m.From) || n.diskBacklogFull() {
 		return
 	}
 	if m.Index < n.log.snapshot.Index && !n.skipCompacted(&m) {
--- a/internal/control/consensus/snapshot_transfer.go
+++ b/internal/control/consensus/snapshot_transfer.go
@@ -150,7 +150,7 @@
 // stepSnapshotChunk takes in a part of a snapshot, and installs it once it is complete. Chunks out of order, of other
 // snapshots, or with invalid sizes change nothing.
 func (n *Node) stepSnapshotChunk(m Message) {
-	if !n.acceptLeader(m.From) {
+	if !n.acceptLeader(m.From) || n.diskBacklogFull() {
 		return
 	}
 	chunk := m.Chunk
--- a/internal/control/consensus/status.go
+++ b/internal/control/consensus/status.go
@@ -8,6 +8,7 @@
 	ChunksIgnored      int64 // chunks and acknowledgements that were late, out of order or invalid
 	SnapshotTransfers  int64 // snapshots that began to be sent
 	SnapshotsInstalled int64
+	DiskHandovers      int64 // transfers of leadership that began since this node's disk had stalled
 	DiscardedMessages  int64 // for another ID, from one that is no member, or from more learners than are tracked
 }
 
--- a/internal/control/counters.go
+++ b/internal/control/counters.go
@@ -12,6 +12,7 @@
 	CallsRejected    atomic.Int64 // of these, answered with a status of 400 or above
 	CallsForwarded   atomic.Int64 // calls forwarded to the leader
 	Heartbeats       atomic.Int64 // valid heartbeats of hosts, processed here
+	LateHeartbeats   atomic.Int64 // first heartbeats of hosts whose address another has by now
 	Proposals        atomic.Int64 // changes proposed to the log
 	LeasesGranted    atomic.Int64 // to proxies
 	LeasesRejected   atomic.Int64 // this member was not the leader
@@ -68,6 +69,7 @@
 		"calls_rejected":     s.CallsRejected.Load(),
 		"calls_forwarded":    s.CallsForwarded.Load(),
 		"heartbeats":         s.Heartbeats.Load(),
+		"late_heartbeats":    s.LateHeartbeats.Load(),
 		"proposals":          s.Proposals.Load(),
 		"leases_granted":     s.LeasesGranted.Load(),
 		"leases_rejected":    s.LeasesRejected.Load(),
@@ -82,6 +84,8 @@
 		"snapshots_installed":          s.consensus.SnapshotsInstalled,
 		"snapshot_chunks_sent":         s.consensus.ChunksSent,
 		"snapshot_chunks_ignored":      s.consensus.ChunksIgnored,
+		"disk_handovers":               s.consensus.DiskHandovers,
+		"pending_writes":               int64(s.consensus.UnpersistedWrites()),
 		"discarded_consensus_messages": s.consensus.DiscardedMessages,
 
 		"rpc_bytes_sent":     rpc.BytesSent.Load(),
--- a/internal/control/failover/coordinator.go
+++ b/internal/control/failover/coordinator.go
@@ -36,6 +36,10 @@
 	services            map[string]*serviceState
 	heartbeats          map[string]heartbeat // by host
 
+	// RegistrationsDueUntil is until when hosts may run that have not sent their first heartbeat, since the system has just
+	// started; 0: there are none. Until then no primary is switched over, and one that is lost is replaced only by a host that
+	// has all that the old primary had.
+	RegistrationsDueUntil int64
 	// Counters may be read between calls.
 	Counters Counters
 	// OnEvent is called for each event, in the call that caused it. New sets one that does nothing.
@@ -104,6 +108,11 @@
 	return false
 }
 
+// NewProbe returns a query of a host's status whose result the caller awaits itself.
+func (c *Coordinator) NewProbe(service, host string) HostQuery {
+	return HostQuery{Service: service, Host: host, Command: Stat, LeaderTerm: c.leaderTerm, Serial: c.nextSerial()}
+}
+
 func (c *Coordinator) nextSerial() uint64 {
 	c.lastSerial++
 	return c.lastSerial
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -46,6 +46,10 @@
 	if host == "" {
 		return proceed
 	}
+	if other := e.unsettledPromotion(host); other != "" {
+		e.query(other, Stat, 0, promotedPollIntervalMs)
+		return stop
+	}
 	e.query(e.primary.Host, StepDown, status.Timeline, queryIntervalMs)
 	if !e.allCaughtUp(e.primary.ChangedAt) || !e.oldPrimaryWasAsked() {
 		return stop
@@ -53,6 +57,7 @@
 	if e.oldPrimaryIsAhead(status) {
 		return proceed
 	}
+	delete(e.service.unsettledPromotions, host)
 	e.emit(NewPrimaryObserved, host)
 	appointment := statemachine.AppointPrimary{Service: e.service.name, Host: host, Term: status.Timeline}
 	if e.service.promotedHost == host {
@@ -183,7 +188,7 @@
 	e.query(e.primary.Host, StepDown, e.nextTerm(), queryIntervalMs)
 	chosen = e.collectPositions()
 	complete = chosen.host != "" && len(e.service.awaitedHosts) == 0
-	if complete {
+	if complete && !e.registrationsDue() {
 		return chosen, true
 	}
 	// The old primary has all that was acknowledged: its log stands in for the replicas that do not answer.
@@ -197,6 +202,10 @@
 	return chosen, chosen.host != "" && chosen.position.Number >= old.Received.Number
 }
 
+// registrationsDue says whether replicas may run that have not sent their first heartbeat. Such a one may be the only one that
+// received an acknowledged write.
+func (e *evaluation) registrationsDue() bool { return e.nowMs < e.coordinator.RegistrationsDueUntil }
+
 // collectPositions pauses the replicas and returns the most advanced of those that are. It notes the hosts whose positions
 // are still needed in awaitedHosts.
 func (e *evaluation) collectPositions() (mostAdvanced candidate) {
--- a/internal/control/failover/monitor.go
+++ b/internal/control/failover/monitor.go
@@ -64,10 +64,10 @@
 	return proceed
 }
 
-// startSwitchover nominates a successor for a primary that drains. While the log of a removed host is unaccounted for,
-// the service stays where it is.
+// startSwitchover nominates a successor for a primary that drains. While the log of a removed host is unaccounted for, or
+// replicas may run that are not known yet, the service stays where it is.
 func (e *evaluation) startSwitchover() stepResult {
-	if !e.state.Hosts[e.primary.Host].Draining || len(e.state.UnaccountedHostIDs(e.service.name)) > 0 {
+	if e.registrationsDue() || !e.state.Hosts[e.primary.Host].Draining || len(e.state.UnaccountedHostIDs(e.service.name)) > 0 {
 		return stop
 	}
 	successor := e.chooseSuccessor()
--- a/internal/control/failover/promotion.go
+++ b/internal/control/failover/promotion.go
@@ -1,5 +1,10 @@
 package failover
 
+import (
+	"maps"
+	"slices"
+)
+
 // Promotion is a request to the platform to promote a host. No two are equal, as with HostQuery.
 type Promotion struct {
 	Service, Host, Owner string
@@ -31,9 +36,11 @@
 		c.Counters.Promoted++
 	case PromotionRejected:
 		service.promotedHost = ""
+		delete(service.unsettledPromotions, promotion.Host)
 		service.rejectedAt[promotion.Host] = nowMs
 	case PromotionNotExecuted:
 		service.promotedHost = ""
+		delete(service.unsettledPromotions, promotion.Host)
 	case PromotionUnknown: // retried sooner than one that was accepted
 		service.promotionEndedAt = nowMs - promotionTimeoutMs + unclearPromotionTimeoutMs
 	}
@@ -48,6 +55,7 @@
 		return
 	}
 	service.promotionPending, service.promotedHost, service.promotionSentAt = true, host, e.nowMs
+	service.unsettledPromotions[host] = e.nowMs + promotionTimeoutMs
 	service.promotion = Promotion{
 		Service:      service.name,
 		Host:         host,
@@ -64,6 +72,26 @@
 	return service.promotionSentAt > 0 && e.nowMs < service.promotionSentAt+promotionRetryMs && service.promotedHost == host
 }
 
+// unsettledPromotion returns a host other than the given one whose promotion the platform may still carry out, on a request of
+// this member or of an earlier leader; empty: there is none. What the given host acknowledged until then would be lost, so it must
+// not be appointed before.
+func (e *evaluation) unsettledPromotion(except string) string {
+	for _, host := range slices.Sorted(maps.Keys(e.service.unsettledPromotions)) {
+		switch {
+		case e.nowMs >= e.service.unsettledPromotions[host], !e.isRegistered(host):
+			delete(e.service.unsettledPromotions, host)
+		case host != except:
+			return host
+		}
+	}
+	nominee := e.primary.Nominee
+	isInherited := nominee != "" && nominee != e.service.nominated && e.isRegistered(nominee)
+	if isInherited && nominee != except && e.nowMs < e.coordinator.leaderSince+promotionTimeoutMs {
+		return nominee
+	}
+	return ""
+}
+
 // pollPromotedHost asks the host under promotion whether it leads by now.
 func (e *evaluation) pollPromotedHost() {
 	service := e.service
--- a/internal/control/failover/service.go
+++ b/internal/control/failover/service.go
@@ -34,7 +34,9 @@
 	promotionPending bool      // its outcome is not known yet
 	promotionSentAt  int64
 	promotionEndedAt int64
-	rejectedAt       map[string]int64 // by host: when its promotion was rejected, or it did not answer as nominee
+	// unsettledPromotions are the hosts that the platform may still promote, each with until when.
+	unsettledPromotions map[string]int64
+	rejectedAt          map[string]int64 // by host: when its promotion was rejected, or it did not answer as nominee
 
 	// Replicas that resume after a failover or switchover.
 	resumingChange  uint64 // the index of the change after which they resume
@@ -45,14 +47,15 @@
 	service := c.services[name]
 	if service == nil {
 		service = &serviceState{
-			name:              name,
-			suspicions:        map[string]int64{},
-			refusingSince:     map[string]int64{},
-			endedSince:        map[string]int64{},
-			pendingQueries:    map[string]*pendingQuery{},
-			lastResults:       map[string]hostResult{},
-			uncertainCommands: map[hostCommand]int64{},
-			rejectedAt:        map[string]int64{},
+			name:                name,
+			suspicions:          map[string]int64{},
+			refusingSince:       map[string]int64{},
+			endedSince:          map[string]int64{},
+			pendingQueries:      map[string]*pendingQuery{},
+			lastResults:         map[string]hostResult{},
+			uncertainCommands:   map[hostCommand]int64{},
+			rejectedAt:          map[string]int64{},
+			unsettledPromotions: map[string]int64{},
 		}
 		c.services[name] = service
 	}
--- a/internal/control/failover/switchover.go
+++ b/internal/control/failover/switchover.go
@@ -146,7 +146,7 @@
 }
 
 // promotePausedNominee pauses all other replicas, so that from then on nothing is acknowledged that the nominee has not
-// received, and has the nominee promoted once it has all that they have.
+// received, and has the nominee promoted once it has all that they have and follows the primary.
 func (e *evaluation) promotePausedNominee() stepResult {
 	paused := e.pauseReplicas()
 	switch {
@@ -157,20 +157,39 @@
 	case paused.pending:
 		return stop
 	}
-	status, ok := e.service.statusSince(e.primary.Nominee, Stat, e.service.startedAt)
-	if !ok || status.Received.Before(paused.position) {
-		e.query(e.primary.Nominee, Stat, 0, catchUpPollIntervalMs)
+	if e.nomineeFollows(paused) {
+		e.requestPromotion(e.primary.Nominee)
 		return stop
 	}
-	e.requestPromotion(e.primary.Nominee)
+	if e.nowMs > e.service.startedAt+replicaWaitMs {
+		return e.abortSwitchover()
+	}
 	return stop
 }
 
+// nomineeFollows says whether the nominee has received all that the paused replicas have, and what the primary has written since
+// they were paused: so it receives what the primary writes, and no other replica that may come up is needed for acknowledgements.
+func (e *evaluation) nomineeFollows(paused pausedReplicas) bool {
+	service, primary, nominee := e.service, e.primary.Host, e.primary.Nominee
+	written, ok := service.statusSince(primary, Stat, max(service.startedAt, paused.pausedAt, e.nowMs-queryIntervalMs))
+	if !ok {
+		e.query(primary, Stat, 0, catchUpPollIntervalMs)
+		return false
+	}
+	received, ok := service.statusSince(nominee, Stat, service.startedAt)
+	if !ok || received.Received.Before(paused.position) || received.Received.Before(written.Received) {
+		e.query(nominee, Stat, 0, catchUpPollIntervalMs)
+		return false
+	}
+	return true
+}
+
 // pausedReplicas is how far the replicas other than the nominee are paused.
 type pausedReplicas struct {
 	mayAcknowledge bool          // one cannot be kept paused, and may acknowledge writes before the nominee leads
 	pending        bool          // some have not answered yet
 	position       wire.Position // the most advanced of those that are paused
+	pausedAt       int64         // when the last of their commands was sent
 }
 
 func (e *evaluation) pauseReplicas() (paused pausedReplicas) {
@@ -189,8 +208,11 @@
 			paused.pending = true
 		case !e.cannotBeUndone(host, Resume, last.sentAt):
 			return pausedReplicas{mayAcknowledge: true}
-		case paused.position.Before(status.Received):
-			paused.position = status.Received
+		default:
+			paused.pausedAt = max(paused.pausedAt, last.sentAt)
+			if paused.position.Before(status.Received) {
+				paused.position = status.Received
+			}
 		}
 	}
 	return paused
--- a/internal/control/failover/timing.go
+++ b/internal/control/failover/timing.go
@@ -34,6 +34,9 @@
 	refusalPeriodMs = suspicionTTLMs
 	// endedHostRemovalMs is how long a host that left without draining first must have been missing before it is removed.
 	endedHostRemovalMs = 60_000
+	// RegistrationGraceMs is how long after the start of the whole system a host's first heartbeat may still be on its way: two
+	// calls that were lost, with a second of waiting for each, and the next.
+	RegistrationGraceMs = 3000
 	// refusalTTLMs is how long a replica's refusal counts without another.
 	refusalTTLMs = 8 * queryIntervalMs
 	// claimTTLMs is how long a host's report that it leads counts while a service has no known primary.
--- a/internal/control/host_api.go
+++ b/internal/control/host_api.go
@@ -82,9 +82,23 @@
 		reject(respond, errcode.InvalidBody, fmt.Errorf("host %s is known at %s, service %s", hostID, previous.Address, previous.Service))
 		return
 	}
-	s.lastCallSeq[hostID] = heartbeat.CallSeq
+	accept := func() { s.acceptHeartbeat(hostID, &heartbeat, respond) }
+	if !known {
+		if occupant := s.hostAt(heartbeat.Address); occupant != "" {
+			s.checkAddress(occupant, addressCheck{accept: accept, respond: respond})
+			return
+		}
+	}
+	accept()
+}
+
+// acceptHeartbeat takes in a heartbeat that is neither late nor contradicts what is known.
+func (s *Server) acceptHeartbeat(hostID string, heartbeat *HeartbeatRequest, respond Responder) {
+	s.lastCallSeq[hostID] = max(s.lastCallSeq[hostID], heartbeat.CallSeq)
 	s.coordinator.Heartbeat(hostID, heartbeat.DBRole == rolePrimary, s.clock.Now())
 	s.runFailover()
+	result := func(err error) { s.respondHeartbeat(err, respond) }
+	previous, known := s.state.Hosts[hostID]
 	host := heartbeat.host(hostID, previous)
 	switch {
 	case known && host == previous:
--- a/internal/control/host_client.go
+++ b/internal/control/host_client.go
@@ -25,23 +25,25 @@
 
 // hostClient sends commands to database hosts. It keeps one idle connection to each host for a short while.
 type hostClient struct {
-	dial func(address string, timeout time.Duration) (net.Conn, error)
+	dial   func(address string, timeout time.Duration) (net.Conn, error)
+	mayAct func(leaderTerm uint64) bool // whether what was decided in a term may still go out
 
 	mu   sync.Mutex
 	idle map[string]*hostConn // by host ID
 }
 
-// newHostClient returns a client that connects from the address localIP until ctx ends.
-func newHostClient(ctx context.Context, localIP string) *hostClient {
+// newHostClient returns a client that connects from the address localIP until ctx ends. mayAct says whether a command that was
+// decided in a term of the control plane may be written now.
+func newHostClient(ctx context.Context, localIP string, mayAct func(leaderTerm uint64) bool) *hostClient {
 	dial := func(address string, timeout time.Duration) (net.Conn, error) {
 		return dialHost(ctx, localIP, address, timeout)
 	}
-	return &hostClient{dial: dial, idle: map[string]*hostConn{}}
+	return &hostClient{dial: dial, mayAct: mayAct, idle: map[string]*hostConn{}}
 }
 
 // query sends a command to a host and waits for the response until the deadline.
 func (c *hostClient) query(query failover.HostQuery, host statemachine.Host, deadline time.Time) failover.QueryResult {
-	response, conn, err := c.exchange(c.takeIdle(query.Host), host, query.Command, commandText(query), deadline)
+	response, conn, err := c.exchange(c.takeIdle(query.Host), host, c.commandOf(query), deadline)
 	result := failover.QueryResult{Query: query}
 	if err != nil {
 		var refusal *hostError
@@ -66,6 +68,23 @@
 	return result
 }
 
+// hostCommand is a command as a connection sends it.
+type hostCommand struct {
+	text      string
+	operation retry.Operation
+	mayBeSent func() bool // looked at right before the command is written
+}
+
+// commandOf returns a query's command. One that changes its host may be sent only under the lease of the decision; any member may
+// ask for a status.
+func (c *hostClient) commandOf(query failover.HostQuery) hostCommand {
+	return hostCommand{
+		text:      commandText(query),
+		operation: operations[query.Command],
+		mayBeSent: func() bool { return query.Command == failover.Stat || c.mayAct(query.LeaderTerm) },
+	}
+}
+
 // commandText is a command as it is sent to a host.
 func commandText(query failover.HostQuery) string {
 	text := query.Command.Text()
@@ -127,16 +146,16 @@
 
 // exchange sends a command on an idle connection, or on a new one if there is none, or if the idle one has ended and the retry
 // table allows the command to be sent again. It returns the connection for the next command; nil after an error.
-func (c *hostClient) exchange(idle *hostConn, host statemachine.Host, command failover.Command, text string, deadline time.Time) (wire.Response, *hostConn, error) {
+func (c *hostClient) exchange(idle *hostConn, host statemachine.Host, command hostCommand, deadline time.Time) (wire.Response, *hostConn, error) {
 	if idle != nil {
-		response, progress, err := idle.query(text, deadline)
+		response, progress, err := idle.query(command, deadline)
 		if err == nil {
 			return response, idle, nil
 		}
 		idle.socket.Close()
 		var netErr net.Error
-		timedOut := errors.As(err, &netErr) && netErr.Timeout()
-		if timedOut || retry.Decide(operations[command], progress) != retry.RetryNow {
+		final := errors.Is(err, errLeaseOver) || errors.As(err, &netErr) && netErr.Timeout()
+		if final || retry.Decide(command.operation, progress) != retry.RetryNow {
 			return wire.Response{}, nil, err
 		}
 	}
@@ -144,7 +163,7 @@
 	if err != nil {
 		return wire.Response{}, nil, err
 	}
-	response, _, err := conn.query(text, deadline)
+	response, _, err := conn.query(command, deadline)
 	if err != nil {
 		conn.socket.Close()
 		return wire.Response{}, nil, err
--- a/internal/control/host_client_test.go
+++ b/internal/control/host_client_test.go
@@ -58,6 +58,14 @@
 	statusResponse = "ROW follower 3 3.9 0 12 2 17\r\nDONE -\r\nIDLE I 3.7\r\n"
 )
 
+// always is the lease check of a member that leads throughout.
+func always(uint64) bool { return true }
+
+// plainCommand is a command that may be sent at any time.
+func plainCommand(command failover.Command, text string) hostCommand {
+	return hostCommand{text: text, operation: operations[command], mayBeSent: func() bool { return true }}
+}
+
 // An idle connection ends before, while or after a command is written, or stays silent. A command is sent again only if the
 // retry table allows it, and never after a timeout.
 func TestCommandOnIdleConnectionFollowsRetryTable(t *testing.T) {
@@ -87,7 +95,7 @@
 				fresh := &scriptedSocket{sentCommands: &sent, writableBytes: -1, readable: idleLine, responds: statusResponse}
 				dials := 0
 				client := &hostClient{dial: func(string, time.Duration) (net.Conn, error) { dials++; return fresh, nil }}
-				response, conn, err := client.exchange(idleConn, statemachine.Host{ID: "h1", Service: "db", Address: "h1:1"}, verb, verb.Text(), time.Now().Add(hostQueryTimeout))
+				response, conn, err := client.exchange(idleConn, statemachine.Host{ID: "h1", Service: "db", Address: "h1:1"}, plainCommand(verb, verb.Text()), time.Now().Add(hostQueryTimeout))
 				require.Len(t, sent, want)
 				if err != nil {
 					require.Zero(t, dials, "it connects again after giving up")
@@ -114,13 +122,13 @@
 	for received, want := range map[string]string{"ERROR WRONGNODE i-9\r\n": "WRONGNODE", "": "EOF", "IDLE I 3": "EOF"} {
 		fresh := &scriptedSocket{sentCommands: &sent, writableBytes: -1, readable: received, readError: io.EOF}
 		client := &hostClient{dial: func(string, time.Duration) (net.Conn, error) { return fresh, nil }}
-		_, conn, err := client.exchange(nil, statemachine.Host{ID: "h1", Service: "db", Address: "h1:1"}, failover.Pause, "PAUSE 4", time.Now().Add(hostQueryTimeout))
+		_, conn, err := client.exchange(nil, statemachine.Host{ID: "h1", Service: "db", Address: "h1:1"}, plainCommand(failover.Pause, "PAUSE 4"), time.Now().Add(hostQueryTimeout))
 		require.ErrorContains(t, err, want)
 		require.Nil(t, conn)
 		require.True(t, fresh.closed)
 	}
 	client := &hostClient{dial: func(string, time.Duration) (net.Conn, error) { return nil, errors.New("refused") }}
-	_, _, err := client.exchange(nil, statemachine.Host{}, failover.Pause, "PAUSE 4", time.Now().Add(hostQueryTimeout))
+	_, _, err := client.exchange(nil, statemachine.Host{}, plainCommand(failover.Pause, "PAUSE 4"), time.Now().Add(hostQueryTimeout))
 	require.Error(t, err)
 	require.Empty(t, sent)
 }
@@ -145,7 +153,7 @@
 			require.False(t, hasEndedOrReadable(c), "it is idle")
 			do(host)
 			require.Eventually(t, func() bool { return hasEndedOrReadable(c) }, 5*time.Second, time.Millisecond)
-			_, m, err := (&hostConn{socket: c}).query("PAUSE 7", time.Now().Add(time.Second))
+			_, m, err := (&hostConn{socket: c}).query(plainCommand(failover.Pause, "PAUSE 7"), time.Now().Add(time.Second))
 			require.ErrorIs(t, err, errStaleConn)
 			require.Equal(t, retry.NotSent, m)
 		})
--- a/internal/control/host_conn.go
+++ b/internal/control/host_conn.go
@@ -23,13 +23,16 @@
 	idleSince time.Time
 }
 
-// query sends a command and reads its response. progress says how far the command was written.
-func (c *hostConn) query(text string, deadline time.Time) (response wire.Response, progress retry.Progress, err error) {
+// query sends a command, if it may still be sent, and reads its response. progress says how far the command was written.
+func (c *hostConn) query(command hostCommand, deadline time.Time) (response wire.Response, progress retry.Progress, err error) {
 	if len(c.unread) > 0 || hasEndedOrReadable(c.socket) {
 		return response, retry.NotSent, errStaleConn
 	}
 	c.socket.SetDeadline(deadline)
-	message := wire.AppendQuery(nil, "-", text)
+	message := wire.AppendQuery(nil, "-", command.text)
+	if !command.mayBeSent() {
+		return response, retry.NotSent, errLeaseOver
+	}
 	written, err := c.socket.Write(message)
 	if err == nil {
 		response, err = c.readResponse()
--- /dev/null
+++ b/internal/control/leader_lease_test.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"ferrypitch/internal/control/failover"
+	"ferrypitch/internal/control/statemachine"
+)
+
+// A member may act from when it leads until its lease ends, also where its event loop stands still meanwhile.
+func TestMayActEndsWithTheLease(t *testing.T) {
+	c, leader, follower := newHealthyPartitionCluster(t)
+	term := leader.server.consensus.Term()
+	require.True(t, leader.server.MayAct(term))
+	require.False(t, leader.server.MayAct(term-1))
+	require.False(t, follower.server.MayAct(term))
+	leader.frozen = true
+	c.RunFor(700)
+	require.False(t, leader.server.MayAct(term), "its event loop stands still, and its lease is over")
+}
+
+// A lease that is lost between the decision and the write keeps each command that changes a host from being sent, on an idle
+// connection and on a new one. A status may be asked for by any member.
+func TestCommandsAreNotSentOnceTheLeaseIsOver(t *testing.T) {
+	for _, command := range []failover.Command{failover.Stat, failover.Pause, failover.Resume, failover.StepDown} {
+		var sent []string
+		answering := func() *scriptedSocket {
+			return &scriptedSocket{sentCommands: &sent, writableBytes: -1, readable: idleLine, responds: statusResponse}
+		}
+		idle := answering()
+		idle.readable = ""
+		for _, kept := range []*hostConn{{socket: idle}, nil} {
+			client := &hostClient{
+				dial:   func(string, time.Duration) (net.Conn, error) { return answering(), nil },
+				mayAct: func(uint64) bool { return false },
+				idle:   map[string]*hostConn{},
+			}
+			if kept != nil {
+				client.idle["h1"] = kept
+			}
+			query := failover.HostQuery{Service: "db", Host: "h1", Command: command, Term: 4, LeaderTerm: 2, Serial: 1}
+			result := client.query(query, statemachine.Host{ID: "h1", Service: "db", Address: "h1:1"}, time.Now().Add(time.Minute))
+			require.Equal(t, command != failover.Stat, result.TimedOut, "%s", command.Text())
+		}
+		if command == failover.Stat {
+			require.Len(t, sent, 2)
+		} else {
+			require.Empty(t, sent, "%s", command.Text())
+		}
+	}
+}
+
+// A promotion is not sent once the lease is over, and may then be requested again. While the lease is held it is sent.
+func TestPromotionIsNotSentOnceTheLeaseIsOver(t *testing.T) {
+	calls := 0
+	platform := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		calls++
+	}))
+	defer platform.Close()
+	for _, held := range []bool{false, true} {
+		client := &platformClient{localIP: "127.0.0.1", log: hclog.NewNullLogger(), mayAct: func(term uint64) bool { return held && term == 7 }}
+		outcome := client.requestPromotion(context.Background(), platform.Listener.Addr().String(),
+			failover.Promotion{Service: "db", Host: "h1", LeaderTerm: 7})
+		if held {
+			require.Equal(t, failover.PromotionSucceeded, outcome)
+			require.Equal(t, 1, calls)
+		} else {
+			require.Equal(t, failover.PromotionNotExecuted, outcome)
+			require.Zero(t, calls)
+		}
+	}
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -12,6 +12,7 @@
 // 6.4.1), and, once it does, until the node follows another leader: what it may do in between is checked by holdsLease.
 func (s *Server) updateLeadership() {
 	now := s.clock.Now()
+	defer s.publishLease()
 	holds := s.consensus.HoldsLease(now)
 	switch {
 	case holds && s.diverged:
@@ -30,6 +31,7 @@
 	s.ledTimeOffsetMs = s.state.LeaderTimeMs - now
 	s.grantor = lease.NewGrantor(now)
 	s.coordinator = failover.New(s.settings.Node, term, s.settings.BeatMs, now)
+	s.coordinator.RegistrationsDueUntil = now + max(0, failover.RegistrationGraceMs-s.state.LeaderTimeMs)
 	s.coordinator.OnEvent = func(event failover.Event) {
 		s.log.Info(event.Kind.String(), "service", event.Service, "host", event.Host)
 	}
@@ -44,6 +46,7 @@
 		proxy.close()
 	}
 	clear(s.proxies)
+	s.dropAddressChecks()
 	pending := s.pendingProposals
 	s.pendingProposals = map[uint64]pendingProposal{}
 	for _, index := range slices.Sorted(maps.Keys(pending)) {
@@ -79,6 +82,9 @@
 
 // QueryFinished processes the result of a query that the Environment was given.
 func (s *Server) QueryFinished(result failover.QueryResult) {
+	if s.finishAddressCheck(result) {
+		return
+	}
 	if !s.leading || !s.coordinator.QueryFinished(result, s.clock.Now()) {
 		s.discard(resultUnsolicited)
 		return
--- a/internal/control/persist.go
+++ b/internal/control/persist.go
@@ -18,29 +18,29 @@
 		select {
 		case <-p.ctx.Done():
 			return
-		case writes := <-p.writes:
-			writes = p.appendQueuedWrites(writes)
-			if !p.save(writes) {
+		case <-p.writes.ready:
+			if !p.persistQueued() {
 				return
 			}
-			sequence := writes[len(writes)-1].Seq
-			p.queue.Put(eventloop.PriorityOutcomes, func() { p.server.Persisted(sequence) })
-			if err := p.wal.Compact(walCompactBytes); err != nil {
-				p.log.Error("compacting the write-ahead log failed", "error", err)
-			}
 		}
 	}
 }
 
-func (p *process) appendQueuedWrites(writes []consensus.Write) []consensus.Write {
-	for {
-		select {
-		case more := <-p.writes:
-			writes = append(writes, more...)
-		default:
-			return writes
-		}
+// persistQueued writes what is queued, and compacts the file. It returns false if the context has ended.
+func (p *process) persistQueued() bool {
+	writes := p.writes.takeAll()
+	if len(writes) == 0 {
+		return true
+	}
+	if !p.save(writes) {
+		return false
+	}
+	sequence := writes[len(writes)-1].Seq
+	p.queue.Put(eventloop.PriorityOutcomes, func() { p.server.Persisted(sequence) })
+	if err := p.wal.Compact(walCompactBytes); err != nil {
+		p.log.Error("compacting the write-ahead log failed", "error", err)
 	}
+	return true
 }
 
 // save writes until it succeeds. It returns false if the context ends before.
--- a/internal/control/platform_client.go
+++ b/internal/control/platform_client.go
@@ -27,6 +27,7 @@
 type platformClient struct {
 	localIP string
 	log     hclog.Logger
+	mayAct  func(leaderTerm uint64) bool // whether what was decided in a term may still go out
 }
 
 // promotionBody is the JSON body of a call for a promotion.
@@ -46,13 +47,15 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("X-Duty-Holder", promotion.Owner)
 	request.Header.Set("X-Fence-Token", strconv.FormatUint(promotion.FencingToken, 10))
-	var connected atomic.Bool // the dialing goroutine may outlive the call
+	var written atomic.Bool // the goroutine that writes may outlive the call
 	transport := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			conn, err := rpc.Dial(ctx, c.localIP, address, platformConnectTimeout)
-			connected.Store(err == nil)
-			return conn, err
+			if err != nil {
+				return nil, err
+			}
+			return &leaseCheckedConn{Conn: conn, mayAct: func() bool { return c.mayAct(promotion.LeaderTerm) }, written: &written}, nil
 		},
 	}
 	client := &http.Client{
@@ -63,7 +66,7 @@
 	if err != nil {
 		c.log.Info("promotion got no response", "host", promotion.Host, "error", err)
 		progress := retry.NotSent
-		if connected.Load() {
+		if written.Load() {
 			progress = retry.Sent
 		}
 		if retry.Decide(retry.Promotion, progress) == retry.RetryNow {
@@ -76,6 +79,22 @@
 	return promotionOutcome(response.StatusCode)
 }
 
+// leaseCheckedConn is a connection that writes only while the lease of the decision is held.
+type leaseCheckedConn struct {
+	net.Conn
+	mayAct  func() bool
+	written *atomic.Bool // something was written
+}
+
+// Write implements net.Conn. It returns errLeaseOver, and writes nothing, once the lease is over.
+func (c *leaseCheckedConn) Write(data []byte) (int, error) {
+	if !c.mayAct() {
+		return 0, errLeaseOver
+	}
+	c.written.Store(true)
+	return c.Conn.Write(data)
+}
+
 func promotionOutcome(status int) failover.PromotionOutcome {
 	switch {
 	case status < http.StatusMultipleChoices:
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -27,7 +27,6 @@
 	busyTickInterval = tickInterval / 3 // while a fail-over is under way
 
 	eventQueueLength = 512
-	writeQueueLength = 1024
 
 	shutdownPollInterval = 30 * time.Millisecond
 	shutdownLinger       = 100 * time.Millisecond // for the last responses and messages to go out
@@ -43,7 +42,7 @@
 	server   *Server
 	queue    *eventloop.Queue
 	wal      *storage.WAL
-	writes   chan []consensus.Write // to the goroutine that waits for the disk
+	writes   *writeQueue // to the goroutine that waits for the disk
 	mesh     *rpc.Mesh
 	hosts    *hostClient
 	platform *platformClient
@@ -82,10 +81,10 @@
 		server:   server,
 		queue:    eventloop.NewQueue(eventQueueLength),
 		wal:      wal,
-		writes:   make(chan []consensus.Write, writeQueueLength),
+		writes:   newWriteQueue(),
 		mesh:     rpc.NewMesh(ctx, settings.Ip),
-		hosts:    newHostClient(ctx, settings.Ip),
-		platform: &platformClient{localIP: settings.Ip, log: log},
+		hosts:    newHostClient(ctx, settings.Ip, server.MayAct),
+		platform: &platformClient{localIP: settings.Ip, log: log, mayAct: server.MayAct},
 	}
 	server.SetEnvironment(p.environment())
 	waitForConns, err := p.start()
@@ -144,7 +143,7 @@
 		Send:          func(ip string, frame *rpc.Frame) { p.mesh.Send(p.settings.PeerAddress(ip), frame) },
 		QueryHost:     p.queryHost,
 		Promote:       p.promote,
-		Persist:       func(writes []consensus.Write) { p.writes <- writes },
+		Persist:       p.writes.put,
 		DroppedFrames: p.mesh.Dropped.Load,
 	}
 }
@@ -225,11 +224,10 @@
 // shutDown has the Server transfer its voting membership and leadership, and waits for it.
 func (p *process) shutDown() {
 	p.queue.Put(eventloop.PriorityControl, p.server.BeginShutdown)
-	complete := make(chan bool, 1)
 	for {
 		time.Sleep(shutdownPollInterval)
-		queued := p.queue.Put(eventloop.PriorityControl, func() { complete <- p.server.ShutdownComplete() })
-		if !queued || <-complete {
+		complete, running := eventloop.Call(p.queue, eventloop.PriorityControl, p.server.ShutdownComplete)
+		if !running || complete {
 			time.Sleep(shutdownLinger)
 			return
 		}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -13,8 +13,8 @@
 	"ferrypitch/internal/settings"
 )
 
-// Server is one member of the control plane. All its methods must be called by one goroutine; they block only
-// where Environment.Persist does. Only its Counters may be read and changed by others.
+// Server is one member of the control plane. All its methods but MayAct must be called by one goroutine; they don't block. Only
+// its Counters may be read and changed by others.
 type Server struct {
 	settings    *settings.Settings
 	log         hclog.Logger
@@ -29,12 +29,14 @@
 	diverged      bool                  // state is not what the log builds; the leader's was requested
 	loggedMembers []consensus.ID        // what the last log line on membership showed
 
+	lease            leaderLease           // what MayAct reads
 	leading          bool                  // this member acts as the leader; set by updateLeadership
 	grantor          *lease.Grantor        // of proxies' leases in the present term; nil before the first
 	coordinator      *failover.Coordinator // of fail-over in the present term; nil before the first
 	ledTimeOffsetMs  int64                 // from the clock to leader time (statemachine.Change.LeaderTimeMs), while leading
 	pendingProposals map[uint64]pendingProposal
 	pendingUpdates   pendingUpdates
+	addressChecks    map[failover.HostQuery]addressCheck
 	lastCallSeq      map[string]int64 // CallSeq of the last heartbeat, by host
 
 	proxies         map[*ProxyConn]struct{} // those that are served
@@ -51,13 +53,14 @@
 type Environment struct {
 	// Send sends a frame to the member at an IP address. It may be lost.
 	Send func(ip string, frame *rpc.Frame)
-	// QueryHost sends a command to a host; Server.QueryFinished gets the result.
+	// QueryHost sends a command to a host; Server.QueryFinished gets the result. A command that changes the host may be written
+	// only while Server.MayAct is true for the query's LeaderTerm.
 	QueryHost func(query failover.HostQuery, host statemachine.Host)
-	// Promote asks the platform to promote a host; Server.PromotionFinished gets the outcome.
+	// Promote asks the platform to promote a host; Server.PromotionFinished gets the outcome. The call may be written only while
+	// Server.MayAct is true for the promotion's LeaderTerm.
 	Promote func(promotion failover.Promotion)
-	// Persist writes to the write-ahead log in the order of its calls; Server.Persisted is called once a write is synced. It
-	// is the exception: Run's queues up to writeQueueLength calls, and blocks the event loop while a stalled disk keeps that
-	// queue full.
+	// Persist writes to the write-ahead log in the order of its calls; Server.Persisted is called once a write is synced. The
+	// consensus node bounds how many writes wait.
 	Persist func(writes []consensus.Write)
 	// DroppedFrames is the number of frames that Send could not send. It may be nil.
 	DroppedFrames func() int64
@@ -81,6 +84,7 @@
 		consensus:        consensus.New(identity.ID, config, restored, identity.Founders, random, clock.Now()),
 		state:            state,
 		pendingProposals: map[uint64]pendingProposal{},
+		addressChecks:    map[failover.HostQuery]addressCheck{},
 		lastCallSeq:      map[string]int64{},
 		proxies:          map[*ProxyConn]struct{}{},
 		forwarder:        newForwarder(incarnation),
--- a/internal/control/timeout_test.go
+++ b/internal/control/timeout_test.go
@@ -81,14 +81,14 @@
 		n, _ := hosts.Read(b[:])
 		written <- n
 	}()
-	_, _, err := newHostClient(context.Background(), "127.0.0.1").exchange(&hostConn{socket: mine}, statemachine.Host{ID: "h1", Service: "db", Address: "127.0.0.1:1"}, failover.StepDown, "STEPDOWN 7", time.Now().Add(-time.Second))
+	_, _, err := newHostClient(context.Background(), "127.0.0.1", always).exchange(&hostConn{socket: mine}, statemachine.Host{ID: "h1", Service: "db", Address: "127.0.0.1:1"}, plainCommand(failover.StepDown, "STEPDOWN 7"), time.Now().Add(-time.Second))
 	require.Error(t, err)
 	hosts.Close()
 	require.Zero(t, <-written, "an expired command is sent")
 	calls := 0
 	platform := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls++ }))
 	defer platform.Close()
-	client := &platformClient{localIP: "127.0.0.1", log: hclog.NewNullLogger()}
+	client := &platformClient{localIP: "127.0.0.1", log: hclog.NewNullLogger(), mayAct: always}
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
 	defer cancel()
 	require.Equal(t, failover.PromotionNotExecuted, client.requestPromotion(ctx, platform.Listener.Addr().String(), failover.Promotion{Service: "db", Host: "h1"}))
--- a/internal/proxy/event_loop.go
+++ b/internal/proxy/event_loop.go
@@ -89,14 +89,5 @@
 
 // query runs read in the event loop and returns its result; false: the event loop has ended.
 func query[T any](queue *eventloop.Queue, read func() T) (result T, ok bool) {
-	results := make(chan T, 1)
-	if !queue.Put(eventloop.PriorityControl, func() { results <- read() }) {
-		return result, false
-	}
-	select {
-	case result = <-results:
-		return result, true
-	case <-queue.Closed:
-		return result, false
-	}
+	return eventloop.Call(queue, eventloop.PriorityControl, read)
 }
--- a/internal/proxy/safeguard_test.go
+++ b/internal/proxy/safeguard_test.go
@@ -78,13 +78,12 @@
 		sim.cluster.fakeAnswer = func(query failover.HostQuery, _ *database.Host) bool { return query.Command == failover.Resume }
 	}},
 	{"what a removed replica may alone have had is forgotten", "LOST STALE", newClusterSimulation, func(sim *simulation) {
-		sim.cluster.hostAddress = func(string) string { return "10.1.0.1:1000" } // any new host seems to have its log
+		sim.cluster.losesLog = true // so the new host at its address does not have what it is taken to have
 		sim.After(1500*millisecond, func() {
 			sim.database.Hosts[1].ReplicationStopped = true
 			sim.cluster.drainHost(sim.database.Hosts[2])
 		})
 		sim.After(4700*millisecond, func() { sim.database.Hosts[0].Crash(true, 6*second) })
-		sim.After(4750*millisecond, func() { sim.cluster.sendHeartbeat(sim.database.Hosts[1]) })
 	}},
 	{"a member whose disk is lost keeps its vote", "ORDER", newClusterSimulation, func(sim *simulation) {
 		members := sim.cluster.members
@@ -99,6 +98,9 @@
 		})
 		sim.After(9*second, crashed.start)
 	}},
+	{"a command or promotion goes out when the lease of its decision is over", "LEASE", newClusterSimulation, func(sim *simulation) {
+		sim.cluster.ignoresLease = true
+	}},
 	{"a proxy's clock is slower than leases allow", "STALE LOST", newClusterSimulation, func(sim *simulation) {
 		proxy := sim.proxies[0]
 		proxy.clockDrift = -500
--- a/internal/proxy/simulation_cluster_test.go
+++ b/internal/proxy/simulation_cluster_test.go
@@ -51,6 +51,8 @@
 	// Safeguards that a test may remove.
 	fakeAnswer    func(failover.HostQuery, *database.Host) bool // the host is not asked, and its answer made up
 	hostAddress   func(hostID string) string
+	ignoresLease  bool // a member writes what it decided although its lease is over
+	losesLog      bool // a new host lacks the log of the one that was at its address
 	keepsIdentity bool // a member whose disk is lost keeps its vote
 }
 
@@ -211,6 +213,9 @@
 func (c *controlCluster) replaceHost(host *database.Host) {
 	left := host.ID
 	host.Crash(false, c.sim.Between(200*millisecond, 900*millisecond))
+	if c.losesLog {
+		host.Log = nil
+	}
 	c.replacedHosts++
 	delete(c.draining, left)
 	delete(c.leaving, left)
--- a/internal/proxy/simulation_member_test.go
+++ b/internal/proxy/simulation_member_test.go
@@ -145,7 +145,43 @@
 	})
 }
 
+// writeUnderLease writes what was decided in a term, unless the lease is over by then: the goroutine that writes may be late. It
+// checks that nothing goes out while another member acts as the leader.
+func (m *member) writeUnderLease(incarnation int, term uint64, what string, write, withhold func()) {
+	sim, c := m.cluster.sim, m.cluster
+	late := int64(0)
+	if c.promotionTime == nil && sim.OneIn(20) {
+		late = sim.Between(1*millisecond, platformTimeout)
+	}
+	server := m.server
+	sim.After(late, func() {
+		m.run(incarnation, func() {
+			if !c.ignoresLease && !server.MayAct(term) {
+				withhold()
+				return
+			}
+			for _, other := range c.members {
+				if other != m && other.up && other.isLeader() {
+					sim.Violate("LEASE: %s sends %s while %s leads", m.ip, what, other.ip)
+				}
+			}
+			write()
+		})
+	})
+}
+
+// queryHost sends a command to a host. Only those that change the host need the lease.
 func (m *member) queryHost(incarnation int, query failover.HostQuery) {
+	if query.Command == failover.Stat {
+		m.sendQuery(incarnation, query)
+		return
+	}
+	m.writeUnderLease(incarnation, query.LeaderTerm, query.Command.Text(), func() { m.sendQuery(incarnation, query) }, func() {
+		m.server.QueryFinished(failover.QueryResult{Query: query, TimedOut: true})
+	})
+}
+
+func (m *member) sendQuery(incarnation int, query failover.HostQuery) {
 	sim := m.cluster.sim
 	sim.After(sim.Between(1*millisecond, 4*millisecond), func() {
 		result := failover.QueryResult{Query: query}
@@ -167,8 +203,15 @@
 	})
 }
 
-// promote calls the platform. It checks that a fencing token has one owner.
+// promote calls the platform.
 func (m *member) promote(incarnation int, promotion failover.Promotion) {
+	m.writeUnderLease(incarnation, promotion.LeaderTerm, "a promotion", func() { m.sendPromotion(incarnation, promotion) }, func() {
+		m.server.PromotionFinished(promotion, failover.PromotionNotExecuted)
+	})
+}
+
+// sendPromotion is a call of the platform that goes out now. It checks that a fencing token has one owner.
+func (m *member) sendPromotion(incarnation int, promotion failover.Promotion) {
 	sim, c := m.cluster.sim, m.cluster
 	c.promotions++
 	sim.LogFault("%s nominates %s to the platform, fencing token %d", m.ip, promotion.Host, promotion.FencingToken)
