--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 	"github.com/hashicorp/go-hclog"
 
+	"ferrypitch/internal/metrics"
 	"ferrypitch/internal/settings"
 )
 
@@ -20,8 +21,10 @@
 	Description string // synopsis
 
 	// Serve returns when the server has ended. stop receives SIGTERM and SIGINT; reload receives SIGHUP, and also a value whenever
-	// the settings file has changed.
-	Serve func(loaded *settings.Settings, stop, reload <-chan os.Signal, log hclog.Logger) error
+	// the settings file has changed. The server shows its figures at the endpoint, if it is set.
+	Serve func(loaded *settings.Settings, endpoint metrics.Endpoint, stop, reload <-chan os.Signal, log hclog.Logger) error
+
+	metrics metrics.Endpoint
 }
 
 // Name implements subcommands.Command.
@@ -32,11 +35,13 @@
 
 // Usage implements subcommands.Command.
 func (r *Run) Usage() string {
-	return fmt.Sprintf("%s run\n  serves as the settings file of $%s says\n", r.Program, settings.EnvVar)
+	return fmt.Sprintf("%s run [-metrics PORT/PATH]\n  serves as the settings file of $%s says\n", r.Program, settings.EnvVar)
 }
 
 // SetFlags implements subcommands.Command.
-func (*Run) SetFlags(*flag.FlagSet) {}
+func (r *Run) SetFlags(flags *flag.FlagSet) {
+	flags.Var(&r.metrics, "metrics", "show figures in the Prometheus format at `PORT/PATH` of the machine's address")
+}
 
 // Execute implements subcommands.Command.
 func (r *Run) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -49,7 +54,7 @@
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
 	go settings.Watch(ctx, reload, syscall.SIGHUP) // ends with the process
-	if err := r.Serve(loaded, stop, reload, log); err != nil {
+	if err := r.Serve(loaded, r.metrics, stop, reload, log); err != nil {
 		return Fail(r.Program, err)
 	}
 	return subcommands.ExitSuccess
--- a/internal/control/counters.go
+++ b/internal/control/counters.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"ferrypitch/internal/metrics"
 	"ferrypitch/internal/rpc"
 )
 
@@ -24,6 +25,9 @@
 	DiskDamages      atomic.Int64 // checks of the write-ahead log that found damage on disk, which was mended
 	StateDivergences atomic.Int64 // changes that did not fit this member's state
 
+	CommitDurations  metrics.Histogram // from proposals to their application here
+	PersistDurations metrics.Histogram // of writes to the write-ahead log
+
 	Discarded [discardReasonCount]atomic.Int64 // messages that were ignored or rejected, by reason
 }
 
--- a/internal/control/persist.go
+++ b/internal/control/persist.go
@@ -38,9 +38,11 @@
 	if len(writes) == 0 {
 		return true
 	}
+	startedAt := time.Now()
 	if !p.save(writes) {
 		return false
 	}
+	p.server.PersistDurations.Observe(time.Since(startedAt))
 	sequence := writes[len(writes)-1].Seq
 	p.queue.Put(eventloop.PriorityOutcomes, func() { p.server.Persisted(sequence) })
 	if err := p.wal.Compact(walCompactBytes); err != nil {
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"ferrypitch/internal/control/consensus"
 	"ferrypitch/internal/control/statemachine"
@@ -16,8 +17,9 @@
 
 // pendingProposal waits for the log entry at its index.
 type pendingProposal struct {
-	term uint64 // an entry of another term at that index is another change
-	done proposalResult
+	term       uint64 // an entry of another term at that index is another change
+	proposedAt time.Time
+	done       proposalResult
 }
 
 // propose appends a change to the log. It stamps it with the leader's time, since replicas must not read their own clocks when
@@ -31,7 +33,7 @@
 		return
 	}
 	s.Proposals.Add(1)
-	s.pendingProposals[index] = pendingProposal{term: s.consensus.Term(), done: done}
+	s.pendingProposals[index] = pendingProposal{term: s.consensus.Term(), proposedAt: s.clock.Time(), done: done}
 	s.carryOut(ready)
 }
 
@@ -45,6 +47,8 @@
 	delete(s.pendingProposals, entry.Index)
 	if proposal.term != entry.Term {
 		err = errOutcomeUnknown
+	} else {
+		s.CommitDurations.Observe(s.clock.Time().Sub(proposal.proposedAt))
 	}
 	proposal.done(err)
 }
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -18,6 +18,7 @@
 	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
+	"ferrypitch/internal/metrics"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
 )
@@ -49,8 +50,8 @@
 }
 
 // Run serves as one member until a signal to stop comes and the member has shut down, or until it fails. A signal on reload
-// makes it read the settings again.
-func Run(settings *settings.Settings, signals, reload <-chan os.Signal, log hclog.Logger) error {
+// makes it read the settings again. The figures are shown at the endpoint, if it is set.
+func Run(settings *settings.Settings, endpoint metrics.Endpoint, signals, reload <-chan os.Signal, log hclog.Logger) error {
 	if settings.Listen.Control == "" {
 		return trace.BadParameter("Listen.Control: missing; this program serves the control plane")
 	}
@@ -91,6 +92,12 @@
 	if err != nil {
 		return err
 	}
+	if endpoint.IsSet() {
+		tasks.Go(func() error {
+			metrics.Serve(ctx, settings.Ip, endpoint, metricsNamespace, p.metricsSource, log)
+			return nil
+		})
+	}
 	log.Info("started", "member", server.id, "members", server.consensus.Members(), "index", server.consensus.LastIndex(), "term", server.consensus.Term())
 	p.handleSignals(signals, reload)
 	cancel()
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -5,6 +5,7 @@
 
 	"ferrypitch/internal/errcode"
 	"ferrypitch/internal/gossip"
+	"ferrypitch/internal/metrics"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/policy"
 )
@@ -43,6 +44,9 @@
 	stateDiverged atomic.Int64 // log updates that did not fit the state
 	configUpdates atomic.Int64
 
+	statementDurations metrics.Histogram // from the arrival of statements to their answers
+	hostResponses      metrics.Histogram // from sending statements to hosts to their responses
+
 	outcomes   [policy.Misrouted + 1]atomic.Int64 // of attempts
 	errorsSent [errcode.KindCount]atomic.Int64    // of the proxy's own
 }
--- /dev/null
+++ b/internal/proxy/metrics.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"ferrypitch/internal/eventloop"
+	"ferrypitch/internal/metrics"
+)
+
+// metricsNamespace begins the names of all figures of a proxy.
+const metricsNamespace = "ferrypitch_proxy"
+
+// counterFamilies say what the counters of the status are.
+var counterFamilies = metrics.Counters{
+	Plain: metrics.ByStatusName(
+		metrics.Count("sessions_accepted", "Client connections accepted."),
+		metrics.Count("malformed_inputs", "Messages and datagrams that broke a protocol."),
+		metrics.Count("unknown_database", "Sessions and statements for a database without a route."),
+		metrics.Count("client_disconnects", "Clients that left before their answer."),
+		metrics.Count("statements", "Statements of clients that go to a host."),
+		metrics.Count("statements_queued", "Statements for which no host was available at once."),
+		metrics.Count("dispatches", "Attempts to have a host run a statement, retries included."),
+		metrics.Count("rejected", "Statements answered with an error of which nothing is kept."),
+		metrics.Count("throttled", "Statements for which no host was found in time."),
+		metrics.Count("failed", "Statements given up that may have run."),
+		metrics.Count("lease_expired_before_send", "Statements not sent since a lease or the time of a primary had ended."),
+		metrics.Count("rejected_at_lease_loss", "Statements that waited for a host when the lease expired."),
+		metrics.Count("floor_unknown", "Reads sent to the primary since no position was known that they had to see."),
+		metrics.Count("acks_after_revocation", "Writes acknowledged by a primary that was revoked meanwhile."),
+		metrics.Count("responses_lost", "Transactions ended since a response counted as lost."),
+		metrics.Count("unexpected_responses", "Responses of hosts to nothing or of the wrong form."),
+		metrics.Count("connections_dialed", "Connections to hosts that were dialed."),
+		metrics.Count("connections_failed", "Connections to hosts that did not open."),
+		metrics.Count("connections_refused", "Connections that a host at its limit refused."),
+		metrics.Count("setup_statements", "Statements sent to bring a connection to the values of a session."),
+		metrics.Count("setup_errors", "Errors of such statements."),
+		metrics.Count("suspect_reports", "Reports to the control plane of a primary that can't be reached."),
+		metrics.Count("lease_requests", "Leases requested."),
+		metrics.Count("leases_granted", "Leases granted."),
+		metrics.Count("control_links", "Connections to a leader of the control plane."),
+		metrics.CountAs("rpc_bytes_sent", "rpc_sent_bytes_total", "Bytes sent to other processes of the system."),
+		metrics.CountAs("rpc_bytes_received", "rpc_received_bytes_total", "Bytes received from other processes of the system."),
+		metrics.Count("log_gaps", "Updates of the log that did not follow on the state."),
+		metrics.Count("state_divergences", "Updates of the log that did not fit the state, and digests that differ."),
+		metrics.Count("config_updates", "Configurations applied."),
+		metrics.Count("gossip_probes", "Health checks of other proxies."),
+		metrics.Count("gossip_acks_discarded", "Answers to health checks that nobody waited for."),
+	),
+	Labelled: map[string]metrics.Family{
+		"outcome_": {Name: "attempts_total", Help: "Attempts that ended, by outcome.", Kind: metrics.Counter, Label: "outcome"},
+		"error_":   {Name: "errors_total", Help: "Errors of the proxy's own that clients got, by kind.", Kind: metrics.Counter, Label: "kind"},
+	},
+}
+
+// Families that are not counters of the status.
+var (
+	readyFamily = metrics.Family{
+		Name: "ready", Help: "1 if the platform may send clients here.", Kind: metrics.Gauge,
+	}
+	configVersionFamily = metrics.Family{
+		Name: "config_version", Help: "Version of the configuration in force; 0 if there is none.", Kind: metrics.Gauge,
+	}
+	appliedIndexFamily = metrics.Family{
+		Name: "applied_index", Help: "Index up to which the log of the control plane is applied.", Kind: metrics.Gauge,
+	}
+	leaseRemainingFamily = metrics.Family{
+		Name: "lease_remaining_seconds", Help: "Time until the lease ends unless it is renewed; 0 without a lease.", Kind: metrics.Gauge,
+	}
+	openSessionsFamily = metrics.Family{
+		Name: "open_sessions", Help: "Client sessions that are open.", Kind: metrics.Gauge,
+	}
+	openStatementsFamily = metrics.Family{
+		Name: "open_statements", Help: "Statements that have no answer yet.", Kind: metrics.Gauge,
+	}
+	hostConnectionsFamily = metrics.Family{
+		Name: "host_connections", Help: "Open connections, by host.", Kind: metrics.Gauge, Label: "host",
+	}
+	queuedStatementsFamily = metrics.Family{
+		Name: "queued_statements", Help: "Statements that wait for a connection, by host.", Kind: metrics.Gauge, Label: "host",
+	}
+	statementDurationFamily = metrics.Family{
+		Name: "statement_duration_seconds", Help: "Time from the arrival of a statement to its answer.", Kind: metrics.Durations,
+	}
+	hostResponseFamily = metrics.Family{
+		Name: "host_response_duration_seconds", Help: "Time from sending a statement to a host to its response.", Kind: metrics.Durations,
+	}
+)
+
+// metricsSource reads the figures in the event loop.
+func (s *Server) metricsSource() (samples []metrics.Sample, ok bool) {
+	return eventloop.Call(s.queue, eventloop.PriorityOutcomes, s.metricSamples)
+}
+
+// metricSamples are the figures at this moment.
+func (s *Server) metricSamples() []metrics.Sample {
+	status := s.status()
+	ready := 0.0
+	if status.Ready {
+		ready = 1
+	}
+	samples := counterFamilies.Samples(status.Counters)
+	samples = append(samples,
+		metrics.Sample{Family: readyFamily, Value: ready},
+		metrics.Sample{Family: configVersionFamily, Value: float64(status.ConfigVersion)},
+		metrics.Sample{Family: appliedIndexFamily, Value: float64(status.AppliedIndex)},
+		metrics.Sample{Family: leaseRemainingFamily, Value: float64(status.LeaseRemainingMs) / 1000},
+		metrics.Sample{Family: openSessionsFamily, Value: float64(status.Sessions)},
+		metrics.Sample{Family: openStatementsFamily, Value: float64(status.Statements)},
+		metrics.Sample{Family: statementDurationFamily, Histogram: &s.counters.statementDurations},
+		metrics.Sample{Family: hostResponseFamily, Histogram: &s.counters.hostResponses},
+	)
+	for id, host := range status.Hosts {
+		samples = append(samples,
+			metrics.Sample{Family: hostConnectionsFamily, LabelValue: id, Value: float64(host.Conns)},
+			metrics.Sample{Family: queuedStatementsFamily, LabelValue: id, Value: float64(host.QueuedStatements)},
+		)
+	}
+	return samples
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ferrypitch/internal/eventloop"
+	"ferrypitch/internal/metrics"
 	"ferrypitch/internal/settings"
 )
 
@@ -30,8 +31,8 @@
 )
 
 // Run serves clients until a signal arrives on signals, and then shuts down gracefully. A signal on reload has the settings
-// read again. An error names the setting whose socket can't be opened.
-func Run(cfg *settings.Settings, signals, reload <-chan os.Signal, log hclog.Logger) error {
+// read again. The figures are shown at the endpoint, if it is set. An error names the setting whose socket can't be opened.
+func Run(cfg *settings.Settings, endpoint metrics.Endpoint, signals, reload <-chan os.Signal, log hclog.Logger) error {
 	if cfg.Listen.Front == "" {
 		return trace.BadParameter("Listen.Front: missing; this program serves clients")
 	}
@@ -48,6 +49,9 @@
 		return err
 	}
 	s.tasks.Go(link.run)
+	if endpoint.IsSet() {
+		s.tasks.Go(func() { metrics.Serve(ctx, cfg.Ip, endpoint, metricsNamespace, s.metricsSource, log) })
+	}
 	eventLoopEnded := make(chan struct{})
 	go func() { s.runEventLoop(); close(eventLoopEnded) }()
 	log.Info("started", "node", cfg.Node, "front", cfg.Listen.Front)
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -179,6 +179,7 @@
 	stmt.finished = true
 	client := stmt.session
 	client.statement = nil
+	s.counters.statementDurations.Observe(s.clock.Time().Sub(stmt.receivedAt))
 	s.respond(client, lines)
 	s.processMessages(client)
 }
--- a/internal/proxy/statement_response.go
+++ b/internal/proxy/statement_response.go
@@ -60,6 +60,7 @@
 	attempt.over = true
 	s.timers.Remove(attempt.timer)
 	conn.statement = nil
+	s.counters.hostResponses.Observe(toDuration(now - attempt.sentAt))
 	conn.pool.lossDetector.ResponseReceived(attempt.sentAt, now)
 	position := conn.pool.recordPosition(response.Position, attempt.sentAt, attempt.primaryEpoch)
 	switch {
