--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -43,11 +43,11 @@
 // sendConsensus sends a message to its addressee, or to all known members and seeds if it has none.
 func (s *Server) sendConsensus(message *consensus.Message) {
 	if message.To != "" {
-		s.environment.Send(message.To.Address(), &rpc.Frame{Consensus: message})
+		s.send(message.To.Address(), &rpc.Frame{Consensus: message})
 		return
 	}
 	for _, ip := range s.peerAddresses() {
-		s.environment.Send(ip, &rpc.Frame{Consensus: message})
+		s.send(ip, &rpc.Frame{Consensus: message})
 	}
 }
 
@@ -103,6 +103,7 @@
 	}
 	state.Index = entry.Index
 	s.state, s.diverged = state, false
+	s.digests.own = nil
 	update.Snapshot, update.Entries, update.LastIndex = entry.Snapshot.Data, nil, entry.Index
 }
 
@@ -122,6 +123,7 @@
 	if change != nil {
 		s.changeApplied(change)
 	}
+	s.checkpointDigest()
 	update.Entries, update.LastIndex = append(update.Entries, entry.Data), entry.Index
 	s.completeProposal(entry, err)
 }
@@ -167,6 +169,11 @@
 	s.carryOut(s.consensus.RequestSnapshot(s.clock.Now()))
 }
 
+// refreshSnapshot makes a snapshot of the present state, for a member whose own is wrong: an older one may be before its log.
+func (s *Server) refreshSnapshot() {
+	s.carryOut(s.consensus.Compact(s.state.Index, s.state.Snapshot(), keptLogEntries, s.clock.Now()))
+}
+
 // compactLog replaces the log by a snapshot once it is long (Raft 5).
 func (s *Server) compactLog() {
 	entries, bytes := s.consensus.SinceSnapshot()
--- a/internal/control/connections.go
+++ b/internal/control/connections.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"time"
 
 	"ferrypitch/internal/eventloop"
@@ -16,7 +17,7 @@
 
 // serveConn serves a connection of a member or a proxy until it ends.
 func (p *process) serveConn(conn *rpc.Conn) {
-	first, err := conn.Receive(connReadTimeout)
+	first, err := p.receive(conn, connReadTimeout)
 	if err != nil {
 		return
 	}
@@ -24,7 +25,7 @@
 		p.serveProxy(conn, first.ProxyHello)
 		return
 	}
-	for frame := first; err == nil; frame, err = conn.Receive(memberReadTimeout) {
+	for frame := first; err == nil; frame, err = p.receive(conn, memberReadTimeout) {
 		priority := eventloop.PriorityOutcomes
 		if frame.ForwardRequest != nil {
 			priority = eventloop.PriorityCommands
@@ -33,6 +34,22 @@
 	}
 }
 
+// receive returns the next frame that this version understands. It refuses others, and tells their sender why.
+func (p *process) receive(conn *rpc.Conn, timeout time.Duration) (*rpc.Frame, error) {
+	for {
+		frame, err := conn.Receive(timeout)
+		var unsupported *rpc.UnsupportedFrameError
+		if !errors.As(err, &unsupported) {
+			return frame, err
+		}
+		p.server.FramesRefused.Add(1)
+		p.log.Error("frame refused", "from", conn.RemoteIP(), "reason", unsupported)
+		if err := conn.Refuse(unsupported); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // serveProxy serves a proxy until its connection ends. Frames to it pass through a queue, since the event loop must not block.
 func (p *process) serveProxy(conn *rpc.Conn, hello *rpc.ProxyHello) {
 	outgoing, closed := make(chan *rpc.Frame, proxyQueueFrames), make(chan struct{})
@@ -62,7 +79,7 @@
 		return
 	}
 	for {
-		frame, err := conn.Receive(connReadTimeout)
+		frame, err := p.receive(conn, connReadTimeout)
 		if err != nil {
 			break
 		}
--- a/internal/control/consensus/membership.go
+++ b/internal/control/consensus/membership.go
@@ -86,6 +86,12 @@
 	})
 }
 
+// HasQuorum says whether a majority of the members, in each active configuration, has something.
+func (n *Node) HasQuorum(has func(ID) bool) bool { return n.hasQuorum(has) }
+
+// IsVoter says whether an ID is a voting member of an active configuration.
+func (n *Node) IsVoter(id ID) bool { return n.isMember(id) }
+
 // hasQuorum says whether a majority of each active configuration has something.
 func (n *Node) hasQuorum(has func(ID) bool) bool {
 	for _, config := range n.activeConfigurations() {
--- a/internal/control/consensus/transfer.go
+++ b/internal/control/consensus/transfer.go
@@ -8,6 +8,11 @@
 	return n.takeReady()
 }
 
+// CanTransferLeadership says whether TransferLeadership would do something.
+func (n *Node) CanTransferLeadership() bool {
+	return n.role == leader && !n.leadership.transferring && n.bestTransferee() != ""
+}
+
 func (n *Node) startTransfer() {
 	if n.role != leader || n.leadership.transferring {
 		return
--- a/internal/control/counters.go
+++ b/internal/control/counters.go
@@ -15,6 +15,7 @@
 	Heartbeats       atomic.Int64 // valid heartbeats of hosts, processed here
 	LateHeartbeats   atomic.Int64 // first heartbeats of hosts whose address another has by now
 	Proposals        atomic.Int64 // changes proposed to the log
+	ProxySnapshots   atomic.Int64 // snapshots that began to be sent to proxies
 	LeasesGranted    atomic.Int64 // to proxies
 	LeasesRejected   atomic.Int64 // this member was not the leader
 	LeasesPostponed  atomic.Int64 // the proxy had not applied the latest revocation of a primary
@@ -25,6 +26,7 @@
 	DiskDamages      atomic.Int64 // checks of the write-ahead log that found damage on disk, which was mended
 	StateDivergences atomic.Int64 // changes that did not fit this member's state
 
+	FramesRefused    atomic.Int64      // frames of other processes that need a newer version of the protocol
 	CommitDurations  metrics.Histogram // from proposals to their application here
 	PersistDurations metrics.Histogram // of writes to the write-ahead log
 
@@ -45,6 +47,7 @@
 	responseOtherMember                           // it is not from the member that was asked
 	responseMalformed                             // its HTTP status is invalid
 	messageWrongSender                            // a consensus message that comes from another address than its sender's
+	frameUnknown                                  // a frame with nothing in it that this version knows
 	resultUnsolicited                             // a result of a host or the platform that no pending query of this term has
 	discardReasonCount
 )
@@ -61,6 +64,7 @@
 	responseOtherMember:      "discarded_responses_other_member",
 	responseMalformed:        "discarded_responses_malformed",
 	messageWrongSender:       "discarded_consensus_wrong_sender",
+	frameUnknown:             "discarded_frames_unknown",
 	resultUnsolicited:        "discarded_results_unsolicited",
 }
 
@@ -76,6 +80,7 @@
 		"heartbeats":         s.Heartbeats.Load(),
 		"late_heartbeats":    s.LateHeartbeats.Load(),
 		"proposals":          s.Proposals.Load(),
+		"proxy_snapshots":    s.ProxySnapshots.Load(),
 		"leases_granted":     s.LeasesGranted.Load(),
 		"leases_rejected":    s.LeasesRejected.Load(),
 		"leases_postponed":   s.LeasesPostponed.Load(),
@@ -83,6 +88,7 @@
 		"promotion_requests": s.Promotions.Load(),
 		"terms_led":          s.TermsLed.Load(),
 		"disk_errors":        s.DiskErrors.Load(),
+		"frames_refused":     s.FramesRefused.Load(),
 		"disk_damages":       s.DiskDamages.Load(),
 		"state_divergences":  s.StateDivergences.Load(),
 
@@ -103,6 +109,9 @@
 	if s.environment.DroppedFrames != nil {
 		all["rpc_frames_dropped"] = s.environment.DroppedFrames()
 	}
+	if s.environment.RefusedFrames != nil {
+		all["rpc_refusals_received"] = s.environment.RefusedFrames()
+	}
 	if s.leading {
 		s.addFailoverCounters(all)
 	}
--- a/internal/control/forwarding.go
+++ b/internal/control/forwarding.go
@@ -69,7 +69,7 @@
 		deadlineMs: s.clock.Now() + timeout.Milliseconds(),
 	}
 	f.pendingBytes += len(call.body)
-	s.environment.Send(leader.Address(), &rpc.Frame{ForwardRequest: &rpc.ForwardRequest{
+	s.send(leader.Address(), &rpc.Frame{ForwardRequest: &rpc.ForwardRequest{
 		CallID:      id,
 		To:          leader,
 		Method:      call.method,
@@ -118,7 +118,7 @@
 // handleForwardRequest processes a call that another member has forwarded.
 func (s *Server) handleForwardRequest(from string, request *rpc.ForwardRequest) {
 	respond := func(status int, body []byte) {
-		s.environment.Send(from, &rpc.Frame{ForwardResponse: &rpc.ForwardResponse{CallID: request.CallID, By: s.id, Status: status, Body: body}})
+		s.send(from, &rpc.Frame{ForwardResponse: &rpc.ForwardResponse{CallID: request.CallID, By: s.id, Status: status, Body: body}})
 	}
 	switch {
 	case request.From.Address() != from || !s.mayForward(request.From):
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"ferrypitch/internal/control/failover"
+	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/lease"
 )
 
@@ -15,9 +16,9 @@
 	defer s.publishLease()
 	holds := s.consensus.HoldsLease(now)
 	switch {
-	case holds && s.diverged:
+	case holds && s.diverged && s.consensus.CanTransferLeadership():
 		s.carryOut(s.consensus.TransferLeadership(now))
-	case holds && !s.leading:
+	case holds && !s.leading && !s.diverged:
 		s.becomeLeader(now)
 	case s.leading && (s.diverged || !s.consensus.IsLeader()):
 		s.loseLeadership()
@@ -30,6 +31,7 @@
 	s.TermsLed.Add(1)
 	s.ledTimeOffsetMs = s.state.LeaderTimeMs - now
 	s.grantor = lease.NewGrantor(now)
+	s.digests.votes, s.digests.agreed = nil, statemachine.Digest{}
 	s.coordinator = failover.New(s.settings.Node, term, s.settings.BeatMs, now)
 	s.coordinator.RegistrationsDueUntil = now + max(0, failover.RegistrationGraceMs-s.state.LeaderTimeMs)
 	s.coordinator.OnEvent = func(event failover.Event) {
--- a/internal/control/operator_api.go
+++ b/internal/control/operator_api.go
@@ -50,6 +50,10 @@
 		reject(respond, errcode.NotFound, errors.New("no configuration yet"))
 		return
 	}
+	if !s.checkOwnConfig() {
+		reject(respond, errcode.NoLeader, nil)
+		return
+	}
 	respond(http.StatusOK, s.state.ConfigBody)
 }
 
@@ -91,6 +95,10 @@
 		s.pendingUpdates.waiting[id] = append(waiting, result)
 		return
 	}
+	if !s.checkOwnConfig() {
+		reject(respond, errcode.NoLeader, nil)
+		return
+	}
 	config, err := s.state.CheckConfig(update)
 	switch {
 	case err != nil || config == nil: // invalid, or applied before
--- a/internal/control/proxies.go
+++ b/internal/control/proxies.go
@@ -22,7 +22,10 @@
 	send        func(*rpc.Frame) bool
 	closeConn   func()
 	closed      bool
-	registering bool // the change that adds the proxy to the state is proposed
+	registering bool           // the change that adds the proxy to the state is proposed
+	version     uint32         // of the protocol that the proxy speaks
+	snapshot    *proxySnapshot // that it is receiving; nil: none
+	digestIndex uint64         // of the newest digest that it was sent
 }
 
 // sortedProxies returns the served proxies in the order of acceptance, so that a simulation repeats exactly.
@@ -47,6 +50,9 @@
 
 // sendUpdate sends an update of the log if it continues what was sent before, else all that is missing.
 func (c *ProxyConn) sendUpdate(s *Server, update *rpc.LogUpdate) {
+	if c.snapshot != nil {
+		return
+	}
 	if update.Snapshot == nil && c.sentIndex+uint64(len(update.Entries)) != update.LastIndex {
 		c.catchUp(s)
 		return
@@ -55,12 +61,18 @@
 	c.deliver(&rpc.Frame{LogUpdate: update})
 }
 
-// catchUp sends all entries that are missing, or a snapshot where the log no longer has them.
+// catchUp sends all entries that are missing, or a snapshot where the log no longer has them. A proxy of a release before chunks
+// gets the snapshot in one frame.
 func (c *ProxyConn) catchUp(s *Server) {
 	update := &rpc.LogUpdate{Members: s.memberAddresses(), LastIndex: s.state.Index}
-	if entries, ok := s.consensus.CommittedAfter(c.sentIndex); ok && c.sentIndex > 0 && c.sentIndex <= s.state.Index {
+	entries, ok := s.consensus.CommittedAfter(c.sentIndex)
+	switch {
+	case ok && c.sentIndex > 0 && c.sentIndex <= s.state.Index:
 		update.Entries = entries
-	} else {
+	case c.version >= rpc.VersionDigestsChunks:
+		c.startSnapshot(s)
+		return
+	default:
 		update.Snapshot = s.state.Snapshot()
 	}
 	c.sentIndex = update.LastIndex
@@ -77,6 +89,7 @@
 		serial:      s.proxiesAccepted,
 		remoteIP:    remoteIP,
 		sentIndex:   hello.AppliedIndex,
+		version:     rpc.SpokenVersion(hello.Version),
 		send:        send,
 		closeConn:   closeConn,
 	}
@@ -107,6 +120,10 @@
 		s.renewLease(conn, frame.LeaseRequest)
 	case frame.SuspectReport != nil:
 		s.handleSuspectReport(conn, frame.SuspectReport)
+	case frame.ChunkAck != nil:
+		s.handleChunkAck(conn, frame.ChunkAck)
+	default:
+		s.discard(frameUnknown)
 	}
 }
 
@@ -139,6 +156,7 @@
 	case response.Granted:
 		s.LeasesGranted.Add(1)
 		response.ProxyCount = s.grantor.HolderCount(now)
+		response.Digest = s.newDigestFor(conn)
 	default:
 		s.LeasesRejected.Add(1)
 		if s.grantor != nil {
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -152,6 +152,7 @@
 		Promote:       p.promote,
 		Persist:       p.writes.put,
 		DroppedFrames: p.mesh.Dropped.Load,
+		RefusedFrames: p.mesh.Refused.Load,
 	}
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -22,6 +22,8 @@
 	id          consensus.ID
 	environment Environment
 
+	protocolVersion uint32 // that this process speaks: rpc.ProtocolVersion, or an older one in tests
+
 	consensus     *consensus.Node
 	state         *statemachine.State
 	committed     []consensus.Committed // not applied yet
@@ -36,8 +38,10 @@
 	ledTimeOffsetMs  int64                 // from the clock to leader time (statemachine.Change.LeaderTimeMs), while leading
 	pendingProposals map[uint64]pendingProposal
 	pendingUpdates   pendingUpdates
+	digests          stateDigests
 	addressChecks    map[failover.HostQuery]addressCheck
-	lastCallSeq      map[string]int64 // CallSeq of the last heartbeat, by host
+	peerVersions     map[consensus.ID]uint32 // that other members speak, as last heard
+	lastCallSeq      map[string]int64        // CallSeq of the last heartbeat, by host
 
 	proxies         map[*ProxyConn]struct{} // those that are served
 	proxiesAccepted uint64                  // number of ProxyConns since the start
@@ -64,6 +68,8 @@
 	Persist func(writes []consensus.Write)
 	// DroppedFrames is the number of frames that Send could not send. It may be nil.
 	DroppedFrames func() int64
+	// RefusedFrames is the number of frames that their receivers refused. It may be nil.
+	RefusedFrames func() int64
 }
 
 // New makes a member from what its data directory holds. SetEnvironment must follow before any other call. random returns
@@ -85,7 +91,9 @@
 		state:            state,
 		pendingProposals: map[uint64]pendingProposal{},
 		addressChecks:    map[failover.HostQuery]addressCheck{},
+		peerVersions:     map[consensus.ID]uint32{},
 		lastCallSeq:      map[string]int64{},
+		protocolVersion:  rpc.ProtocolVersion,
 		proxies:          map[*ProxyConn]struct{}{},
 		forwarder:        newForwarder(incarnation),
 	}, nil
@@ -101,6 +109,7 @@
 	s.carryOut(s.consensus.Tick(now))
 	s.runFailover()
 	s.expireForwarded(now)
+	s.tickDigests(now)
 	return s.leading && s.coordinator.Active(s.state)
 }
 
@@ -115,13 +124,42 @@
 	case frame.Consensus != nil && frame.Consensus.From.Address() != from:
 		s.discard(messageWrongSender)
 	case frame.Consensus != nil:
+		s.peerVersions[frame.Consensus.From] = rpc.SpokenVersion(frame.Version)
+		if frame.Consensus.Type == consensus.MsgSnapshotRequest && s.leading {
+			s.refreshSnapshot()
+		}
 		s.carryOut(s.consensus.Step(*frame.Consensus, s.clock.Now()))
 	case frame.ForwardRequest != nil:
 		s.handleForwardRequest(from, frame.ForwardRequest)
 	case frame.ForwardResponse != nil:
 		s.handleForwardResponse(from, frame.ForwardResponse)
+	case frame.StateDigests != nil:
+		s.handleStateDigests(from, frame.StateDigests)
+	case frame.StateRejected != nil:
+		s.handleStateRejected(from, frame.StateRejected)
+	default:
+		s.discard(frameUnknown)
 	}
 }
 
+// send sends a frame to the member at an address, in the version that this process speaks.
+func (s *Server) send(ip string, frame *rpc.Frame) {
+	frame.Version = s.protocolVersion
+	s.environment.Send(ip, frame)
+}
+
+// leastVersion is the version that all members speak of which this one has heard, itself included.
+func (s *Server) leastVersion() uint32 {
+	least := s.protocolVersion
+	for _, id := range s.consensus.Members() {
+		if version, heard := s.peerVersions[id]; heard {
+			least = min(least, version)
+		}
+	}
+	return least
+}
+
 // holdsLease reports whether this member acts as the leader and no other member can be leader now.
-func (s *Server) holdsLease() bool { return s.leading && s.consensus.HoldsLease(s.clock.Now()) }
+func (s *Server) holdsLease() bool {
+	return s.leading && !s.diverged && s.consensus.HoldsLease(s.clock.Now())
+}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -15,7 +15,9 @@
 // Status is what a member reports of itself, whether it leads or not.
 type Status struct {
 	Consensus        consensus.Status
-	Version          int64 // generation of the configuration
+	ProtocolVersion  uint32 // that this process speaks
+	LeastVersion     uint32 // that all members speak, as far as they were heard
+	Version          int64  // generation of the configuration
 	Hosts            int
 	Proxies          int // that hold leases; 0 unless this member leads
 	Primaries        map[string]statemachine.Primary
@@ -41,6 +43,10 @@
 	now := s.clock.Now()
 	status := &Status{
 		Consensus: s.consensus.Status(now),
+
+		ProtocolVersion: s.protocolVersion,
+		LeastVersion:    s.leastVersion(),
+
 		Version:   s.state.Generation,
 		Hosts:     len(s.state.Hosts),
 		Primaries: s.state.Primaries,
--- a/internal/proxy/control_link.go
+++ b/internal/proxy/control_link.go
@@ -160,8 +160,8 @@
 	if !ok {
 		return nil, errStopped
 	}
-	hello := &rpc.ProxyHello{Node: s.settings.Node, Incarnation: s.incarnation, Zone: s.settings.Zone, AppliedIndex: index}
-	if err := conn.Send(&rpc.Frame{ProxyHello: hello}, controlSendTimeout); err != nil {
+	hello := &rpc.ProxyHello{Node: s.settings.Node, Incarnation: s.incarnation, Zone: s.settings.Zone, AppliedIndex: index, Version: rpc.ProtocolVersion}
+	if err := conn.Send(&rpc.Frame{Version: rpc.ProtocolVersion, ProxyHello: hello}, controlSendTimeout); err != nil {
 		return nil, fmt.Errorf("hello: %w", err)
 	}
 	frame, err := conn.Receive(welcomeTimeout)
@@ -199,8 +199,10 @@
 		switch {
 		case frame.LogUpdate != nil:
 			l.handleLogUpdate(conn, frame.LogUpdate)
+		case frame.SnapshotChunk != nil:
+			l.handleSnapshotChunk(conn, frame.SnapshotChunk)
 		case frame.LeaseResponse != nil:
-			if err := l.handleLeaseResponse(frame.LeaseResponse, requests); err != nil {
+			if err := l.handleLeaseResponse(conn, frame.LeaseResponse, requests); err != nil {
 				return err
 			}
 		}
@@ -224,7 +226,25 @@
 	})
 }
 
-func (l *controlLink) handleLeaseResponse(response *rpc.LeaseResponse, requests *leaseRequestTimes) error {
+// handleSnapshotChunk has the event loop take in a part of a snapshot, and acknowledges it.
+func (l *controlLink) handleSnapshotChunk(conn *rpc.Conn, chunk *rpc.SnapshotChunk) {
+	s := l.server
+	l.members = chunk.Members
+	var err error
+	ack, ok := query(s.queue, func() (ack *rpc.ChunkAck) {
+		ack, err = s.handleSnapshotChunk(chunk)
+		return ack
+	})
+	if ok && err == nil {
+		err = conn.Send(&rpc.Frame{Version: rpc.ProtocolVersion, ChunkAck: ack}, controlSendTimeout)
+	}
+	if err != nil {
+		s.log.Error("snapshot was not taken", "error", err)
+		closeControlConn(conn)
+	}
+}
+
+func (l *controlLink) handleLeaseResponse(conn *rpc.Conn, response *rpc.LeaseResponse, requests *leaseRequestTimes) error {
 	if len(response.Members) > 0 {
 		l.members = response.Members
 	}
@@ -233,6 +253,12 @@
 	}
 	requestedAt := requests.take(response.Serial)
 	s := l.server
-	s.queue.Put(eventloop.PriorityControl, func() { s.leaseGranted(response, requestedAt) })
+	s.queue.Put(eventloop.PriorityControl, func() {
+		if s.checkDigest(response) != nil {
+			closeControlConn(conn)
+			return
+		}
+		s.leaseGranted(response, requestedAt)
+	})
 	return nil
 }
--- a/internal/proxy/safeguard_test.go
+++ b/internal/proxy/safeguard_test.go
@@ -99,7 +99,7 @@
 		sim.After(9*second, crashed.start)
 	}},
 	{"a command or promotion goes out when the lease of its decision is over", "LEASE", newClusterSimulation, func(sim *simulation) {
-		sim.cluster.ignoresLease = true
+		sim.cluster.ignoresLease, sim.cluster.lateOneIn = true, 2
 	}},
 	{"a proxy's clock is slower than leases allow", "STALE LOST", newClusterSimulation, func(sim *simulation) {
 		proxy := sim.proxies[0]
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -71,8 +71,9 @@
 	lease                lease.Holder
 	leaseValidAt         time.Time // when the lease was last seen to be valid
 	proxyCount           int
-	diverged             bool // state is not what the log builds: a snapshot is needed
-	revocationUnreported bool // a revocation was applied and the leader does not know it yet
+	incoming             incomingSnapshot // of which some chunks have arrived on the present link
+	diverged             bool             // state is not what the log builds: a snapshot is needed
+	revocationUnreported bool             // a revocation was applied and the leader does not know it yet
 	leader               leaderLink
 
 	// Other proxies.
--- a/internal/proxy/simulation_cluster_test.go
+++ b/internal/proxy/simulation_cluster_test.go
@@ -10,6 +10,7 @@
 	"ferrypitch/internal/control/failover"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/fake/database"
+	"ferrypitch/internal/rpc"
 )
 
 const (
@@ -32,6 +33,7 @@
 	connCount    int                // connections of proxies to members
 	faultCounts  [memberFaultKinds]int
 	operator     *operator
+	proxyVersion uint32 // of the protocol that proxies speak
 
 	// Hosts.
 	lastCallSeq   int64
@@ -51,6 +53,7 @@
 	// Safeguards that a test may remove.
 	fakeAnswer    func(failover.HostQuery, *database.Host) bool // the host is not asked, and its answer made up
 	hostAddress   func(hostID string) string
+	lateOneIn     int  // one command to hosts and the platform in so many is written late
 	ignoresLease  bool // a member writes what it decided although its lease is over
 	losesLog      bool // a new host lacks the log of the one that was at its address
 	keepsIdentity bool // a member whose disk is lost keeps its vote
@@ -65,6 +68,8 @@
 		draining:       map[string]bool{},
 		leaving:        map[string]bool{},
 		platformFences: sim.OneIn(2),
+		lateOneIn:      20,
+		proxyVersion:   rpc.ProtocolVersion - uint32(seed%4/3), // a quarter are before an upgrade
 		highestToken:   map[string]uint64{},
 		tokenOwners:    map[uint64]string{},
 		hostAddress:    func(hostID string) string { return "10.1.0.1:100" + hostID[1:2] },
--- a/internal/proxy/simulation_member_conn_test.go
+++ b/internal/proxy/simulation_member_conn_test.go
@@ -67,7 +67,7 @@
 	p.run(incarnation, func(server *Server) { resumeIndex = server.resumeIndex() })
 	m.conns[conn] = true
 	conn.sendToMember(func() {
-		hello := &rpc.ProxyHello{Node: p.name, Incarnation: uint64(incarnation), Zone: "z", AppliedIndex: resumeIndex}
+		hello := &rpc.ProxyHello{Node: p.name, Incarnation: uint64(incarnation), Zone: "z", AppliedIndex: resumeIndex, Version: sim.cluster.proxyVersion}
 		conn.proxyConn = m.server.AcceptProxy(hello, p.name, conn.sendToProxy, func() { sim.After(closeNoticeDelay, conn.close) })
 	})
 	conn.checkSilence()
@@ -121,15 +121,31 @@
 			return
 		}
 		server.reportRevocationApplied()
+	case frame.SnapshotChunk != nil:
+		c.receiveChunk(server, frame.SnapshotChunk)
 	case frame.LeaseResponse != nil && !frame.LeaseResponse.Granted:
 		sim.After(1, c.close)
 	case frame.LeaseResponse != nil:
 		requestedAt := c.requestedAt[frame.LeaseResponse.Serial]
 		delete(c.requestedAt, frame.LeaseResponse.Serial)
+		if server.checkDigest(frame.LeaseResponse) != nil {
+			c.close()
+			return
+		}
 		server.leaseGranted(frame.LeaseResponse, requestedAt)
 	}
 }
 
+func (c *memberConn) receiveChunk(server *Server, chunk *rpc.SnapshotChunk) {
+	ack, err := server.handleSnapshotChunk(chunk)
+	if err != nil {
+		c.proxy.sim.Violate("STATE: %s refuses a chunk: %v", c.proxy.name, err)
+		c.close()
+		return
+	}
+	c.sendToMember(func() { c.member.server.HandleProxyFrame(c.proxyConn, &rpc.Frame{ChunkAck: ack}) })
+}
+
 // followRedirect ends the connection, and connects the proxy to the member that is the leader, if it knows of that.
 func (c *memberConn) followRedirect(leader string) {
 	sim, proxy := c.proxy.sim, c.proxy
--- a/internal/proxy/simulation_member_test.go
+++ b/internal/proxy/simulation_member_test.go
@@ -150,7 +150,7 @@
 func (m *member) writeUnderLease(incarnation int, term uint64, what string, write, withhold func()) {
 	sim, c := m.cluster.sim, m.cluster
 	late := int64(0)
-	if c.promotionTime == nil && sim.OneIn(20) {
+	if c.promotionTime == nil && sim.OneIn(c.lateOneIn) {
 		late = sim.Between(1*millisecond, platformTimeout)
 	}
 	server := m.server
@@ -241,6 +241,21 @@
 	}
 }
 
+// checkStates checks that no member and no proxy has found its state to differ from that of a majority: no fault of a simulation
+// changes memory.
+func (c *controlCluster) checkStates() {
+	for _, m := range c.members {
+		if diverged := m.server.StateDivergences.Load(); diverged > 0 {
+			c.sim.Violate("STATE: the state of %s has diverged %d times", m.ip, diverged)
+		}
+	}
+	for _, proxy := range c.sim.proxies {
+		if diverged := proxy.server.counters.stateDiverged.Load(); diverged > 0 {
+			c.sim.Violate("STATE: the state of %s has diverged %d times", proxy.name, diverged)
+		}
+	}
+}
+
 func (m *member) isLeader() (leads bool) {
 	if m.frozen {
 		return false
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -123,6 +123,7 @@
 	if sim.cluster == nil {
 		return
 	}
+	sim.cluster.checkStates()
 	if sim.cluster.operator != nil {
 		sim.cluster.operator.checkFinalConfig()
 	}
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	headerBytes     = 4        // big-endian length of the frame that follows
-	readBufferBytes = 4096     // one buffer for each connection: there are thousands
+	headerBytes     = 4    // big-endian length of the frame that follows
+	readBufferBytes = 4096 // one buffer for each connection: there are thousands
+	refusalTimeout  = time.Second
 	keptBufferBytes = 64 << 10 // a write buffer that grew beyond this is released after the frame
 )
 
@@ -74,13 +75,16 @@
 	return nil
 }
 
-// Receive reads one frame before the timeout ends. The connection is unusable after an error.
+// Receive reads one frame before the timeout ends. The connection is unusable after an error other than UnsupportedFrameError.
 func (c *Conn) Receive(timeout time.Duration) (*Frame, error) {
 	c.conn.SetReadDeadline(time.Now().Add(timeout))
 	frame := &Frame{}
 	if err := c.decoder.Decode(frame); err != nil {
 		return nil, fmt.Errorf("rpc: receiving a frame: %w", err)
 	}
+	if err := checkVersion(frame); err != nil {
+		return nil, err
+	}
 	return frame, nil
 }
 
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -2,14 +2,18 @@
 
 import (
 	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/control/statemachine"
 )
 
 // MaxFrameBytes is the length of the longest frame that is sent or accepted, without its header.
 const MaxFrameBytes = 24 << 20
 
-// Frame is one message between two processes. Exactly one of its fields is set. Its names are part of the wire format: gob
-// matches fields by name.
+// Frame is one message between two processes. Beside the versions exactly one of its fields is set. Its names are part of the wire
+// format: gob matches fields by name.
 type Frame struct {
+	Version      uint32 // of the protocol that the sender speaks; 0: a release before versions, which is VersionUnnumbered
+	NeedsVersion uint32 // the least version in which the frame means something; a receiver of an older one refuses it
+
 	Consensus       *consensus.Message // member to member
 	ForwardRequest  *ForwardRequest    // member to leader
 	ForwardResponse *ForwardResponse   // leader to member
@@ -19,6 +23,11 @@
 	LeaseRequest    *LeaseRequest      // proxy to leader
 	LeaseResponse   *LeaseResponse     // leader to proxy
 	SuspectReport   *SuspectReport     // proxy to leader
+	StateDigests    *StateDigests      // member to leader
+	StateRejected   *StateRejected     // leader to member
+	SnapshotChunk   *SnapshotChunk     // leader to proxy
+	ChunkAck        *ChunkAck          // proxy to leader
+	Refusal         *Refusal           // in answer to a frame that needs a newer version
 }
 
 // CallID identifies one forwarded call. It is unique over all members and all their restarts.
@@ -52,6 +61,7 @@
 	Incarnation  uint64
 	Zone         string
 	AppliedIndex uint64 // the last log entry that the proxy has applied
+	Version      uint32 // of the protocol that the proxy speaks
 }
 
 // ProxyWelcome answers a ProxyHello. Only the leader serves proxies.
@@ -93,6 +103,7 @@
 	CommitIndex uint64 // the last entry that the leader had applied when it granted the lease
 	ProxyCount  int    // proxies that hold a lease
 	Members     []string
+	Digest      *statemachine.Digest // that a majority of the members has at some index of late; nil: there is no new one
 }
 
 // SuspectReport reports that a proxy cannot reach a primary.
--- a/internal/rpc/mesh.go
+++ b/internal/rpc/mesh.go
@@ -26,6 +26,7 @@
 	senders map[string]*meshSender // by address
 
 	Dropped atomic.Int64 // frames that were not sent
+	Refused atomic.Int64 // frames that their receivers refused, since they need a newer version
 }
 
 // NewMesh returns a mesh that sends from the address localIP until ctx ends.
@@ -103,16 +104,20 @@
 	}
 	conn := NewConn(socket)
 	s.conn = conn
-	s.mesh.tasks.Go(func() { closeAtEOF(conn) })
+	s.mesh.tasks.Go(func() { s.mesh.closeAtEOF(conn) })
 	return true
 }
 
-// closeAtEOF closes a connection when the other side does. Nothing else is received on it.
-func closeAtEOF(conn *Conn) {
+// closeAtEOF closes a connection when the other side does. Nothing else is received on it but refusals.
+func (m *Mesh) closeAtEOF(conn *Conn) {
 	for {
-		if _, err := conn.Receive(meshReadTimeout); err != nil {
+		frame, err := conn.Receive(meshReadTimeout)
+		if err != nil {
 			_ = conn.Close()
 			return
 		}
+		if frame.Refusal != nil {
+			m.Refused.Add(1)
+		}
 	}
 }
--- /dev/null
+++ b/internal/rpc/version_test.go
@@ -0,0 +1,57 @@
+package rpc
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// connectedPair returns two ends of a connection.
+func connectedPair(t *testing.T) (one, other *Conn) {
+	t.Helper()
+	a, b := net.Pipe()
+	t.Cleanup(func() { a.Close(); b.Close() })
+	return NewConn(a), NewConn(b)
+}
+
+// A frame that needs a newer version is refused with the reason, and what comes after it is read.
+func TestFrameOfANewerVersionIsRefused(t *testing.T) {
+	sender, receiver := connectedPair(t)
+	sent := make(chan error, 1)
+	go func() {
+		err := sender.Send(&Frame{Version: ProtocolVersion + 1, NeedsVersion: ProtocolVersion + 1}, time.Minute)
+		if err == nil {
+			err = sender.Send(&Frame{Version: ProtocolVersion + 1, ChunkAck: &ChunkAck{Index: 7}}, time.Minute)
+		}
+		sent <- err
+	}()
+	_, err := receiver.Receive(time.Minute)
+	var unsupported *UnsupportedFrameError
+	require.ErrorAs(t, err, &unsupported)
+	require.Equal(t, UnsupportedFrameError{Needs: ProtocolVersion + 1, Sender: ProtocolVersion + 1, Spoken: ProtocolVersion}, *unsupported)
+	frame, err := receiver.Receive(time.Minute)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, frame.ChunkAck.Index)
+	require.NoError(t, <-sent)
+
+	go func() { sent <- receiver.Refuse(unsupported) }()
+	answer, err := sender.Receive(time.Minute)
+	require.NoError(t, err)
+	require.NoError(t, <-sent)
+	require.Equal(t, &Refusal{Version: ProtocolVersion, Reason: unsupported.Error()}, answer.Refusal)
+	require.Contains(t, answer.Refusal.Reason, "needs version 3")
+}
+
+// Frames of the release before versions are read, and count as of its version.
+func TestUnnumberedFramesAreRead(t *testing.T) {
+	sender, receiver := connectedPair(t)
+	sent := make(chan error, 1)
+	go func() { sent <- sender.Send(&Frame{LeaseRequest: &LeaseRequest{Serial: 3}}, time.Minute) }()
+	frame, err := receiver.Receive(time.Minute)
+	require.NoError(t, err)
+	require.NoError(t, <-sent)
+	require.EqualValues(t, 3, frame.LeaseRequest.Serial)
+	require.Equal(t, VersionUnnumbered, SpokenVersion(frame.Version))
+}
