--- a/cmd/ferrylab/system.go
+++ b/cmd/ferrylab/system.go
@@ -33,7 +33,9 @@
 	flags := command.Flags()
 	flags.DurationVar(&options.For, "for", 20*time.Second, "how long to send")
 	flags.IntVar(&options.Sessions, "sessions", 12, "sessions at each proxy")
-	flags.Uint64Var(&options.Seed, "seed", uint64(os.Getpid()), "of random choices, and of the loopback addresses used")
+	flags.Uint64Var(&options.Seed, "seed", uint64(os.Getpid()), "of random choices, and of the loopback addresses tried first")
+	flags.StringVar(&options.UpgradeFrom, "upgrade-from", "",
+		"`folder` with ferrypitch-proxy and ferrypitch-control of another release: begin with it, upgrade process by process, and go back")
 	flags.BoolVar(&asJSON, "json", false, "print the result as JSON")
 	return command
 }
@@ -85,6 +87,13 @@
 	}
 	fmt.Fprintf(out, "\n%d writes acknowledged, %d configurations accepted and read back, %d promotions, %d ms from the crash to the next write\n",
 		r.AcknowledgedWrites, r.ConfigVersions, r.Promotions, r.WriteGap.Milliseconds())
+	for _, step := range r.Upgrades {
+		release := "the older release"
+		if step.ToNew {
+			release = "this release"
+		}
+		fmt.Fprintf(out, "%s to %s: stopped in %d ms, ready in %d ms\n", step.Process, release, step.Stopped.Milliseconds(), step.Ready.Milliseconds())
+	}
 	fmt.Fprintf(out, "memory: proxy %d kB, control %d kB\n", r.PeakRSSKB["ferrypitch-proxy"], r.PeakRSSKB["ferrypitch-control"])
 	for _, violation := range r.Violations {
 		fmt.Fprintln(out, violation)
--- a/internal/simulation/cluster/cluster.go
+++ b/internal/simulation/cluster/cluster.go
@@ -26,6 +26,9 @@
 	Sessions int
 	// Seed decides the random choices and the loopback addresses in use.
 	Seed uint64
+	// UpgradeFrom is a folder with the programs of another release. The system begins with them, is upgraded process by process
+	// under load, and goes back in the same way. Empty: no upgrade.
+	UpgradeFrom string
 	// Say prints progress. Optional.
 	Say func(format string, args ...any)
 }
@@ -39,6 +42,8 @@
 	// ConfigVersions counts the versions of the configuration that were accepted and read back.
 	ConfigVersions int
 	Promotions     int
+	// Upgrades are the processes that were stopped and started again with the programs of another release, in order.
+	Upgrades []Upgrade
 	// WriteGap is the time from the crash of the primary to the first acknowledgement of a write begun after it; 0: none
 	// was acknowledged.
 	WriteGap           time.Duration
@@ -70,6 +75,7 @@
 	Options
 	dir       string // of programs, configuration, data and logs
 	network   loopbackNetwork
+	binaries  map[string]string // of this release, by program
 	startedAt time.Time
 
 	members   []*program.Process
@@ -91,10 +97,15 @@
 	if options.Say == nil {
 		options.Say = func(string, ...any) {}
 	}
+	network, claim, err := claimLoopbackNetwork(options.Seed)
+	if err != nil {
+		return nil, err
+	}
+	defer claim.Close()
 	c := &cluster{
 		Options:   options,
 		dir:       dir,
-		network:   newLoopbackNetwork(options.Seed),
+		network:   network,
 		startedAt: time.Now(),
 		scheduler: database.NewRealTimeScheduler(options.Seed),
 		result:    Result{ReadsByHost: map[string]int{}, PeakRSSKB: map[string]int{}},
--- a/internal/simulation/cluster/play.go
+++ b/internal/simulation/cluster/play.go
@@ -24,6 +24,16 @@
 			clients.Go(func() { c.runClient(sending, proxy, i) })
 		}
 	}
+	if c.UpgradeFrom != "" {
+		err := c.upgradeAndGoBack(sending)
+		stop()
+		clients.Wait()
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(settleTime)
+		return c.collect(), nil
+	}
 	var configErr error
 	if sleep(sending, c.For/8) == nil {
 		configErr = c.replaceConfig(ctx, 1, 2)
--- a/internal/simulation/cluster/start.go
+++ b/internal/simulation/cluster/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -36,10 +37,12 @@
 	controlPort   = 18782
 	databasePort  = 18080
 	platformPort  = 18783
+	claimPort     = 18779
 )
 
 // Last bytes of the addresses of machines, by what they run: the first machine of each kind.
 const (
+	claimMachine  = 9
 	firstMember   = 10
 	firstProxy    = 20
 	firstHost     = 30
@@ -49,9 +52,20 @@
 // loopbackNetwork is a /24 network of 127.0.0.0/8 that stands for the machines of a run.
 type loopbackNetwork string
 
-// newLoopbackNetwork picks the network by a seed, so that runs with other seeds can go on at the same time.
-func newLoopbackNetwork(seed uint64) loopbackNetwork {
-	return loopbackNetwork(fmt.Sprintf("127.%d.%d", 10+seed%200, 1+seed/200%250))
+// loopbackNetworks is how many networks there are to choose from.
+const loopbackNetworks = 200 * 250
+
+// claimLoopbackNetwork picks a network that no other run on this machine uses, the first from that of the seed on. It is this run's
+// until the claim is closed.
+func claimLoopbackNetwork(seed uint64) (network loopbackNetwork, claim net.Listener, err error) {
+	for number := range uint64(loopbackNetworks) {
+		choice := (seed + number) % loopbackNetworks
+		network = loopbackNetwork(fmt.Sprintf("127.%d.%d", 10+choice%200, 1+choice/200))
+		if claim, err = net.Listen("tcp", network.address(claimMachine, claimPort)); err == nil {
+			return network, claim, nil
+		}
+	}
+	return "", nil, fmt.Errorf("no loopback network is free: %w", err)
 }
 
 func (n loopbackNetwork) ip(machine int) string { return fmt.Sprintf("%s.%d", n, machine) }
@@ -75,16 +89,20 @@
 
 func (c *cluster) platformAddress() string { return c.network.address(firstPlatform, platformPort) }
 
-// start builds the programs, and starts the hosts, the members and the proxies.
+// start builds the programs, and starts the hosts, the members and the proxies: those of the release that is upgraded, if there is one.
 func (c *cluster) start(ctx context.Context) error {
 	c.Say("building %s and %s", proxyProgram, controlProgram)
-	binaries := map[string]string{}
+	c.binaries = map[string]string{}
 	for _, name := range []string{proxyProgram, controlProgram} {
 		binary, err := program.Build(c.dir, name)
 		if err != nil {
 			return err
 		}
-		binaries[name] = binary
+		c.binaries[name] = binary
+	}
+	binaries := c.binaries
+	if c.UpgradeFrom != "" {
+		binaries = c.olderBinaries()
 	}
 	if err := c.startHosts(ctx); err != nil {
 		return err
--- /dev/null
+++ b/internal/simulation/cluster/upgrade.go
@@ -0,0 +1,118 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"ferrypitch/internal/simulation/program"
+)
+
+const (
+	// upgradePause lies between two processes, so that each has taken part again before the next stops.
+	upgradePause = 500 * time.Millisecond
+	// readyPollInterval separates two questions whether a process is ready.
+	readyPollInterval = 20 * time.Millisecond
+	readyTimeout      = 10 * time.Second
+)
+
+// Upgrade is a process that was stopped by SIGTERM and started with the programs of another release.
+type Upgrade struct {
+	Process string
+	ToNew   bool          // else back to the older release
+	Stopped time.Duration // from SIGTERM to its end
+	Ready   time.Duration // from its start until it was ready again
+}
+
+// olderBinaries are the programs of the release that is upgraded.
+func (c *cluster) olderBinaries() map[string]string {
+	older := map[string]string{}
+	for _, name := range []string{proxyProgram, controlProgram} {
+		older[name] = filepath.Join(c.UpgradeFrom, name)
+	}
+	return older
+}
+
+// upgradeAndGoBack replaces the programs of all processes, one after another: members first, then proxies; then all back. The
+// configuration is changed after each member, so also while two releases run side by side.
+func (c *cluster) upgradeAndGoBack(ctx context.Context) error {
+	version := 1
+	for _, toNew := range []bool{true, false} {
+		binaries := c.olderBinaries()
+		if toNew {
+			binaries = c.binaries
+		}
+		for i, member := range c.members {
+			step := Upgrade{Process: fmt.Sprint(controlProgram, i), ToNew: toNew}
+			if err := c.upgrade(ctx, member, binaries[controlProgram], c.memberReady(i), step); err != nil {
+				return err
+			}
+			if err := c.replaceConfig(ctx, version, version+1); err != nil {
+				return fmt.Errorf("after %s: %w", step.Process, err)
+			}
+			version++
+		}
+		for i, proxy := range c.proxies {
+			step := Upgrade{Process: fmt.Sprint(proxyProgram, i), ToNew: toNew}
+			if err := c.upgrade(ctx, proxy, binaries[proxyProgram], c.proxyReady(i), step); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// upgrade stops a process, starts it with another binary, and waits until it is ready.
+func (c *cluster) upgrade(ctx context.Context, process *program.Process, binary, readyURL string, step Upgrade) error {
+	began := time.Now()
+	process.Stop()
+	step.Stopped = time.Since(began)
+	process.SetBinary(binary)
+	began = time.Now()
+	if err := process.Restart(); err != nil {
+		return err
+	}
+	if err := waitForStatusOK(ctx, readyURL); err != nil {
+		return fmt.Errorf("%s: %w", step.Process, err)
+	}
+	step.Ready = time.Since(began)
+	c.Say("%s runs %s, stopped in %v, ready in %v", step.Process, binary, step.Stopped.Round(time.Millisecond), step.Ready.Round(time.Millisecond))
+	c.mu.Lock()
+	c.result.Upgrades = append(c.result.Upgrades, step)
+	c.mu.Unlock()
+	return sleep(ctx, upgradePause)
+}
+
+// memberReady is a URL that a member answers with 200 once it leads or forwards to a leader.
+func (c *cluster) memberReady(i int) string {
+	return "http://" + c.network.address(firstMember+i, controlPort) + "/Config.Read"
+}
+
+// proxyReady is a URL that a proxy answers with 200 once clients may be sent there.
+func (c *cluster) proxyReady(i int) string {
+	return "http://" + c.network.address(firstProxy+i, readinessPort) + "/readiness"
+}
+
+// waitForStatusOK waits until a URL is answered with 200.
+func waitForStatusOK(ctx context.Context, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if sleep(ctx, readyPollInterval) != nil {
+			return fmt.Errorf("not ready after %v", readyTimeout)
+		}
+	}
+}
--- a/internal/simulation/program/process.go
+++ b/internal/simulation/program/process.go
@@ -80,6 +80,13 @@
 	return nil
 }
 
+// SetBinary has later starts run another program.
+func (p *Process) SetBinary(binary string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.config.Binary = binary
+}
+
 // Kill ends a process by SIGKILL and waits for its end.
 func (p *Process) Kill() { p.end(syscall.SIGKILL) }
 
