--- a/cmd/ferrypitch-control/main.go
+++ b/cmd/ferrypitch-control/main.go
@@ -1,6 +1,6 @@
 // Command ferrypitch-control runs a member of ferrypitch's control plane, which replicates the configuration, the hosts and the
-// primary of each service, and carries out fail-over. Its other sub-commands check a configuration, inspect a data directory and
-// ask a running member for its status. See docs/design/system.md.
+// primary of each service, and carries out fail-over. Its other sub-commands check a configuration, inspect a data directory, ask a
+// running member for its status, and take and restore snapshots. See docs/design/system.md.
 package main
 
 import (
@@ -22,6 +22,8 @@
 		&cli.Check{Program: program},
 		&planCommand{},
 		&diskCommand{},
+		&snapshotCommand{},
+		&restoreCommand{},
 		statusCommand,
 	)
 	flag.Parse()
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -33,7 +33,7 @@
 	handle       func(s *Server, hostID string, call apiCall, respond Responder)
 }
 
-var endpoints = []endpoint{configReplace, configAmend, configRead, hostHeartbeat, hostLeave, memberStatus}
+var endpoints = []endpoint{configReplace, configAmend, configRead, hostHeartbeat, hostLeave, memberStatus, memberSnapshot}
 
 // findEndpoint returns the endpoint for a path, and the host's ID in the path.
 func findEndpoint(method, path string) (target endpoint, hostID string, ok bool) {
--- a/internal/snapshotfile/snapshot.go
+++ b/internal/snapshotfile/snapshot.go
@@ -28,10 +28,12 @@
 	checksumBytes   = 8
 	headerBytes     = len(magic) + versionBytes + lengthBytes + checksumBytes
 	maxBodyBytes    = 64 << 20
-	temporarySuffix = ".new"
 	filePermissions = 0o600
 )
 
+// TemporarySuffix is behind the name of a file while its content is written.
+const TemporarySuffix = ".new"
+
 // Errors of Read. Neither goes away by reading again.
 var (
 	// ErrBroken says that a file is not complete, or not one of this package.
@@ -89,7 +91,7 @@
 	if len(body) > maxBodyBytes {
 		return fmt.Errorf("%s: a snapshot of %d bytes is over the limit of %d", path, len(body), maxBodyBytes)
 	}
-	temporary := path + temporarySuffix
+	temporary := path + TemporarySuffix
 	if err := writeSynced(files, temporary, encode(body)); err != nil {
 		return err
 	}
@@ -155,7 +157,7 @@
 	if storedVersion > version {
 		return nil, fmt.Errorf("%w: version %d, this program reads up to %d", ErrNewer, storedVersion, version)
 	}
-	if uint64(length) != uint64(len(body)) || checksum != xxhash.Sum64(body) {
+	if storedVersion == 0 || uint64(length) != uint64(len(body)) || checksum != xxhash.Sum64(body) {
 		return nil, ErrBroken
 	}
 	return body, nil
