consensus and statemachine leave control; rpc imports nothing upwards

Cause: the state machine is used by both planes and stood below the control plane; rpc imported control/consensus, the one import that ran upwards. Change: internal/consensus and internal/statemachine, by git mv and import paths; package names, and so the names that gob writes, are as they were.

--- a/cmd/ferrypitch-control/disk.go
+++ b/cmd/ferrypitch-control/disk.go
@@ -13,9 +13,9 @@
 	"github.com/gravitational/trace"
 
 	"ferrypitch/internal/cli"
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage"
+	"ferrypitch/internal/statemachine"
 )
 
 // diskCommand shows what the data directory of a stopped member holds.
--- a/cmd/ferrypitch-control/restore.go
+++ b/cmd/ferrypitch-control/restore.go
@@ -12,8 +12,8 @@
 	"github.com/gravitational/trace"
 
 	"ferrypitch/internal/cli"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/backup"
-	"ferrypitch/internal/control/consensus"
 	"ferrypitch/internal/settings"
 )
 
--- a/cmd/ferrypitch-control/status.go
+++ b/cmd/ferrypitch-control/status.go
@@ -10,7 +10,7 @@
 	"ferrypitch/internal/cli"
 	"ferrypitch/internal/control"
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // statusCommand asks a running member, at the address of its API.
--- a/internal/compatibility/disk_test.go
+++ b/internal/compatibility/disk_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/router/trace/record"
+	"ferrypitch/internal/statemachine"
 )
 
 // The disks of members are read completely: identity, vote, snapshot, every entry, and the state that they build.
--- a/internal/compatibility/generate_test.go
+++ b/internal/compatibility/generate_test.go
@@ -15,8 +15,7 @@
 
 	"go.uber.org/zap"
 
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/router/tier/link"
 	"ferrypitch/internal/router/tier/view"
@@ -24,6 +23,7 @@
 	"ferrypitch/internal/router/trace/format"
 	"ferrypitch/internal/router/trace/record"
 	"ferrypitch/internal/snapshotfile"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/policy"
 )
 
--- a/internal/compatibility/reencode_test.go
+++ b/internal/compatibility/reencode_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/snapshotfile"
+	"ferrypitch/internal/statemachine"
 )
 
 // commandsOf cuts a member's disk into buntdb's commands, sorted, since buntdb writes those of a commit in any order. What is
--- a/internal/compatibility/render_test.go
+++ b/internal/compatibility/render_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage"
+	"ferrypitch/internal/statemachine"
 )
 
 // object is a JSON object whose keys are literals here, so that they don't follow the names of fields.
--- a/internal/compatibility/serve_test.go
+++ b/internal/compatibility/serve_test.go
@@ -6,9 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage"
+	"ferrypitch/internal/statemachine"
 )
 
 // member is a member of the control plane with its disk; its node's log is as far as its state goes.
--- a/internal/control/address_check_test.go
+++ b/internal/control/address_check_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/internal/wire"
 )
 
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/errcode"
+	"ferrypitch/internal/statemachine"
 )
 
 // The HTTP API of operators and hosts. A member that does not lead forwards calls to the leader, except Member.Status.
--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -4,9 +4,9 @@
 	"errors"
 	"slices"
 
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/statemachine"
 )
 
 const (
--- a/internal/control/backup/backup_test.go
+++ b/internal/control/backup/backup_test.go
@@ -13,10 +13,10 @@
 	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/snapshotfile"
+	"ferrypitch/internal/statemachine"
 )
 
 var founders = []consensus.ID{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
--- a/internal/control/backup/restore.go
+++ b/internal/control/backup/restore.go
@@ -8,9 +8,9 @@
 
 	"github.com/gravitational/trace"
 
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage"
+	"ferrypitch/internal/statemachine"
 )
 
 // Gaps by which a restored control plane begins above the old one, more than that can have gone on since the snapshot was taken.
--- a/internal/control/backup/snapshot.go
+++ b/internal/control/backup/snapshot.go
@@ -9,9 +9,9 @@
 
 	"github.com/gravitational/trace"
 
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/snapshotfile"
+	"ferrypitch/internal/statemachine"
 )
 
 // Path is where a member answers GET with a Snapshot as JSON.
--- a/internal/control/backup_api_test.go
+++ b/internal/control/backup_api_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/backup"
-	"ferrypitch/internal/control/consensus"
 	"ferrypitch/internal/control/storage"
 )
 
--- a/internal/control/bench_growth_test.go
+++ b/internal/control/bench_growth_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // BenchmarkLogGrowth measures what changes cost three members, by routes and changes: bytes that the members send, bytes and
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -8,14 +8,14 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
 	"ferrypitch/internal/simulation/statesize"
+	"ferrypitch/internal/statemachine"
 )
 
 // soleLeader is the only member of a cluster, with a state, connected proxies and live hosts. What it sends is counted and not
--- a/internal/control/catch_up_test.go
+++ b/internal/control/catch_up_test.go
@@ -11,13 +11,13 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/simulation/scheduler"
+	"ferrypitch/internal/statemachine"
 )
 
 // byteCostCluster is three members on links and disks whose time depends on the bytes, and an operator who changes one route
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -9,14 +9,14 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
 	"ferrypitch/internal/simulation/scheduler"
+	"ferrypitch/internal/statemachine"
 )
 
 const (
--- a/internal/control/failover/coordinator.go
+++ b/internal/control/failover/coordinator.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // Actions is what a Tick asks its caller to do. Each query ends in QueryFinished, each promotion in PromotionFinished.
--- a/internal/control/failover/evaluation.go
+++ b/internal/control/failover/evaluation.go
@@ -1,7 +1,7 @@
 package failover
 
 import (
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // evaluation is one service within one tick: what is known of it, and where the tick's actions go.
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -1,7 +1,7 @@
 package failover
 
 import (
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/internal/wire"
 )
 
--- a/internal/control/failover/failover_test.go
+++ b/internal/control/failover/failover_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 func TestFailoverPromotesTheMostAdvancedReplica(t *testing.T) {
--- a/internal/control/failover/harness_test.go
+++ b/internal/control/failover/harness_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/internal/wire"
 )
 
--- a/internal/control/failover/monitor.go
+++ b/internal/control/failover/monitor.go
@@ -1,7 +1,7 @@
 package failover
 
 import (
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // monitorSteps look after a service that has a primary.
--- a/internal/control/failover/replicas.go
+++ b/internal/control/failover/replicas.go
@@ -1,7 +1,7 @@
 package failover
 
 import (
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // markMissingReplicas finds replicas whose processes are gone, so that the loss of the primary need not wait for them: those
--- a/internal/control/failover/transition.go
+++ b/internal/control/failover/transition.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // Transition is the state of a service's failover or switchover.
--- a/internal/control/failover/unknown_replicas_test.go
+++ b/internal/control/failover/unknown_replicas_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // A new host that leads on at the lost primary's address, in its term, is not appointed while a promotion of another host may still
--- a/internal/control/forwarding.go
+++ b/internal/control/forwarding.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/errcode"
 	"ferrypitch/internal/rpc"
 )
--- a/internal/control/forwarding_simulation_test.go
+++ b/internal/control/forwarding_simulation_test.go
@@ -12,12 +12,12 @@
 	"github.com/stretchr/testify/require"
 
 	"ferrypitch/internal/config"
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/simulation/scheduler"
+	"ferrypitch/internal/statemachine"
 )
 
 // forwardingCluster is three members on a network that loses, delays and repeats forwarded calls, while members restart, and
--- a/internal/control/forwarding_test.go
+++ b/internal/control/forwarding_test.go
@@ -8,7 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
--- a/internal/control/host_api.go
+++ b/internal/control/host_api.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/errcode"
+	"ferrypitch/internal/statemachine"
 )
 
 const (
--- a/internal/control/host_client.go
+++ b/internal/control/host_client.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/retry"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/internal/wire"
 )
 
--- a/internal/control/host_client_test.go
+++ b/internal/control/host_client_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/retry"
+	"ferrypitch/internal/statemachine"
 )
 
 // scriptedSocket simulates a connection to a host: how much of a command can be written, and what is read then.
--- a/internal/control/leader_lease_test.go
+++ b/internal/control/leader_lease_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // A member may act from when it leads until its lease ends, also where its event loop stands still meanwhile.
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -5,8 +5,8 @@
 	"slices"
 
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/lease"
+	"ferrypitch/internal/statemachine"
 )
 
 // updateLeadership begins and ends acting as the leader. A member acts only under the leader lease of its consensus node (Raft
--- a/internal/control/operator_api.go
+++ b/internal/control/operator_api.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"time"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/errcode"
+	"ferrypitch/internal/statemachine"
 )
 
 const (
--- a/internal/control/partition_cluster_test.go
+++ b/internal/control/partition_cluster_test.go
@@ -8,13 +8,13 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/simulation/scheduler"
+	"ferrypitch/internal/statemachine"
 )
 
 // safeguard is one of the mechanisms that a test takes out, to see that the simulation detects it.
--- a/internal/control/partition_halves_test.go
+++ b/internal/control/partition_halves_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage"
 )
 
--- a/internal/control/partition_proxy_test.go
+++ b/internal/control/partition_proxy_test.go
@@ -1,9 +1,9 @@
 package control
 
 import (
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/lease"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/statemachine"
 )
 
 // partitionProxy connects to the leader, applies its log and renews its lease.
--- a/internal/control/persist.go
+++ b/internal/control/persist.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/eventloop"
 )
 
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -4,8 +4,8 @@
 	"errors"
 	"time"
 
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
+	"ferrypitch/internal/statemachine"
 )
 
 // errOutcomeUnknown is the result of a proposal that may or may not be committed. A caller may repeat it: changes are
--- a/internal/control/proxies.go
+++ b/internal/control/proxies.go
@@ -5,8 +5,8 @@
 	"maps"
 	"slices"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/statemachine"
 )
 
 // maxWelcomeProxies is how many other proxies a ProxyWelcome names as first contacts for gossip.
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -13,14 +13,14 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/metrics"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
+	"ferrypitch/internal/statemachine"
 )
 
 const (
--- a/internal/control/seen_requests.go
+++ b/internal/control/seen_requests.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 )
 
 const (
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -3,14 +3,14 @@
 import (
 	"github.com/hashicorp/go-hclog"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/lease"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
+	"ferrypitch/internal/statemachine"
 )
 
 // Server is one member of the control plane. All its methods but MayAct must be called by one goroutine; they don't block. Only
--- a/internal/control/shutdown.go
+++ b/internal/control/shutdown.go
@@ -1,6 +1,6 @@
 package control
 
-import "ferrypitch/internal/control/consensus"
+import "ferrypitch/internal/consensus"
 
 const (
 	// defaultGraceMs is the time for a graceful shutdown where the settings name none.
--- a/internal/control/state_digest.go
+++ b/internal/control/state_digest.go
@@ -4,9 +4,9 @@
 	"maps"
 	"slices"
 
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/statemachine"
 )
 
 // Members compare digests of their states, so that one whose memory or whose stored snapshot is wrong finds out: also a leader, whose
--- a/internal/control/state_digest_test.go
+++ b/internal/control/state_digest_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/statemachine"
 )
 
 // newClusterWithState returns members that hold some state, the leader and a follower.
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // Status is what a member reports of itself, whether it leads or not.
--- a/internal/control/storage/damage_test.go
+++ b/internal/control/storage/damage_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 )
 
 // A folder that is open can't be opened a second time, and can once it is closed.
--- a/internal/control/storage/diskformat/diskformat.go
+++ b/internal/control/storage/diskformat/diskformat.go
@@ -7,7 +7,7 @@
 package diskformat
 
 import (
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage/diskformat/ratchet"
 )
 
--- a/internal/control/storage/filename.go
+++ b/internal/control/storage/filename.go
@@ -10,7 +10,7 @@
 
 	"github.com/gravitational/trace"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage/diskformat"
 )
 
--- a/internal/control/storage/filename_test.go
+++ b/internal/control/storage/filename_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 )
 
 // files are the files of a folder, by name.
--- a/internal/control/storage/growth_test.go
+++ b/internal/control/storage/growth_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 )
 
 // BenchmarkGrowth measures what a file costs by the number and size of its entries: bytes of one more, and time of an Open.
--- a/internal/control/storage/load.go
+++ b/internal/control/storage/load.go
@@ -11,7 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/tidwall/buntdb"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage/diskformat"
 )
 
--- a/internal/control/storage/wal.go
+++ b/internal/control/storage/wal.go
@@ -23,7 +23,7 @@
 	"github.com/gravitational/trace"
 	"github.com/tidwall/buntdb"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage/diskformat"
 	"ferrypitch/internal/snapshotfile"
 )
--- a/internal/control/storage/wal_test.go
+++ b/internal/control/storage/wal_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 )
 
 func newFounder() Identity { return Identity{ID: "a", Founders: []consensus.ID{"a", "b"}} }
--- a/internal/control/timeout_test.go
+++ b/internal/control/timeout_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // newHealthyPartitionCluster returns a cluster without faults, its leader and a follower.
--- a/internal/control/update_history_test.go
+++ b/internal/control/update_history_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 // The model: a sequence of versions, each built on the one before. It knows nothing of logs or members.
--- a/internal/control/write_queue.go
+++ b/internal/control/write_queue.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 )
 
 // writeQueue hands writes from the event loop to the goroutine that waits for the disk. It never blocks the event loop: the
--- a/internal/proxy/benchmark_test.go
+++ b/internal/proxy/benchmark_test.go
@@ -12,12 +12,12 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/gossip"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
 	"ferrypitch/internal/simulation/statesize"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/internal/wire"
 )
 
--- a/internal/proxy/host_pool.go
+++ b/internal/proxy/host_pool.go
@@ -8,10 +8,10 @@
 	"syscall"
 	"time"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/proxy/lossdetect"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/internal/wire"
 	"ferrypitch/policy"
 )
--- a/internal/proxy/log_update.go
+++ b/internal/proxy/log_update.go
@@ -4,8 +4,8 @@
 	"errors"
 	"fmt"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/statemachine"
 )
 
 // errLogGap refuses a log update: entries before it are missing. The link has to be made anew.
--- a/internal/proxy/log_update_test.go
+++ b/internal/proxy/log_update_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/statemachine"
 )
 
 // configWithDeadline is a configuration of one route.
--- a/internal/proxy/reconcile.go
+++ b/internal/proxy/reconcile.go
@@ -5,8 +5,8 @@
 	"slices"
 
 	"ferrypitch/internal/config"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/proxy/position"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/policy"
 )
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -11,13 +11,13 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ferrypitch/internal/config"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/gossip"
 	"ferrypitch/internal/lease"
 	"ferrypitch/internal/proxy/connlimit"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/policy"
 )
 
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"ferrypitch/internal/config"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/proxy/position"
 	"ferrypitch/internal/retry"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/policy"
 )
 
--- a/internal/proxy/simulation_cluster_test.go
+++ b/internal/proxy/simulation_cluster_test.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"net/http"
 
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control"
-	"ferrypitch/internal/control/consensus"
 	"ferrypitch/internal/control/failover"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/fake/database"
--- a/internal/proxy/simulation_control_test.go
+++ b/internal/proxy/simulation_control_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/lease"
+	"ferrypitch/internal/statemachine"
 )
 
 // reliableControl is a control plane of one member that never fails. What it sends may come late or not at all.
--- a/internal/proxy/simulation_faults_test.go
+++ b/internal/proxy/simulation_faults_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/fake/database"
+	"ferrypitch/internal/statemachine"
 )
 
 // injectFaults injects one fault after another until faultsEnd.
--- a/internal/proxy/simulation_member_faults_test.go
+++ b/internal/proxy/simulation_member_faults_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/storage"
 )
 
--- a/internal/proxy/simulation_member_test.go
+++ b/internal/proxy/simulation_member_test.go
@@ -10,14 +10,14 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control"
-	"ferrypitch/internal/control/consensus"
 	"ferrypitch/internal/control/failover"
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/internal/wire"
 )
 
--- a/internal/proxy/simulation_proxy_test.go
+++ b/internal/proxy/simulation_proxy_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
+	"ferrypitch/internal/statemachine"
 	"ferrypitch/internal/wire"
 )
 
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/fake/database"
 	"ferrypitch/internal/simulation/checker"
 	"ferrypitch/internal/simulation/scheduler"
+	"ferrypitch/internal/statemachine"
 )
 
 // A simulation is whole proxies without their sockets, hosts that replicate, a control plane that fails over and grants
--- a/internal/proxy/snapshot_chunks_test.go
+++ b/internal/proxy/snapshot_chunks_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 	"github.com/zeebo/blake3"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/statemachine"
 )
 
 // chunksOf cuts a snapshot into chunks.
--- a/internal/rpc/bench_test.go
+++ b/internal/rpc/bench_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/simulation/statesize"
+	"ferrypitch/internal/statemachine"
 )
 
 // loopbackConn is a connection that reads what is written to it.
--- a/internal/rpc/conn_test.go
+++ b/internal/rpc/conn_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/consensus"
+	"ferrypitch/internal/consensus"
 )
 
 // recordedConn is a connection that reads given bytes and records what is written.
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -1,8 +1,8 @@
 package rpc
 
 import (
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
+	"ferrypitch/internal/statemachine"
 )
 
 // MaxFrameBytes is the length of the longest frame that is sent or accepted, without its header.
--- a/internal/rpc/state.go
+++ b/internal/rpc/state.go
@@ -1,8 +1,8 @@
 package rpc
 
 import (
-	"ferrypitch/internal/control/consensus"
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/consensus"
+	"ferrypitch/internal/statemachine"
 )
 
 // StateDigests are digests of a member's replicated state at some indices of late.
--- a/internal/simulation/statesize/statesize.go
+++ b/internal/simulation/statesize/statesize.go
@@ -6,7 +6,7 @@
 	"bytes"
 	"fmt"
 
-	"ferrypitch/internal/control/statemachine"
+	"ferrypitch/internal/statemachine"
 )
 
 const (
--- a/internal/control/statemachine/capacity_test.go
+++ b/internal/statemachine/capacity_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ferrypitch/internal/control/statemachine"
 	"ferrypitch/internal/simulation/statesize"
+	"ferrypitch/internal/statemachine"
 )
 
 // The figures of docs/CAPACITY.md: what the replicated state costs, by the size of the deployment.
--- a/internal/control/statemachine/change.go
+++ b/internal/statemachine/change.go
@@ -5,7 +5,7 @@
 	"encoding/gob"
 	"fmt"
 
-	"ferrypitch/internal/control/statemachine/diskformat"
+	"ferrypitch/internal/statemachine/diskformat"
 )
 
 // Change is one entry of the log. Exactly one field is set beside LeaderTimeMs; if none is, it only advances the time.
--- a/internal/control/statemachine/diskformat/diskformat.go
+++ b/internal/statemachine/diskformat/diskformat.go
@@ -8,7 +8,7 @@
 // bytes.
 package diskformat
 
-import "ferrypitch/internal/control/statemachine/diskformat/rack"
+import "ferrypitch/internal/statemachine/diskformat/rack"
 
 // Change is the stored form of a change.
 type Change struct {
--- a/internal/control/statemachine/snapshot.go
+++ b/internal/statemachine/snapshot.go
@@ -9,7 +9,7 @@
 	"github.com/zeebo/blake3"
 
 	"ferrypitch/internal/config"
-	"ferrypitch/internal/control/statemachine/diskformat"
+	"ferrypitch/internal/statemachine/diskformat"
 )
 
 const (
--- a/internal/control/statemachine/stored.go
+++ b/internal/statemachine/stored.go
@@ -6,7 +6,7 @@
 	"maps"
 	"slices"
 
-	"ferrypitch/internal/control/statemachine/diskformat"
+	"ferrypitch/internal/statemachine/diskformat"
 )
 
 // errPairs says that a list of keys and the list of their values differ in length.
