rpc: the first frame to a process that was restarted arrives

A member that was restarted had connections to it in the others' meshes that had ended; the first frame on each was written to a closed connection and lost, and after that nothing was sent for 100 ms. The transferee then waited until the promises to the old leader ran out. Change: a sender knows when its connection has ended, connects anew and sends the frame there; a frame whose write fails is sent once more over a new connection, which the retry table allows (consensus messages repeat without harm, forwarded calls are told by their CallID).

--- a/internal/rpc/mesh.go
+++ b/internal/rpc/mesh.go
@@ -63,8 +63,14 @@
 	mesh     *Mesh
 	address  string
 	queue    chan *Frame
-	conn     *Conn     // nil: not connected
-	failedAt time.Time // when connecting or sending last failed
+	conn     *meshConn // nil: not connected
+	failedAt time.Time // when connecting last failed
+}
+
+// meshConn is a connection that knows when the other side has ended it.
+type meshConn struct {
+	*Conn
+	ended atomic.Bool
 }
 
 func (s *meshSender) run() {
@@ -81,18 +87,28 @@
 	}
 }
 
+// send sends a frame over the connection that there is, or over a new one if that has ended: the process at the other side may have
+// been restarted since. A frame that was written to an ended connection was read by nobody.
 func (s *meshSender) send(frame *Frame) {
-	if s.conn == nil && !s.connect() {
+	if s.conn != nil && (s.conn.ended.Load() || !s.trySend(frame)) {
+		_ = s.conn.Close()
+		s.conn = nil
+	} else if s.conn != nil {
+		return
+	}
+	if !s.connect() {
 		s.mesh.Dropped.Add(1)
 		return
 	}
-	if err := s.conn.Send(frame, meshSendTimeout); err != nil {
+	if !s.trySend(frame) {
 		_ = s.conn.Close()
-		s.conn, s.failedAt = nil, time.Now()
+		s.conn = nil
 		s.mesh.Dropped.Add(1)
 	}
 }
 
+func (s *meshSender) trySend(frame *Frame) bool { return s.conn.Send(frame, meshSendTimeout) == nil }
+
 func (s *meshSender) connect() bool {
 	if time.Since(s.failedAt) < meshRetryInterval {
 		return false
@@ -102,17 +118,18 @@
 		s.failedAt = time.Now()
 		return false
 	}
-	conn := NewConn(socket)
+	conn := &meshConn{Conn: NewConn(socket)}
 	s.conn = conn
 	s.mesh.tasks.Go(func() { s.mesh.closeAtEOF(conn) })
 	return true
 }
 
 // closeAtEOF closes a connection when the other side does. Nothing else is received on it but refusals.
-func (m *Mesh) closeAtEOF(conn *Conn) {
+func (m *Mesh) closeAtEOF(conn *meshConn) {
 	for {
 		frame, err := conn.Receive(meshReadTimeout)
 		if err != nil {
+			conn.ended.Store(true)
 			_ = conn.Close()
 			return
 		}
