Members of the simulated clusters are unlike: disks, ticks, clocks

Need: three of the test worlds had members that were alike. Change: each member of the consensus, control and whole-system simulations has a disk of its own speed (1 to 4 times), in the first two ticks of its own length and, in control's, a clock of its own rate. TestLedTime... compares with elapsed time to 0.1 s in a minute, which holds for one clock: its members run alike, and it asserts as before.

--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -76,6 +76,10 @@
 	deferred    []func()          // what is to run when the pause ends
 	proposals   map[uint64]string // not acknowledged yet, by index
 	failedAtMs  int64             // when it last failed; 0 once it has caught up
+
+	// No two machines are alike.
+	diskFactor int64 // how many times as long as the fastest its disk takes
+	tickMs     int64 // between two ticks
 }
 
 func newSimulation(seed uint64, memberCount, maxFailures int) *simulation {
@@ -102,7 +106,10 @@
 
 // addMember starts a member with an empty disk.
 func (s *simulation) addMember(address string, id ID, founders []ID) {
-	m := &simMember{sim: s, address: address, id: id, founders: founders, unreachable: map[string]bool{}}
+	m := &simMember{
+		sim: s, address: address, id: id, founders: founders, unreachable: map[string]bool{},
+		diskFactor: s.Between(1, 3), tickMs: s.Between(simTickMs/2, simTickMs*3/2),
+	}
 	s.members = append(s.members, m)
 	m.start()
 }
@@ -149,7 +156,7 @@
 }
 
 func (m *simMember) tick(incarnation int) {
-	m.sim.After(simTickMs, func() {
+	m.sim.After(m.tickMs, func() {
 		m.perform(incarnation, func() {
 			m.handleReady(m.node.Tick(m.sim.Now))
 			m.tick(incarnation)
@@ -178,7 +185,7 @@
 func (m *simMember) save(write Write) {
 	s, incarnation := m.sim, m.incarnation
 	m.unsynced = append(m.unsynced, write)
-	delayMs := s.Between(0, 6)
+	delayMs := s.Between(0, 4) * m.diskFactor
 	if s.slowDisks {
 		delayMs = s.Between(0, 900)
 	}
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -45,6 +45,11 @@
 	unsynced    []consensus.Write
 	suspended   []func()
 	arrivesAt   map[string]int64 // when the last frame to another arrives
+
+	// No two machines are alike.
+	diskFactor int64 // how many times as long as the fastest its disk takes
+	tick       int64 // between two ticks
+	clockRate  float64
 }
 
 func newCluster(seed uint64, members int) *cluster {
@@ -54,7 +59,10 @@
 		founders = append(founders, consensus.ID(fmt.Sprintf("10.0.0.%d", i+1)))
 	}
 	for i := range members {
-		m := &clusterMember{cluster: c, ip: fmt.Sprintf("10.0.0.%d", i+1)}
+		m := &clusterMember{
+			cluster: c, ip: fmt.Sprintf("10.0.0.%d", i+1),
+			diskFactor: c.Between(1, 4), tick: c.Between(35*unitsPerMs, 50*unitsPerMs), clockRate: 0.97 + 0.06*c.Rand.Float64(),
+		}
 		m.identity = storage.Identity{ID: consensus.ID(m.ip + "+0")}
 		if i < len(founders) {
 			m.identity = storage.Identity{ID: founders[i], Founders: founders}
@@ -81,17 +89,13 @@
 	return nodeSettings
 }
 
-func (c *cluster) time() time.Time {
-	return time.Unix(0, 0).Add(time.Duration(c.Now) * time.Millisecond / time.Duration(unitsPerMs))
-}
-
 func (m *clusterMember) start() {
 	c := m.cluster
 	m.incarnation++
 	m.up, m.frozen, m.suspended, m.unsynced, m.arrivesAt = true, false, nil, nil, map[string]int64{}
 	restored := m.disk
 	restored.Entries = slices.Clone(restored.Entries)
-	server, err := New(settingsAt(m.ip), hclog.NewNullLogger(), eventloop.NewMonotonicClock(c.time), m.identity, restored, c.Rand.Float64, uint64(m.incarnation))
+	server, err := New(settingsAt(m.ip), hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, restored, c.Rand.Float64, uint64(m.incarnation))
 	if err != nil {
 		panic(err)
 	}
@@ -103,7 +107,12 @@
 		QueryHost: func(failover.HostQuery, statemachine.Host) {},
 		Promote:   func(failover.Promotion) {},
 	})
-	m.tick(incarnation)
+	m.tickFrom(incarnation)
+}
+
+// time is the member's own clock.
+func (m *clusterMember) time() time.Time {
+	return time.Unix(0, 0).Add(time.Duration(float64(m.cluster.Now) * m.clockRate * float64(time.Millisecond) / float64(unitsPerMs)))
 }
 
 // run runs a step in a member's process, later if the process is suspended.
@@ -117,10 +126,10 @@
 	}
 }
 
-func (m *clusterMember) tick(incarnation int) {
+func (m *clusterMember) tickFrom(incarnation int) {
 	m.run(incarnation, func() {
 		m.server.Tick()
-		m.cluster.After(50*unitsPerMs, func() { m.tick(incarnation) })
+		m.cluster.After(m.tick, func() { m.tickFrom(incarnation) })
 	})
 }
 
@@ -144,7 +153,7 @@
 	c := m.cluster
 	m.unsynced = append(m.unsynced, writes...)
 	sequence := writes[len(writes)-1].Seq
-	duration := c.Between(unitsPerMs/2, 8*unitsPerMs)
+	duration := c.Between(unitsPerMs/2, 3*unitsPerMs) * m.diskFactor
 	if c.OneIn(100) {
 		duration = c.Between(50*unitsPerMs, 600*unitsPerMs)
 	}
--- a/internal/control/operator_api_test.go
+++ b/internal/control/operator_api_test.go
@@ -158,9 +158,16 @@
 	require.Equal(t, map[int]int{200: 1}, statuses)
 }
 
-// Led time is nearly all the time while there is a leader, and stands still while there is none.
+// Led time is nearly all the time while there is a leader, and stands still while there is none. All clocks run alike here: led time
+// is that of the leader's.
 func TestLedTimeNeverExceedsElapsedTime(t *testing.T) {
 	c, _ := newHealthyCluster(t)
+	for _, m := range c.members {
+		m.clockRate = 1
+		m.crash(false)
+		m.start()
+	}
+	c.runGuarded(2 * unitsPerSecond)
 	generation := int64(0)
 	ledTimeMs := func() int64 {
 		statuses, _ := callRepeatedly(c.leader().server, "/Config.Replace", fmt.Sprint(generation), configBody(generation+1), 1)
--- a/internal/proxy/simulation_member_test.go
+++ b/internal/proxy/simulation_member_test.go
@@ -33,6 +33,7 @@
 	incarnation int
 	up          bool
 	clockDrift  int64
+	diskFactor  int64 // how many times as long as the fastest its disk takes; 0: not drawn yet
 	disk        consensus.RestoredState
 	unsynced    []consensus.Write // that the disk may lose
 
@@ -130,7 +131,10 @@
 	sim := m.cluster.sim
 	m.unsynced = append(m.unsynced, writes...)
 	lastSeq := writes[len(writes)-1].Seq
-	took := sim.Between(millisecond/2, 8*millisecond)
+	if m.diskFactor == 0 {
+		m.diskFactor = sim.Between(1, 4)
+	}
+	took := sim.Between(millisecond/2, 3*millisecond) * m.diskFactor
 	if sim.OneIn(100) {
 		took = sim.Between(50*millisecond, 600*millisecond)
 	}
