The storage test of a database that panics waits for a part of its write

Cause: it gave the write 20 ms; on a busy machine nothing was written by then, so the failure was one that can be taken back, and the test failed. Change: the pipe's reader ends once it has read a byte, which a write of more than a pipe holds always comes to.

--- a/internal/control/storage/wal_test.go
+++ b/internal/control/storage/wal_test.go
@@ -344,8 +344,17 @@
 	t.Helper()
 	reader, writer, err := os.Pipe()
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = errors.Join(reader.Close(), writer.Close()) }) // the database may have closed its end
-	require.NoError(t, writer.SetWriteDeadline(time.Now().Add(20*time.Millisecond)))
+	ended := make(chan struct{})
+	go func() { // once a part was written, the rest can't be
+		defer close(ended)
+		var first [1]byte
+		_, _ = reader.Read(first[:]) // the end of the pipe, if the test ends before
+		_ = reader.Close()
+	}()
+	t.Cleanup(func() {
+		_ = writer.Close() // the database may have closed it
+		<-ended
+	})
 	field := reflect.ValueOf(wal.db).Elem().FieldByName("file")
 	file := (**os.File)(unsafe.Pointer(field.UnsafeAddr()))
 	require.NoError(t, (*file).Close())
