--- a/internal/proxy/benchmark_test.go
+++ b/internal/proxy/benchmark_test.go
@@ -61,7 +61,7 @@
 			term++
 			appoint := &statemachine.AppointPrimary{Service: statesize.ServiceName(3), Host: statesize.HostAt(9 + int(term)%3).ID, Term: term}
 			entry := statemachine.EncodeChange(statemachine.Change{AppointPrimary: appoint})
-			if err := server.applyLogUpdate(&rpc.LogUpdate{Entries: [][]byte{entry}, LastIndex: server.state.Index + 1}); err != nil {
+			if err := server.applyLogUpdate(&rpc.LogUpdate{Entries: [][]byte{entry}, LastIndex: server.replica.state.Index + 1}); err != nil {
 				b.Fatal(err)
 			}
 		}
--- a/internal/proxy/client_session.go
+++ b/internal/proxy/client_session.go
@@ -86,7 +86,7 @@
 	switch {
 	case client.readerEnded:
 		s.handleReaderEnd(client)
-	case s.closeIdleSessions && client.idle() && len(s.sessions) > 0:
+	case s.shutdown.closeIdle && client.idle() && len(s.sessions.open) > 0:
 		client.drain()
 	}
 }
@@ -131,7 +131,7 @@
 	}
 	client.closed = true
 	client.out.close()
-	delete(s.sessions, client)
+	delete(s.sessions.open, client)
 	client.pipelined = nil
 	if stmt := client.statement; stmt != nil {
 		s.abandonStatement(stmt)
--- a/internal/proxy/control_link.go
+++ b/internal/proxy/control_link.go
@@ -156,7 +156,7 @@
 // greetMember says up to where this proxy has applied the log, and returns the member's welcome.
 func (l *controlLink) greetMember(conn *rpc.Conn) (*rpc.ProxyWelcome, error) {
 	s := l.server
-	index, ok := query(s.queue, s.resumeIndex)
+	index, ok := query(s.queue, s.replica.resumeIndex)
 	if !ok {
 		return nil, errStopped
 	}
--- a/internal/proxy/greeting.go
+++ b/internal/proxy/greeting.go
@@ -12,13 +12,6 @@
 	waitingClientTimeout = 900 * time.Millisecond
 )
 
-// waitingClient is a session whose database this proxy does not know, and that began while no valid lease said whether the
-// configuration is the newest. It waits for a lease for a short time: the route may have been added just now.
-type waitingClient struct {
-	session   *clientSession
-	arrivedAt time.Time
-}
-
 // beginSession handles a client's CONNECT. A session whose route is known begins also without a valid lease: each of its
 // statements is then served or rejected by what the lease allows at that moment.
 func (s *Server) beginSession(client *clientSession, database string) {
@@ -27,8 +20,7 @@
 	client.policyKey = formatID(client.id)
 	client.idleSince = s.clock.Time()
 	known := s.routes[database] != nil
-	if !known && !s.configCurrent() && len(s.waiting) < maxWaitingClients && !s.shuttingDown {
-		s.waiting = append(s.waiting, waitingClient{session: client, arrivedAt: s.clock.Time()})
+	if !known && !s.configCurrent() && !s.shutdown.begun && s.sessions.await(client, s.clock.Time()) {
 		return
 	}
 	s.greet(client)
@@ -37,9 +29,7 @@
 // greetWaitingClients answers the CONNECT of clients that wait for a valid lease, or have waited long enough.
 func (s *Server) greetWaitingClients(now time.Time) {
 	current := s.configCurrent()
-	for len(s.waiting) > 0 && (current || now.Sub(s.waiting[0].arrivedAt) > waitingClientTimeout) {
-		client := s.waiting[0].session
-		s.waiting = s.waiting[1:]
+	for client := s.sessions.takeWaiting(now, current); client != nil; client = s.sessions.takeWaiting(now, current) {
 		s.greet(client)
 	}
 }
@@ -49,7 +39,7 @@
 	switch {
 	case client.closed:
 	case s.routes[client.database] != nil:
-		s.sessions[client] = struct{}{}
+		s.sessions.open[client] = struct{}{}
 		client.out.write(wire.AppendIdle(nil, stateIdle, wire.Position{}))
 	case s.configCurrent():
 		s.counters.unknownDatabase.Add(1)
--- a/internal/proxy/lease_loss.go
+++ b/internal/proxy/lease_loss.go
@@ -64,10 +64,10 @@
 // drainWithoutLease ends sessions that have asked for nothing of late, once the lease has been invalid for staleConfigGrace. A
 // session that has just begun stays: what its client is about to send would be lost.
 func (s *Server) drainWithoutLease(now time.Time) {
-	if now.Sub(s.leaseValidAt) <= staleConfigGrace {
+	if !s.lease.lostFor(staleConfigGrace, now) {
 		return
 	}
-	for _, client := range s.sessionsByAge() {
+	for _, client := range s.sessions.byAge() {
 		if client.idle() && now.Sub(client.idleSince) > staleConfigGrace {
 			client.drain()
 		}
--- a/internal/proxy/lease_renewal.go
+++ b/internal/proxy/lease_renewal.go
@@ -44,7 +44,7 @@
 	defer renewal.Stop()
 	for serial := uint64(1); ; serial++ {
 		request, ok := query(s.queue, func() *rpc.LeaseRequest {
-			return &rpc.LeaseRequest{Serial: serial, AppliedIndex: s.state.Index, Sessions: len(s.sessions)}
+			return &rpc.LeaseRequest{Serial: serial, AppliedIndex: s.replica.state.Index, Sessions: len(s.sessions.open)}
 		})
 		if !ok {
 			return
@@ -83,14 +83,11 @@
 
 // leaseGranted extends the lease. requestedAt is when it was requested, in milliseconds of the clock; 0: not known.
 func (s *Server) leaseGranted(granted *rpc.LeaseResponse, requestedAt int64) {
-	if requestedAt == 0 || granted.CommitIndex > s.state.Index { // the log up to the grant has not been received yet
+	if requestedAt == 0 || granted.CommitIndex > s.replica.state.Index { // the log up to the grant has not been received yet
 		return
 	}
 	s.counters.leasesGranted.Add(1)
-	s.lease.Renew(requestedAt)
-	if granted.ProxyCount > 0 {
-		s.proxyCount = granted.ProxyCount
-	}
+	s.lease.renew(requestedAt, granted.ProxyCount)
 	s.sweep(s.clock.Time())
 }
 
--- a/internal/proxy/log_update_test.go
+++ b/internal/proxy/log_update_test.go
@@ -50,8 +50,8 @@
 	err := server.applyLogUpdate(&rpc.LogUpdate{Entries: [][]byte{second, third}, LastIndex: 1003})
 	require.ErrorIs(t, err, statemachine.ErrDiverged)
 	require.EqualValues(t, 1, server.counters.stateDiverged.Load())
-	require.EqualValues(t, 1001, server.state.Index, "it has not come further")
-	require.Zero(t, server.resumeIndex(), "a snapshot is needed")
+	require.EqualValues(t, 1001, server.replica.state.Index, "it has not come further")
+	require.Zero(t, server.replica.resumeIndex(), "a snapshot is needed")
 	require.EqualValues(t, 101, server.routes["db"].DeadlineMs, "what it has serves on")
 
 	corrupt := bytes.Clone(state.Snapshot())
@@ -60,7 +60,7 @@
 	require.EqualValues(t, 2, server.counters.stateDiverged.Load())
 
 	require.NoError(t, server.applyLogUpdate(&rpc.LogUpdate{Snapshot: state.Snapshot(), LastIndex: 1003}))
-	require.EqualValues(t, 1003, server.resumeIndex())
+	require.EqualValues(t, 1003, server.replica.resumeIndex())
 	require.EqualValues(t, 300, server.routes["db"].DeadlineMs)
-	require.Equal(t, string(state.ConfigBody), string(server.state.ConfigBody))
+	require.Equal(t, string(state.ConfigBody), string(server.replica.state.ConfigBody))
 }
--- a/internal/proxy/policy_caller.go
+++ b/internal/proxy/policy_caller.go
@@ -167,10 +167,7 @@
 		return
 	}
 	pool.retire()
-	delete(s.poolByPolicyHost, host)
-	if s.pools[pool.ID] == pool {
-		delete(s.pools, pool.ID)
-	}
+	s.forgetHost(host, pool)
 }
 
 // Watch does nothing: the host list comes without being asked for.
--- a/internal/proxy/reconcile.go
+++ b/internal/proxy/reconcile.go
@@ -20,7 +20,7 @@
 }
 
 func (s *Server) reconcileServices() {
-	configured := s.state.Config()
+	configured := s.replica.state.Config()
 	if configured == nil {
 		return
 	}
@@ -33,12 +33,12 @@
 
 func (s *Server) reconcileHosts() {
 	changed := false
-	for _, id := range slices.Sorted(maps.Keys(s.state.Hosts)) {
-		changed = s.reconcileHost(s.state.Hosts[id]) || changed
+	for _, id := range slices.Sorted(maps.Keys(s.replica.state.Hosts)) {
+		changed = s.reconcileHost(s.replica.state.Hosts[id]) || changed
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.pools)) {
 		pool := s.pools[id]
-		if _, listed := s.state.Hosts[id]; !listed && pool.standing != policy.Removed {
+		if _, listed := s.replica.state.Hosts[id]; !listed && pool.standing != policy.Removed {
 			pool.standing, changed = policy.Removed, true
 			pool.remove()
 		}
@@ -86,7 +86,7 @@
 	if pool.drainingSince.IsZero() {
 		pool.drainingSince = now
 	}
-	if s.state.Primaries[pool.Service].Host == pool.ID && !pool.drainExpired(now) {
+	if s.replica.state.Primaries[pool.Service].Host == pool.ID && !pool.drainExpired(now) {
 		return policy.Active
 	}
 	return policy.Draining
@@ -104,8 +104,8 @@
 }
 
 func (s *Server) reconcilePrimaries() {
-	for _, name := range slices.Sorted(maps.Keys(s.state.Primaries)) {
-		svc, want := s.serviceNamed(name), s.state.Primaries[name]
+	for _, name := range slices.Sorted(maps.Keys(s.replica.state.Primaries)) {
+		svc, want := s.serviceNamed(name), s.replica.state.Primaries[name]
 		was := svc.primary
 		svc.primary = want
 		if primaryChanged(was, want) {
@@ -131,7 +131,7 @@
 	}
 	if want.Revoked {
 		s.revocationUnreported = s.revocationUnreported || !was.Revoked
-		s.policy.ExpectPrimary(svc.policySet, position.NextPrimaryDue(s.policyNow, s.state.LastPromotionMs, want.Nominee != ""))
+		s.policy.ExpectPrimary(svc.policySet, position.NextPrimaryDue(s.policyNow, s.replica.state.LastPromotionMs, want.Nominee != ""))
 		return
 	}
 	svc.positions.Clear()
@@ -165,7 +165,7 @@
 }
 
 func (s *Server) reconcileRoutes() {
-	configured := s.state.Config()
+	configured := s.replica.state.Config()
 	if configured == nil || configured == s.config {
 		return
 	}
@@ -173,7 +173,7 @@
 	s.counters.configUpdates.Add(1)
 	s.log.Info("configuration applied", "version", configured.Generation, "routes", len(configured.Routes))
 	s.replaceRoutes(configured.Routes)
-	for _, client := range s.sessionsByAge() {
+	for _, client := range s.sessions.byAge() {
 		if client.idle() && s.routes[client.database] == nil {
 			client.drain()
 		}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -108,7 +108,7 @@
 
 // closeConns closes the sockets of sessions and hosts, after the event loop has ended.
 func (s *Server) closeConns() {
-	for client := range s.sessions {
+	for client := range s.sessions.open {
 		client.out.close()
 	}
 	for _, pool := range s.pools {
--- a/internal/proxy/safeguard_test.go
+++ b/internal/proxy/safeguard_test.go
@@ -29,7 +29,7 @@
 		sim.After(5*second, func() { sim.proxies[0].partitioned = false })
 	}},
 	{"a lease that never expires", "STALE LOST", newSimulation, func(sim *simulation) {
-		sim.keepChanging(func(server *Server) { server.lease.Renew(1 << 50) })
+		sim.keepChanging(func(server *Server) { server.lease.holder.Renew(1 << 50) })
 	}},
 	{"a replica that has less is promoted", "LOST STALE", newSimulation, func(sim *simulation) {
 		sim.control.alterResult = func(query failover.HostQuery, result *failover.QueryResult) {
@@ -50,7 +50,7 @@
 	}},
 	{"a session's own writes are forgotten", "STALE", newSimulation, func(sim *simulation) {
 		sim.keepChanging(func(server *Server) {
-			for session := range server.sessions {
+			for session := range server.sessions.open {
 				session.Token = wire.Position{}
 			}
 		})
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -13,11 +13,9 @@
 	"ferrypitch/internal/config"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/gossip"
-	"ferrypitch/internal/lease"
 	"ferrypitch/internal/proxy/connlimit"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
-	"ferrypitch/internal/statemachine"
 	"ferrypitch/policy"
 )
 
@@ -53,27 +51,16 @@
 	nextSweepAt time.Time
 
 	// Placement of statements.
-	policy           *policy.Router // chooses the host of each statement, and decides on retries
-	policyNow        policy.TenthMs // when the policy was last called
-	policyWakeAt     time.Time      // when it is to be called; zero: it has not asked for that
-	pools            map[string]*hostPool
-	poolByPolicyHost map[*policy.Host]*hostPool
-	services         map[string]*service
-	routes           map[string]*route     // by database name
-	statements       map[string]*statement // those that the policy knows, by commandID
-	sessions         map[*clientSession]struct{}
-	waiting          []waitingClient // the oldest first
-	lastID           uint64          // of sessions, statements and connections
+	placement
+	statements map[string]*statement // those that the policy knows, by commandID
+	sessions   sessionTable
+	lastID     uint64 // of sessions, statements and connections
 
 	// What the control plane says.
-	state                *statemachine.State
+	replica              stateReplica
 	config               *config.Config // in force; nil: none yet
-	lease                lease.Holder
-	leaseValidAt         time.Time // when the lease was last seen to be valid
-	proxyCount           int
-	incoming             incomingSnapshot // of which some chunks have arrived on the present link
-	diverged             bool             // state is not what the log builds: a snapshot is needed
-	revocationUnreported bool             // a revocation was applied and the leader does not know it yet
+	lease                proxyLease
+	revocationUnreported bool // a revocation was applied and the leader does not know it yet
 	leader               leaderLink
 
 	// Other proxies.
@@ -84,9 +71,7 @@
 	// dial connects in the background; hostPool.connOpened receives the result in the event loop.
 	dial func(*hostConn)
 
-	shuttingDown      bool // SIGTERM has come
-	closeIdleSessions bool // the platform has had time to notice: sessions end as soon as they are idle
-
+	shutdown shutdownState
 	ready    atomic.Bool // read by the readiness server
 	counters counters
 }
@@ -94,19 +79,16 @@
 // newServer makes a proxy without its sockets. seed is the incarnation and the source of the policy's random choices.
 func newServer(cfg *settings.Settings, log hclog.Logger, clock eventloop.MonotonicClock, seed uint64) *Server {
 	s := &Server{
-		settings:         cfg,
-		log:              log,
-		clock:            clock,
-		queue:            eventloop.NewQueue(eventQueueLength),
-		incarnation:      seed | 1, // never 0
-		pools:            map[string]*hostPool{},
-		poolByPolicyHost: map[*policy.Host]*hostPool{},
-		services:         map[string]*service{},
-		routes:           map[string]*route{},
-		statements:       map[string]*statement{},
-		sessions:         map[*clientSession]struct{}{},
-		state:            &statemachine.State{},
-		proxyCount:       assumedProxyCount,
+		settings:    cfg,
+		log:         log,
+		clock:       clock,
+		queue:       eventloop.NewQueue(eventQueueLength),
+		incarnation: seed | 1, // never 0
+		placement:   newPlacement(),
+		statements:  map[string]*statement{},
+		sessions:    newSessionTable(),
+		replica:     newStateReplica(),
+		lease:       proxyLease{proxyCount: assumedProxyCount},
 	}
 	s.policy = policy.New(policyCaller{s}, deployment(cfg.Zone, uint32(seed)), s.refreshPolicyTime())
 	return s
@@ -121,11 +103,11 @@
 // configCurrent says that the configuration is known to be in force.
 func (s *Server) configCurrent() bool { return s.config != nil && s.leaseValid() }
 
-func (s *Server) leaseValid() bool { return s.lease.Valid(s.clock.Now()) }
+func (s *Server) leaseValid() bool { return s.lease.holder.Valid(s.clock.Now()) }
 
 // connShare is this proxy's share of a host's connections.
 func (s *Server) connShare(pool *hostPool) connlimit.Share {
-	proxies := s.proxyCount
+	proxies := s.lease.proxyCount
 	if s.membership != nil {
 		proxies = max(proxies, len(s.membership.AliveNames()))
 	}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -38,16 +38,6 @@
 	used      bool             // a session has asked for it
 }
 
-// serviceNamed returns a service, which it makes at its first mention.
-func (s *Server) serviceNamed(name string) *service {
-	svc := s.services[name]
-	if svc == nil {
-		svc = &service{name: name, policySet: int64(len(s.services) + 1), maxConns: defaultMaxConns}
-		s.services[name] = svc
-	}
-	return svc
-}
-
 // isPrimary says that a host is the primary by the log, whether or not the lease is valid.
 func (svc *service) isPrimary(hostID string) bool {
 	return svc.primary.Host == hostID && !svc.primary.Revoked
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -15,6 +15,12 @@
 	shutdownPoll       = 100 * time.Millisecond
 )
 
+// shutdownState is how far a graceful shutdown has come.
+type shutdownState struct {
+	begun     bool // SIGTERM has come
+	closeIdle bool // the platform has had time to notice: sessions end as soon as they are idle
+}
+
 // handleSignals returns when the process is to end: after a graceful shutdown, or with ctx.
 func (s *Server) handleSignals(signals, reload <-chan os.Signal) {
 	for {
@@ -55,7 +61,7 @@
 	began := time.Now()
 	closeIdleAfter, answerAfter := shutdownPhases(settings.Duration(s.settings.Bounds.GraceS * 1000))
 	s.queue.Put(eventloop.PriorityControl, func() {
-		s.shuttingDown = true
+		s.shutdown.begun = true
 		s.sweep(s.clock.Time())
 	})
 	for {
@@ -64,7 +70,7 @@
 			if time.Since(began) > closeIdleAfter {
 				s.drainIdleSessions()
 			}
-			return len(s.sessions)
+			return len(s.sessions.open)
 		})
 		spent := time.Since(began)
 		if !ok || spent > answerAfter || left == 0 && spent > closeIdleAfter {
@@ -79,8 +85,8 @@
 
 // drainIdleSessions ends the sessions that are idle, and from now on each one that becomes so.
 func (s *Server) drainIdleSessions() {
-	s.closeIdleSessions = true
-	for client := range s.sessions {
+	s.shutdown.closeIdle = true
+	for client := range s.sessions.open {
 		if client.idle() {
 			client.drain()
 		}
@@ -89,7 +95,7 @@
 
 // failPendingStatements answers every statement that has no answer, as this proxy ends.
 func (s *Server) failPendingStatements() {
-	for _, client := range s.sessionsByAge() {
+	for _, client := range s.sessions.byAge() {
 		stmt := client.statement
 		if stmt == nil {
 			continue
--- a/internal/proxy/simulation_faults_test.go
+++ b/internal/proxy/simulation_faults_test.go
@@ -114,7 +114,7 @@
 		drained.Draining = false
 		control.apply(statemachine.Change{AddHost: &drained})
 		for _, proxy := range sim.proxies { // they forget the removal, too
-			proxy.run(proxy.incarnation, func(server *Server) { server.state.RemovedHosts = nil })
+			proxy.run(proxy.incarnation, func(server *Server) { server.replica.state.RemovedHosts = nil })
 		}
 	})
 }
--- a/internal/proxy/simulation_member_conn_test.go
+++ b/internal/proxy/simulation_member_conn_test.go
@@ -64,7 +64,7 @@
 		return
 	}
 	resumeIndex := uint64(0)
-	p.run(incarnation, func(server *Server) { resumeIndex = server.resumeIndex() })
+	p.run(incarnation, func(server *Server) { resumeIndex = server.replica.resumeIndex() })
 	m.conns[conn] = true
 	conn.sendToMember(func() {
 		hello := &rpc.ProxyHello{Node: p.name, Incarnation: uint64(incarnation), Zone: "z", AppliedIndex: resumeIndex, Version: sim.cluster.proxyVersion}
@@ -201,7 +201,7 @@
 func (c *memberConn) renewLease() {
 	c.proxy.run(c.proxyIncarnation, func(server *Server) {
 		c.lastSerial++
-		request := &rpc.LeaseRequest{Serial: c.lastSerial, AppliedIndex: server.state.Index}
+		request := &rpc.LeaseRequest{Serial: c.lastSerial, AppliedIndex: server.replica.state.Index}
 		c.requestedAt[c.lastSerial] = server.clock.Now()
 		c.sendToMember(func() { c.member.server.HandleProxyFrame(c.proxyConn, &rpc.Frame{LeaseRequest: request}) })
 	})
--- a/internal/proxy/simulation_proxy_test.go
+++ b/internal/proxy/simulation_proxy_test.go
@@ -131,7 +131,7 @@
 	if p.partitioned || sim.Now < p.frozenUntil {
 		return
 	}
-	requestedAt, applied := p.server.clock.Now(), p.server.state.Index
+	requestedAt, applied := p.server.clock.Now(), p.server.replica.state.Index
 	sim.After(sim.Between(1*millisecond, 4*millisecond), func() {
 		if p.incarnation != incarnation || !p.up || p.partitioned {
 			return
--- a/internal/proxy/snapshot_chunks_test.go
+++ b/internal/proxy/snapshot_chunks_test.go
@@ -52,7 +52,7 @@
 			received += len(chunk.Data)
 			require.Equal(t, &rpc.ChunkAck{Index: 501, Received: uint64(received)}, ack)
 		}
-		require.Equal(t, state.Digest(), server.state.Digest())
+		require.Equal(t, state.Digest(), server.replica.state.Digest())
 		require.Len(t, server.routes, 2000)
 	}
 }
@@ -92,7 +92,7 @@
 			sim := newSimulation(1, 1, 0)
 			sim.RunFor(500 * millisecond)
 			server := sim.proxies[0].server
-			before := server.state.Digest()
+			before := server.replica.state.Digest()
 			var err error
 			for _, chunk := range change(chunksOf(501, state.Snapshot(), 40<<10)) {
 				if _, err = server.handleSnapshotChunk(chunk); err != nil {
@@ -100,12 +100,12 @@
 				}
 			}
 			require.ErrorIs(t, err, errBadChunk)
-			require.Equal(t, before, server.state.Digest())
+			require.Equal(t, before, server.replica.state.Digest())
 			for _, chunk := range chunksOf(501, state.Snapshot(), 40<<10) {
 				_, err = server.handleSnapshotChunk(chunk)
 				require.NoError(t, err)
 			}
-			require.Equal(t, state.Digest(), server.state.Digest())
+			require.Equal(t, state.Digest(), server.replica.state.Digest())
 		})
 	}
 }
@@ -121,10 +121,10 @@
 			continue
 		}
 		require.True(t, proxy.server.leaseValid())
-		host := proxy.server.state.Hosts["h1"]
+		host := proxy.server.replica.state.Hosts["h1"]
 		host.Address = "10.1.0.1:9999"
-		proxy.server.state.Hosts["h1"] = host
-		other := proxy.server.state.Digest()
+		proxy.server.replica.state.Hosts["h1"] = host
+		other := proxy.server.replica.state.Digest()
 		other.Index++
 		require.NoError(t, proxy.server.checkDigest(&rpc.LeaseResponse{Digest: &other}))
 		for deadline := sim.Now + 4*second; proxy.server.counters.stateDiverged.Load() == 0; {
@@ -134,8 +134,8 @@
 		require.False(t, proxy.server.leaseValid(), "seed %d", seed)
 		sim.RunFor(second)
 		require.True(t, proxy.server.leaseValid(), "seed %d", seed)
-		require.False(t, proxy.server.diverged)
-		require.Equal(t, "10.1.0.1:1001", proxy.server.state.Hosts["h1"].Address, "seed %d", seed)
+		require.False(t, proxy.server.replica.diverged)
+		require.Equal(t, "10.1.0.1:1001", proxy.server.replica.state.Hosts["h1"].Address, "seed %d", seed)
 	}
 }
 
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -156,7 +156,7 @@
 		return
 	}
 	svc.used = true
-	for _, id := range s.state.HostIDs(svc.name) {
+	for _, id := range s.replica.state.HostIDs(svc.name) {
 		if pool := s.pools[id]; pool != nil && pool.probePending && pool.dialing == 0 && len(pool.conns) == 0 {
 			pool.dial()
 		}
--- a/internal/proxy/status_test.go
+++ b/internal/proxy/status_test.go
@@ -23,7 +23,7 @@
 	require.Len(t, status.Hosts, 3)
 	require.Equal(t, server.services["db"].primary.Host, status.Services["db"].Primary)
 	require.Equal(t, "in", status.Hosts[status.Services["db"].Primary].Standing)
-	require.Equal(t, len(server.sessions), status.Sessions)
+	require.Equal(t, len(server.sessions.open), status.Sessions)
 	require.Positive(t, status.Counters["statements"])
 	require.Positive(t, status.Counters["outcome_answered"])
 	for name := range status.Counters {
--- a/internal/proxy/sweep.go
+++ b/internal/proxy/sweep.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -30,7 +29,7 @@
 		}
 	}
 	if s.configCurrent() {
-		s.leaseValidAt = now
+		s.lease.validAt = now
 	} else {
 		s.rejectUnsentStatements()
 		s.drainWithoutLease(now)
@@ -39,7 +38,7 @@
 }
 
 func (s *Server) updateReadiness() {
-	ready := s.configCurrent() && !s.shuttingDown && len(s.pools) > 0
+	ready := s.configCurrent() && !s.shutdown.begun && len(s.pools) > 0
 	if ready != s.ready.Load() {
 		s.ready.Store(ready)
 		s.log.Info("readiness changed", "ready", ready)
@@ -52,7 +51,7 @@
 		return
 	}
 	limit := settings.Duration(s.config.Limits.TxnIdleMs)
-	for _, client := range s.sessionsByAge() {
+	for _, client := range s.sessions.byAge() {
 		if client.IdleState() != stateIdle && client.statement == nil && client.pinnedConn != nil && now.Sub(client.idleSince) > limit {
 			conn := client.pinnedConn
 			client.pinnedConn = nil
@@ -61,8 +60,3 @@
 		}
 	}
 }
-
-// sessionsByAge are the sessions, the oldest first, so that a seed of the simulation always runs the same.
-func (s *Server) sessionsByAge() []*clientSession {
-	return slices.SortedFunc(maps.Keys(s.sessions), func(a, b *clientSession) int { return cmp.Compare(a.id, b.id) })
-}
