--- a/internal/control/backup_api_test.go
+++ b/internal/control/backup_api_test.go
@@ -9,6 +9,7 @@
 	"ferrypitch/internal/consensus"
 	"ferrypitch/internal/control/backup"
 	"ferrypitch/internal/control/storage"
+	"ferrypitch/internal/simulation/memberdisk"
 )
 
 // A snapshot that any member is asked for is the leader's; the control plane that three founders begin with it has the same state, leads
@@ -36,7 +37,7 @@
 		wal, identity, restored, err := storage.Open(folder, nil)
 		require.NoError(t, err)
 		require.NoError(t, wal.Close())
-		m.identity, m.disk = identity, restored
+		m.identity, m.disk = identity, memberdisk.Of(restored)
 	}
 	for _, m := range next.members {
 		m.start()
--- a/internal/control/catch_up_test.go
+++ b/internal/control/catch_up_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"net/http"
-	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +15,7 @@
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/simulation/memberdisk"
 	"ferrypitch/internal/simulation/scheduler"
 	"ferrypitch/internal/statemachine"
 )
@@ -42,8 +42,7 @@
 	isolated     bool
 	incarnation  int
 	identity     storage.Identity
-	disk         consensus.RestoredState
-	unsynced     []consensus.Write
+	disk         memberdisk.Disk
 	diskSlowdown int64 // factor
 	diskFreeAt   int64 // when all writes are done
 	linkFreeAt   map[string]int64
@@ -72,11 +71,9 @@
 func (m *byteCostMember) start() {
 	c := m.cluster
 	m.incarnation++
-	m.up, m.unsynced, m.linkFreeAt, m.diskFreeAt = true, nil, map[string]int64{}, 0
-	restored := m.disk
-	restored.Entries = slices.Clone(restored.Entries)
+	m.up, m.linkFreeAt, m.diskFreeAt = true, map[string]int64{}, 0
 	clock := eventloop.NewMonotonicClock(func() time.Time { return time.UnixMilli(c.Now) })
-	server, err := New(settingsAt(m.ip()), hclog.NewNullLogger(), clock, m.identity, restored, c.Rand.Float64, uint64(m.incarnation))
+	server, err := New(settingsAt(m.ip()), hclog.NewNullLogger(), clock, m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.incarnation))
 	if err != nil {
 		panic(err)
 	}
@@ -144,15 +141,12 @@
 		}
 	}
 	m.storedBytes, m.syncs = m.storedBytes+int64(size), m.syncs+1
-	m.unsynced = append(m.unsynced, writes...)
+	m.disk.Write(writes)
 	sequence := writes[len(writes)-1].Seq
 	m.diskFreeAt = max(m.diskFreeAt, c.Now) + (1+int64(size)/100_000)*m.diskSlowdown
 	c.After(m.diskFreeAt-c.Now, func() {
 		m.run(incarnation, func() {
-			for len(m.unsynced) > 0 && m.unsynced[0].Seq <= sequence {
-				m.disk.ApplyWrite(m.unsynced[0])
-				m.unsynced = m.unsynced[1:]
-			}
+			m.disk.Sync(sequence)
 			m.server.Persisted(sequence)
 		})
 	})
@@ -249,15 +243,15 @@
 // beAway makes a member miss changes for a while. It comes back with a disk that may be slow.
 func (m *byteCostMember) beAway(seed int, how absence) {
 	c := m.cluster
-	old := m.disk
+	old := m.disk.Copy()
 	if how == restoredFromOldFile {
-		old.Entries = slices.Clone(old.Entries)
 		c.RunFor(c.Between(500, 6000))
 	}
 	if how == isolated {
 		m.isolated = true
 	} else {
-		m.up, m.unsynced = false, nil
+		m.up = false
+		m.disk.Crash(func() bool { return false })
 	}
 	c.RunFor(c.Between(100, 9000))
 	if m.diskSlowdown = 1; c.OneIn(2) {
@@ -265,7 +259,7 @@
 	}
 	switch how {
 	case lostItsDisk:
-		m.identity, m.disk = storage.Identity{ID: consensus.ID(fmt.Sprintf("%s+%d", m.ip(), seed))}, consensus.RestoredState{}
+		m.identity, m.disk = storage.Identity{ID: consensus.ID(fmt.Sprintf("%s+%d", m.ip(), seed))}, memberdisk.Disk{}
 		m.start()
 	case restarted:
 		m.start()
@@ -300,7 +294,7 @@
 // all that was acknowledged, and soon after all members have it.
 func (c *byteCostCluster) checkPowerLoss() {
 	for _, m := range c.members {
-		m.up, m.unsynced, m.diskSlowdown = false, nil, 1
+		m.up, m.diskSlowdown = false, 1
 	}
 	acknowledged, body, pending := c.acknowledged, c.acknowledgedBody, c.pendingBody
 	c.stopped = true
@@ -362,7 +356,7 @@
 		c.RunFor(500)
 		for _, m := range c.members {
 			bytes := 0
-			for _, e := range m.disk.Entries {
+			for _, e := range m.disk.Durable().Entries {
 				bytes += len(e.Data)
 			}
 			require.Less(t, bytes, minLogBytes+5*c.paddingBytes)
@@ -396,16 +390,17 @@
 		c.RunFor(1000)
 		var m *byteCostMember
 		for _, other := range c.members {
-			if other != c.leader() && len(other.disk.Snapshot.Data) > 0 {
+			if other != c.leader() && len(other.disk.Durable().Snapshot.Data) > 0 {
 				m = other
 			}
 		}
 		if disk {
-			m.up, m.unsynced = false, nil
-			s, err := statemachine.Restore(m.disk.Snapshot.Data)
+			m.up = false
+			m.disk.Crash(func() bool { return false })
+			s, err := statemachine.Restore(m.disk.Durable().Snapshot.Data)
 			require.NoError(t, err)
-			s.Index = m.disk.Snapshot.Index
-			m.disk.Snapshot.Data = divergedState(t, s).Snapshot()
+			s.Index = m.disk.Durable().Snapshot.Index
+			m.disk.Durable().Snapshot.Data = divergedState(t, s).Snapshot()
 			m.start()
 		} else {
 			m.server.state = divergedState(t, m.server.state)
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -15,6 +15,7 @@
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
+	"ferrypitch/internal/simulation/memberdisk"
 	"ferrypitch/internal/simulation/scheduler"
 	"ferrypitch/internal/statemachine"
 )
@@ -41,8 +42,7 @@
 	frozen      bool
 	incarnation int
 	identity    storage.Identity
-	disk        consensus.RestoredState
-	unsynced    []consensus.Write
+	disk        memberdisk.Disk
 	suspended   []func()
 	arrivesAt   map[string]int64 // when the last frame to another arrives
 
@@ -92,10 +92,8 @@
 func (m *clusterMember) start() {
 	c := m.cluster
 	m.incarnation++
-	m.up, m.frozen, m.suspended, m.unsynced, m.arrivesAt = true, false, nil, nil, map[string]int64{}
-	restored := m.disk
-	restored.Entries = slices.Clone(restored.Entries)
-	server, err := New(settingsAt(m.ip), hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, restored, c.Rand.Float64, uint64(m.incarnation))
+	m.up, m.frozen, m.suspended, m.arrivesAt = true, false, nil, map[string]int64{}
+	server, err := New(settingsAt(m.ip), hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.incarnation))
 	if err != nil {
 		panic(err)
 	}
@@ -151,7 +149,7 @@
 
 func (m *clusterMember) persist(incarnation int, writes []consensus.Write) {
 	c := m.cluster
-	m.unsynced = append(m.unsynced, writes...)
+	m.disk.Write(writes)
 	sequence := writes[len(writes)-1].Seq
 	duration := c.Between(unitsPerMs/2, 3*unitsPerMs) * m.diskFactor
 	if c.OneIn(100) {
@@ -159,10 +157,7 @@
 	}
 	c.After(duration, func() {
 		m.run(incarnation, func() {
-			for len(m.unsynced) > 0 && m.unsynced[0].Seq <= sequence {
-				m.disk.ApplyWrite(m.unsynced[0])
-				m.unsynced = m.unsynced[1:]
-			}
+			m.disk.Sync(sequence)
 			m.server.Persisted(sequence)
 		})
 	})
@@ -171,13 +166,7 @@
 // crash ends the process. Unsynced writes are lost with the power, and else kept up to some write.
 func (m *clusterMember) crash(powerLoss bool) {
 	m.up = false
-	for _, write := range m.unsynced {
-		if powerLoss || m.cluster.OneIn(2) {
-			break
-		}
-		m.disk.ApplyWrite(write)
-	}
-	m.unsynced = nil
+	m.disk.Crash(func() bool { return !powerLoss && !m.cluster.OneIn(2) })
 }
 
 func (m *clusterMember) resume(incarnation int) {
@@ -303,7 +292,7 @@
 	c := m.cluster
 	c.LogFault("%s loses its disk, down for %d ms", m.ip, duration/unitsPerMs)
 	m.crash(true)
-	m.disk = consensus.RestoredState{}
+	m.disk.Lose()
 	m.identity = storage.Identity{ID: consensus.ID(fmt.Sprintf("%s+%d", m.ip, m.incarnation))}
 	c.faultsEndAt += 3 * unitsPerSecond
 	c.After(duration, m.start)
--- a/internal/control/forwarding_simulation_test.go
+++ b/internal/control/forwarding_simulation_test.go
@@ -16,6 +16,7 @@
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/simulation/memberdisk"
 	"ferrypitch/internal/simulation/scheduler"
 	"ferrypitch/internal/statemachine"
 )
@@ -39,8 +40,7 @@
 	up          bool
 	incarnation int
 	identity    storage.Identity
-	disk        consensus.RestoredState
-	unsynced    []consensus.Write
+	disk        memberdisk.Disk
 }
 
 func newForwardingCluster(seed uint64) *forwardingCluster {
@@ -62,15 +62,13 @@
 func (m *forwardingMember) start() {
 	c := m.cluster
 	m.incarnation++
-	m.up, m.unsynced = true, nil
-	restored := m.disk
-	restored.Entries = slices.Clone(restored.Entries)
+	m.up = true
 	incarnation := uint64(m.incarnation)
 	if c.reuseIncarnation {
 		incarnation = 1
 	}
 	clock := eventloop.NewMonotonicClock(func() time.Time { return time.Unix(1e9, c.Now*int64(time.Millisecond)/unitsPerMs) })
-	server, err := New(settingsAt(m.ip), hclog.NewNullLogger(), clock, m.identity, restored, c.Rand.Float64, incarnation)
+	server, err := New(settingsAt(m.ip), hclog.NewNullLogger(), clock, m.identity, m.disk.Restart(), c.Rand.Float64, incarnation)
 	if err != nil {
 		panic(err)
 	}
@@ -88,7 +86,7 @@
 
 func (m *forwardingMember) persist(incarnation int, writes []consensus.Write) {
 	c := m.cluster
-	m.unsynced = append(m.unsynced, writes...)
+	m.disk.Write(writes)
 	for _, write := range writes {
 		for i, e := range write.Entries {
 			change, _ := statemachine.DecodeChange(e.Data)
@@ -105,13 +103,10 @@
 		}
 	}
 	c.After(c.Between(unitsPerMs/2, 8*unitsPerMs), func() {
-		if m.up && m.incarnation == incarnation && len(m.unsynced) > 0 {
-			for _, write := range m.unsynced {
-				m.disk.ApplyWrite(write)
+		if m.up && m.incarnation == incarnation {
+			if sequence := m.disk.SyncAll(); sequence > 0 {
+				m.server.Persisted(sequence)
 			}
-			sequence := m.unsynced[len(m.unsynced)-1].Seq
-			m.unsynced = nil
-			m.server.Persisted(sequence)
 		}
 	})
 }
--- a/internal/control/host_client.go
+++ b/internal/control/host_client.go
@@ -134,6 +134,7 @@
 // hostError is an error response of a host to CONNECT.
 type hostError struct{ Code wire.Code }
 
+// Error implements error.
 func (e *hostError) Error() string { return fmt.Sprintf("host rejects the connection: %s", e.Code) }
 
 // operations are the entries of commands in the retry table.
--- a/internal/control/partition_cluster_test.go
+++ b/internal/control/partition_cluster_test.go
@@ -13,6 +13,7 @@
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
+	"ferrypitch/internal/simulation/memberdisk"
 	"ferrypitch/internal/simulation/scheduler"
 	"ferrypitch/internal/statemachine"
 )
@@ -77,8 +78,7 @@
 	clockRate    float64
 	startedAt    int64
 	identity     storage.Identity
-	disk         consensus.RestoredState
-	unsynced     []consensus.Write
+	disk         memberdisk.Disk
 	checkedIndex uint64 // up to which checkApplied has looked
 	suspended    []func()
 	blocked      map[string]blockMode // by the address of the receiver
@@ -116,13 +116,11 @@
 func (m *partitionMember) start() {
 	c := m.cluster
 	m.incarnation++
-	m.up, m.frozen, m.suspended, m.unsynced, m.links = true, false, nil, nil, map[*partitionLink]bool{}
+	m.up, m.frozen, m.suspended, m.links = true, false, nil, map[*partitionLink]bool{}
 	m.clockRate, m.startedAt, m.checkedIndex = c.clockRate(), c.Now, 0
 	nodeSettings := settingsAt(m.ip)
 	nodeSettings.FaultBudget.Machines = len(c.members) / 2
-	restored := m.disk
-	restored.Entries = slices.Clone(restored.Entries)
-	server, err := New(nodeSettings, hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, restored, c.Rand.Float64, uint64(m.incarnation))
+	server, err := New(nodeSettings, hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.incarnation))
 	if err != nil {
 		panic(err)
 	}
@@ -216,7 +214,7 @@
 
 func (m *partitionMember) persist(incarnation int, writes []consensus.Write) {
 	c := m.cluster
-	m.unsynced = append(m.unsynced, writes...)
+	m.disk.Write(writes)
 	sequence := writes[len(writes)-1].Seq
 	duration := c.Between(0, 5)
 	if !c.calm && c.OneIn(80) {
@@ -224,10 +222,7 @@
 	}
 	c.After(duration, func() {
 		m.run(incarnation, func() {
-			for len(m.unsynced) > 0 && m.unsynced[0].Seq <= sequence {
-				m.disk.ApplyWrite(m.unsynced[0])
-				m.unsynced = m.unsynced[1:]
-			}
+			m.disk.Sync(sequence)
 			m.server.Persisted(sequence)
 		})
 	})
@@ -235,13 +230,7 @@
 
 func (m *partitionMember) crash(powerLoss bool) {
 	m.up = false
-	for _, write := range m.unsynced {
-		if powerLoss || m.cluster.OneIn(2) {
-			break
-		}
-		m.disk.ApplyWrite(write)
-	}
-	m.unsynced = nil
+	m.disk.Crash(func() bool { return !powerLoss && !m.cluster.OneIn(2) })
 	for link := range m.links {
 		link.close()
 	}
--- a/internal/control/partition_halves_test.go
+++ b/internal/control/partition_halves_test.go
@@ -105,7 +105,7 @@
 	w.disksLeft--
 	w.LogFault("%s loses its disk", m.ip)
 	m.crash(true)
-	m.disk = consensus.RestoredState{}
+	m.disk.Lose()
 	if !w.keepsIdentity {
 		m.identity = storage.Identity{ID: consensus.ID(fmt.Sprintf("%s+%d", m.ip, m.incarnation))}
 	}
--- a/internal/eventloop/timers.go
+++ b/internal/eventloop/timers.go
@@ -55,21 +55,26 @@
 // timerHeap implements heap.Interface.
 type timerHeap[T any] []*Timer[T]
 
+// Len implements sort.Interface.
 func (h timerHeap[T]) Len() int { return len(h) }
 
+// Less implements sort.Interface: the timer that is due first comes first.
 func (h timerHeap[T]) Less(i, j int) bool { return h[i].Deadline.Before(h[j].Deadline) }
 
+// Swap implements sort.Interface.
 func (h timerHeap[T]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
 }
 
+// Push implements heap.Interface.
 func (h *timerHeap[T]) Push(added any) {
 	timer := added.(*Timer[T])
 	timer.index = len(*h)
 	*h = append(*h, timer)
 }
 
+// Pop implements heap.Interface.
 func (h *timerHeap[T]) Pop() any {
 	last := len(*h) - 1
 	timer := (*h)[last]
--- a/internal/proxy/simulation_member_faults_test.go
+++ b/internal/proxy/simulation_member_faults_test.go
@@ -181,7 +181,7 @@
 
 // restartWiped starts a member with an empty disk.
 func (m *member) restartWiped() {
-	m.disk = consensus.RestoredState{}
+	m.disk.Lose()
 	if !m.cluster.keepsIdentity {
 		m.identity = m.cluster.newIdentity(m.ip)
 	}
--- a/internal/proxy/simulation_member_test.go
+++ b/internal/proxy/simulation_member_test.go
@@ -17,6 +17,7 @@
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
+	"ferrypitch/internal/simulation/memberdisk"
 	"ferrypitch/internal/statemachine"
 	"ferrypitch/internal/wire"
 )
@@ -34,8 +35,7 @@
 	up          bool
 	clockDrift  int64
 	diskFactor  int64 // how many times as long as the fastest its disk takes; 0: not drawn yet
-	disk        consensus.RestoredState
-	unsynced    []consensus.Write // that the disk may lose
+	disk        memberdisk.Disk
 
 	frozen     bool
 	heldEvents []func() // for the end of the freeze
@@ -57,7 +57,7 @@
 func (m *member) start() {
 	sim := m.cluster.sim
 	m.incarnation++
-	m.up, m.frozen, m.heldEvents, m.unsynced = true, false, nil, nil
+	m.up, m.frozen, m.heldEvents = true, false, nil
 	m.healNetwork()
 	m.conns, m.lastArrival = map[*memberConn]bool{}, map[string]int64{}
 	cfg := &settings.Settings{Node: "n" + m.ip, Ip: m.ip, Zone: "z", BeatMs: heartbeatMs}
@@ -66,13 +66,11 @@
 	for _, other := range m.cluster.members {
 		cfg.SeedPeers = append(cfg.SeedPeers, other.ip+":8080")
 	}
-	restored := m.disk
-	restored.Entries = slices.Clone(restored.Entries)
 	log := hclog.NewNullLogger()
 	if *onlySeed >= 0 {
 		log = hclog.New(&hclog.LoggerOptions{Output: faultLogWriter{sim, m.ip}, DisableTime: true})
 	}
-	server, err := control.New(cfg, log, eventloop.NewMonotonicClock(sim.clock(m.clockDrift)), m.identity, restored,
+	server, err := control.New(cfg, log, eventloop.NewMonotonicClock(sim.clock(m.clockDrift)), m.identity, m.disk.Restart(),
 		sim.Rand.Float64, uint64(m.incarnation))
 	if err != nil {
 		panic(err)
@@ -129,7 +127,7 @@
 // persist syncs writes to the disk.
 func (m *member) persist(incarnation int, writes []consensus.Write) {
 	sim := m.cluster.sim
-	m.unsynced = append(m.unsynced, writes...)
+	m.disk.Write(writes)
 	lastSeq := writes[len(writes)-1].Seq
 	if m.diskFactor == 0 {
 		m.diskFactor = sim.Between(1, 4)
@@ -140,10 +138,7 @@
 	}
 	sim.After(took, func() {
 		m.run(incarnation, func() {
-			for len(m.unsynced) > 0 && m.unsynced[0].Seq <= lastSeq {
-				m.disk.ApplyWrite(m.unsynced[0])
-				m.unsynced = m.unsynced[1:]
-			}
+			m.disk.Sync(lastSeq)
 			m.server.Persisted(lastSeq)
 		})
 	})
@@ -277,15 +272,7 @@
 func (m *member) crash(powerLost bool) {
 	sim := m.cluster.sim
 	m.up = false
-	if !powerLost {
-		for _, write := range m.unsynced {
-			if sim.OneIn(2) {
-				break
-			}
-			m.disk.ApplyWrite(write)
-		}
-	}
-	m.unsynced = nil
+	m.disk.Crash(func() bool { return !powerLost && !sim.OneIn(2) })
 	if !powerLost {
 		for _, conn := range m.connsByAge() {
 			conn.close()
--- a/internal/router/trace/format/reader.go
+++ b/internal/router/trace/format/reader.go
@@ -16,6 +16,7 @@
 	Err    error // wraps ErrCorrupt
 }
 
+// Error names the offset of the block.
 func (e *CorruptBlockError) Error() string { return fmt.Sprintf("at offset %d: %v", e.Offset, e.Err) }
 
 // Unwrap returns the cause.
