An election after a loss of all power does not wait for a lost disk

Cause: a cold start needed an answer of each member by its ID. Change: a process tells a candidate that asks an earlier member at its address whether it has heard a leader since it started. The candidate takes that for the member's, which has ended with any lease it held, if a majority has answered for itself.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -133,12 +133,32 @@
 	if n.stopCampaignOfRemoved() {
 		return
 	}
-	n.election.allColdStarts = n.everyMember(func(id ID) bool { return n.election.coldStarts[id] })
+	n.election.allColdStarts = n.everyMemberColdStarted()
 	if n.election.allColdStarts || n.hasQuorum(func(id ID) bool { return n.election.votes[id] }) {
 		n.campaign(campaignElection)
 	}
 }
 
+// everyMemberColdStarted says that each member has heard no leader since it started, or has lost its disk, and its successor at
+// its address has heard none. A successor knows of no entry, so a majority must have answered for themselves: of them,
+// none knows of members that this node does not.
+func (n *Node) everyMemberColdStarted() bool {
+	coldStarted := func(id ID) bool { return n.election.coldStarts[id] }
+	return n.hasQuorum(coldStarted) && n.everyMember(func(id ID) bool {
+		return coldStarted(id) || n.successorColdStarted(id)
+	})
+}
+
+// successorColdStarted says whether a process at the address of a member, with another ID, has reported a cold start.
+func (n *Node) successorColdStarted(member ID) bool {
+	for id, coldStart := range n.election.coldStarts {
+		if coldStart && id.TakesPlaceOf(member) {
+			return true
+		}
+	}
+	return false
+}
+
 // countVotes makes this node the leader once a majority has voted for it.
 func (n *Node) countVotes() {
 	if n.stopCampaignOfRemoved() {
@@ -207,6 +227,18 @@
 	}))
 }
 
+// reportColdStart tells a candidate, which asks an earlier member at this address, whether this node has heard a leader since
+// it started. It is no vote. The earlier member has ended, and with it any lease that it held as a leader.
+func (n *Node) reportColdStart(m Message) {
+	n.send(n.withCommitPoint(Message{
+		Type:         MsgVoteResponse,
+		To:           m.From,
+		PreVote:      true,
+		ColdStart:    !n.leaderSeen && n.candidateUpToDate(m),
+		PreVoteRound: m.PreVoteRound,
+	}))
+}
+
 // stepVoteResponse takes in a vote, a Pre-Vote, or a refusal of one.
 func (n *Node) stepVoteResponse(m Message) {
 	n.learnCommitPoint(m)
--- a/internal/consensus/explore_test.go
+++ b/internal/consensus/explore_test.go
@@ -36,6 +36,9 @@
 	leaderAndFollowerLeave = "the leader and a follower leave"
 	followerLosesDisk      = "a follower loses its disk"
 	leaderIsLost           = "the leader is lost"
+	powerAndFollowersDisk  = "all lose power, and a follower its disk"
+	powerAndLeadersDisk    = "all lose power, and the leader its disk"
+	followersPowerAndDisk  = "all but the leader lose power, and one of them its disk"
 )
 
 var scenarios = []scenario{
@@ -52,6 +55,32 @@
 	}},
 	{followerLosesDisk, func(x *explorer, s *system) { x.lose(s, s.followerIndex(), true) }},
 	{leaderIsLost, func(x *explorer, s *system) { x.lose(s, s.leaderIndex(), false) }},
+	{powerAndFollowersDisk, func(x *explorer, s *system) {
+		emptied := s.followerIndex()
+		x.restartAll(s, func(i int) bool { return i != emptied })
+		x.lose(s, emptied, true)
+	}},
+	{powerAndLeadersDisk, func(x *explorer, s *system) {
+		emptied := s.leaderIndex()
+		x.restartAll(s, func(i int) bool { return i != emptied })
+		x.lose(s, emptied, true)
+	}},
+	{followersPowerAndDisk, func(x *explorer, s *system) {
+		leaderIndex, emptied := s.leaderIndex(), s.followerIndex()
+		x.restartAll(s, func(i int) bool { return i != leaderIndex && i != emptied })
+		x.lose(s, emptied, true)
+	}},
+}
+
+// restartAll restarts replicas from their disks, at once.
+func (x *explorer) restartAll(s *system, affects func(i int) bool) {
+	for i := range s.replicas {
+		if affects(i) && s.replicas[i].node != nil {
+			restarted := *s.replicas[i]
+			s.replicas[i] = &restarted
+			x.start(s, i)
+		}
+	}
 }
 
 // restartLearnersEmpty replaces the learners by new ones, which hold nothing.
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -19,6 +19,10 @@
 	return address
 }
 
+// TakesPlaceOf says whether the processes of two IDs cannot run at the same time, since they listen at the same address: that of
+// this ID runs, so that of the other has ended.
+func (id ID) TakesPlaceOf(other ID) bool { return id != other && id.Address() == other.Address() }
+
 // configuration is the set of voting members from an entry on (4.1).
 type configuration struct {
 	index   uint64
@@ -207,7 +211,7 @@
 func (n *Node) membersWith(learner ID) ([]ID, bool) {
 	current := n.Members()
 	next := slices.DeleteFunc(slices.Clone(current), func(member ID) bool {
-		return member != n.id && member.Address() == learner.Address()
+		return member != n.id && learner.TakesPlaceOf(member)
 	})
 	if len(next) == len(current) {
 		replaced := n.replaceableMember(next)
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -114,15 +114,20 @@
 	return n.takeReady()
 }
 
-// Step takes in a message from another member. Messages for another ID are discarded: one for an earlier member at this
-// address counts on a log that this one does not hold.
+// Step takes in a message from another member. Messages for another ID are discarded, since one for an earlier member at
+// this address counts on a log that this one does not hold; but a candidate is told that the earlier member has ended.
 func (n *Node) Step(m Message, nowMs int64) Ready {
 	n.advanceClock(nowMs)
-	if m.From == "" || m.From == n.id || m.To != "" && m.To != n.id {
+	switch {
+	case m.From == "" || m.From == n.id:
+		n.DiscardedMessages++
+	case m.To == "" || m.To == n.id:
+		n.step(m)
+	case m.Type == MsgVoteRequest && m.PreVote && n.id.TakesPlaceOf(m.To) && !n.id.TakesPlaceOf(m.From):
+		n.reportColdStart(m)
+	default:
 		n.DiscardedMessages++
-		return n.takeReady()
 	}
-	n.step(m)
 	return n.takeReady()
 }
 
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -114,6 +114,80 @@
 	require.NotNil(t, s.leaseHolder(), "no leader 400 ms after all members were restarted")
 }
 
+// A loss of power of all members may come with the loss of a disk, of the leader's too.
+func TestColdStartWithAnEmptyDiskDoesNotWaitForLeases(t *testing.T) {
+	for _, leaderLosesDisk := range []bool{false, true} {
+		s := newSimulation(3, 3, 0)
+		s.faultFree = true
+		s.After(100, s.propose)
+		s.RunFor(3000)
+		emptied := s.leaseHolder()
+		require.NotNil(t, emptied)
+		for _, m := range s.members {
+			if (m == emptied) != leaderLosesDisk {
+				emptied = m
+				break
+			}
+		}
+		for _, m := range s.members {
+			m.crash(true)
+			if m == emptied {
+				m.disk, m.founders, m.id = RestoredState{}, nil, ID(m.address+"+w")
+			}
+			m.start()
+		}
+		s.RunFor(400) // shorter than a lease that was granted before the restart
+		require.NotNil(t, s.leaseHolder(), "no leader 400 ms after all members were restarted")
+		s.RunFor(5000)
+		s.checkFinalState()
+		require.Empty(t, s.Violations, s.report())
+	}
+}
+
+// coldStartCandidate returns a member of three that asks for Pre-Votes after a restart, and its requests.
+func coldStartCandidate(t *testing.T) (*Node, []Message) {
+	entries := []Entry{{Term: 1, Data: []byte("x")}}
+	restored := RestoredState{HardState: HardState{Term: 1, Vote: "b"}, Entries: entries}
+	node := New("a", DefaultConfig(1), restored, []ID{"a", "b", "c"}, func() float64 { return 0 }, 1000)
+	requests := node.Tick(1100).Messages
+	require.Len(t, requests, 2)
+	require.True(t, requests[0].PreVote)
+	return node, requests
+}
+
+// A process that has lost its disk tells a candidate that its predecessor has ended, unless it has heard a leader since.
+func TestSuccessorReportsAColdStart(t *testing.T) {
+	_, requests := coldStartCandidate(t)
+	successor := New("c+2", DefaultConfig(1), RestoredState{}, nil, func() float64 { return 0 }, 1050)
+	requests[1].To = "c"
+	answers := successor.Step(requests[1], 1110).Messages
+	require.Len(t, answers, 1)
+	require.True(t, answers[0].ColdStart && !answers[0].Granted && answers[0].To == "a")
+	requests[1].From = "c"
+	require.Empty(t, successor.Step(requests[1], 1115).Messages, "its predecessor asks, and has ended")
+	successor.Step(Message{Type: MsgHeartbeat, From: "b", To: "c+2", Term: 1}, 1120)
+	requests[1].From = "a"
+	answers = successor.Step(requests[1], 1130).Messages
+	require.Len(t, answers, 1)
+	require.False(t, answers[0].ColdStart)
+	requests[1].PreVote = false
+	require.Empty(t, successor.Step(requests[1], 1140).Messages, "it has no vote")
+}
+
+// Successors know of no entry, so they are no majority; and a member that does not answer may hold a lease.
+func TestSuccessorsAreNoMajority(t *testing.T) {
+	node, requests := coldStartCandidate(t)
+	report := func(from ID) Message {
+		return Message{Type: MsgVoteResponse, From: from, To: "a", PreVote: true, ColdStart: true, PreVoteRound: requests[0].PreVoteRound}
+	}
+	node.Step(report("c+2"), 1110)
+	require.EqualValues(t, 1, node.Term(), "b has not answered")
+	node.Step(report("b+2"), 1110)
+	require.EqualValues(t, 1, node.Term(), "two of three have no entries")
+	node.Step(report("b"), 1110)
+	require.EqualValues(t, 2, node.Term())
+}
+
 func TestReplacedEntriesAreNotCommitted(t *testing.T) {
 	node := New("a", DefaultConfig(1), RestoredState{}, []ID{"a", "b", "c"}, func() float64 { return 0 }, 1000)
 	node.Step(Message{Type: MsgAppend, From: "b", To: "a", Term: 1, Entries: []Entry{{Term: 1, Data: []byte("old")}}}, 1010)
