--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -170,6 +170,11 @@
 	answers = successor.Step(requests[1], 1130).Messages
 	require.Len(t, answers, 1)
 	require.False(t, answers[0].ColdStart)
+	ahead := RestoredState{HardState: HardState{Term: 2}, Entries: []Entry{{Term: 1}, {Term: 2}}}
+	learner := New("c+3", DefaultConfig(1), ahead, nil, func() float64 { return 0 }, 1050)
+	answers = learner.Step(requests[1], 1130).Messages
+	require.Len(t, answers, 1)
+	require.False(t, answers[0].ColdStart, "it has entries that the candidate lacks")
 	requests[1].PreVote = false
 	require.Empty(t, successor.Step(requests[1], 1140).Messages, "it has no vote")
 }
