One simulated process for the members of all simulations

Cause: five fixtures each kept up, frozen, an incarnation and the steps that wait for the end of a suspension, with the same two functions.

--- a/internal/control/catch_up_test.go
+++ b/internal/control/catch_up_test.go
@@ -16,6 +16,7 @@
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/simulation/memberdisk"
+	"ferrypitch/internal/simulation/memberprocess"
 	"ferrypitch/internal/simulation/scheduler"
 	"ferrypitch/internal/statemachine"
 )
@@ -36,11 +37,11 @@
 }
 
 type byteCostMember struct {
+	memberprocess.Process
+
 	cluster      *byteCostCluster
 	server       *Server
-	up           bool
 	isolated     bool
-	incarnation  int
 	identity     storage.Identity
 	disk         memberdisk.Disk
 	diskSlowdown int64 // factor
@@ -70,15 +71,15 @@
 
 func (m *byteCostMember) start() {
 	c := m.cluster
-	m.incarnation++
-	m.up, m.linkFreeAt, m.diskFreeAt = true, map[string]int64{}, 0
+	m.StartIncarnation()
+	m.linkFreeAt, m.diskFreeAt = map[string]int64{}, 0
 	clock := eventloop.NewMonotonicClock(func() time.Time { return time.UnixMilli(c.Now) })
-	server, err := New(settingsAt(m.ip()), hclog.NewNullLogger(), clock, m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.incarnation))
+	server, err := New(settingsAt(m.ip()), hclog.NewNullLogger(), clock, m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.Incarnation()))
 	if err != nil {
 		panic(err)
 	}
 	m.server = server
-	incarnation := m.incarnation
+	incarnation := m.Incarnation()
 	server.SetEnvironment(Environment{
 		Send:      m.send,
 		Persist:   func(writes []consensus.Write) { m.persist(incarnation, writes) },
@@ -89,7 +90,7 @@
 }
 
 func (m *byteCostMember) tick(incarnation int) {
-	m.run(incarnation, func() {
+	m.Run(incarnation, func() {
 		m.server.Tick()
 		if l := m.cluster.leader(); l == m && m.server.state.Generation < m.cluster.acknowledged {
 			m.cluster.Violate("%s leads with version %d, %d was acknowledged", m.identity.ID, m.server.state.Generation, m.cluster.acknowledged)
@@ -98,12 +99,6 @@
 	})
 }
 
-func (m *byteCostMember) run(incarnation int, step func()) {
-	if m.up && m.incarnation == incarnation {
-		step()
-	}
-}
-
 func (m *byteCostMember) send(ip string, frame *rpc.Frame) {
 	c, size := m.cluster, int64(200)
 	if frame.Consensus != nil {
@@ -120,10 +115,10 @@
 	m.linkFreeAt[ip] = max(m.linkFreeAt[ip], c.Now) + size/c.bytesPerMs
 	for _, to := range c.members {
 		if to.ip() == ip && to != m {
-			incarnation := to.incarnation
+			incarnation := to.Incarnation()
 			c.After(m.linkFreeAt[ip]-c.Now+c.Between(1, 4), func() {
 				if !m.isolated && !to.isolated {
-					to.run(incarnation, func() { to.server.HandleFrame(m.ip(), frame) })
+					to.Run(incarnation, func() { to.server.HandleFrame(m.ip(), frame) })
 				}
 			})
 		}
@@ -145,7 +140,7 @@
 	sequence := writes[len(writes)-1].Seq
 	m.diskFreeAt = max(m.diskFreeAt, c.Now) + (1+int64(size)/100_000)*m.diskSlowdown
 	c.After(m.diskFreeAt-c.Now, func() {
-		m.run(incarnation, func() {
+		m.Run(incarnation, func() {
 			m.disk.Sync(sequence)
 			m.server.Persisted(sequence)
 		})
@@ -189,7 +184,7 @@
 		if l := c.leader(); l != nil && !c.OneIn(4) {
 			p = l
 		}
-		p.run(p.incarnation, func() {
+		p.Run(p.Incarnation(), func() {
 			p.server.HandleCall(http.MethodPost, "/Config.Replace", fmt.Sprint(next-1), body, func(status int, answer []byte) {
 				switch {
 				case status == http.StatusOK && !done:
@@ -207,7 +202,7 @@
 
 func (c *byteCostCluster) leader() *byteCostMember {
 	for _, p := range c.members {
-		if p.up && !p.isolated && p.server.leading && p.server.consensus.HoldsLease(p.server.clock.Now()) {
+		if p.Up() && !p.isolated && p.server.leading && p.server.consensus.HoldsLease(p.server.clock.Now()) {
 			return p
 		}
 	}
@@ -218,7 +213,7 @@
 func (c *byteCostCluster) checkAgreement() {
 	for i, a := range c.members {
 		for _, b := range c.members[:i] {
-			if a.up && b.up && !a.server.diverged && !b.server.diverged && a.server.state.Index == b.server.state.Index && a.server.state.Checksum() != b.server.state.Checksum() {
+			if a.Up() && b.Up() && !a.server.diverged && !b.server.diverged && a.server.state.Index == b.server.state.Index && a.server.state.Checksum() != b.server.state.Checksum() {
 				c.Violate("%s and %s differ at %d", a.ip(), b.ip(), a.server.state.Index)
 			}
 		}
@@ -250,7 +245,7 @@
 	if how == isolated {
 		m.isolated = true
 	} else {
-		m.up = false
+		m.End()
 		m.disk.Crash(func() bool { return false })
 	}
 	c.RunFor(c.Between(100, 9000))
@@ -294,7 +289,8 @@
 // all that was acknowledged, and soon after all members have it.
 func (c *byteCostCluster) checkPowerLoss() {
 	for _, m := range c.members {
-		m.up, m.diskSlowdown = false, 1
+		m.End()
+		m.diskSlowdown = 1
 	}
 	acknowledged, body, pending := c.acknowledged, c.acknowledgedBody, c.pendingBody
 	c.stopped = true
@@ -395,7 +391,7 @@
 			}
 		}
 		if disk {
-			m.up = false
+			m.End()
 			m.disk.Crash(func() bool { return false })
 			s, err := statemachine.Restore(m.disk.Durable().Snapshot.Data)
 			require.NoError(t, err)
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -16,6 +16,7 @@
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
 	"ferrypitch/internal/simulation/memberdisk"
+	"ferrypitch/internal/simulation/memberprocess"
 	"ferrypitch/internal/simulation/scheduler"
 	"ferrypitch/internal/statemachine"
 )
@@ -35,16 +36,14 @@
 }
 
 type clusterMember struct {
-	cluster     *cluster
-	ip          string
-	server      *Server
-	up          bool
-	frozen      bool
-	incarnation int
-	identity    storage.Identity
-	disk        memberdisk.Disk
-	suspended   []func()
-	arrivesAt   map[string]int64 // when the last frame to another arrives
+	memberprocess.Process
+
+	cluster   *cluster
+	ip        string
+	server    *Server
+	identity  storage.Identity
+	disk      memberdisk.Disk
+	arrivesAt map[string]int64 // when the last frame to another arrives
 
 	// No two machines are alike.
 	diskFactor int64 // how many times as long as the fastest its disk takes
@@ -91,14 +90,14 @@
 
 func (m *clusterMember) start() {
 	c := m.cluster
-	m.incarnation++
-	m.up, m.frozen, m.suspended, m.arrivesAt = true, false, nil, map[string]int64{}
-	server, err := New(settingsAt(m.ip), hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.incarnation))
+	m.StartIncarnation()
+	m.arrivesAt = map[string]int64{}
+	server, err := New(settingsAt(m.ip), hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.Incarnation()))
 	if err != nil {
 		panic(err)
 	}
 	m.server = server
-	incarnation := m.incarnation
+	incarnation := m.Incarnation()
 	server.SetEnvironment(Environment{
 		Send:      m.send,
 		Persist:   func(x []consensus.Write) { m.persist(incarnation, x) },
@@ -113,19 +112,8 @@
 	return time.Unix(0, 0).Add(time.Duration(float64(m.cluster.Now) * m.clockRate * float64(time.Millisecond) / float64(unitsPerMs)))
 }
 
-// run runs a step in a member's process, later if the process is suspended.
-func (m *clusterMember) run(incarnation int, step func()) {
-	switch {
-	case !m.up || m.incarnation != incarnation:
-	case m.frozen:
-		m.suspended = append(m.suspended, step)
-	default:
-		step()
-	}
-}
-
 func (m *clusterMember) tickFrom(incarnation int) {
-	m.run(incarnation, func() {
+	m.Run(incarnation, func() {
 		m.server.Tick()
 		m.cluster.After(m.tick, func() { m.tickFrom(incarnation) })
 	})
@@ -138,10 +126,10 @@
 			continue
 		}
 		m.arrivesAt[ip] = max(m.arrivesAt[ip]+1, c.Now+c.Between(unitsPerMs/2, 3*unitsPerMs))
-		incarnation := to.incarnation
+		incarnation := to.Incarnation()
 		c.After(m.arrivesAt[ip]-c.Now, func() {
 			if !c.blocked[[2]string{m.ip, ip}] {
-				to.run(incarnation, func() { to.server.HandleFrame(m.ip, frame) })
+				to.Run(incarnation, func() { to.server.HandleFrame(m.ip, frame) })
 			}
 		})
 	}
@@ -156,7 +144,7 @@
 		duration = c.Between(50*unitsPerMs, 600*unitsPerMs)
 	}
 	c.After(duration, func() {
-		m.run(incarnation, func() {
+		m.Run(incarnation, func() {
 			m.disk.Sync(sequence)
 			m.server.Persisted(sequence)
 		})
@@ -165,25 +153,13 @@
 
 // crash ends the process. Unsynced writes are lost with the power, and else kept up to some write.
 func (m *clusterMember) crash(powerLoss bool) {
-	m.up = false
+	m.End()
 	m.disk.Crash(func() bool { return !powerLoss && !m.cluster.OneIn(2) })
 }
 
-func (m *clusterMember) resume(incarnation int) {
-	if !m.up || m.incarnation != incarnation {
-		return
-	}
-	m.frozen = false
-	for len(m.suspended) > 0 && m.up && !m.frozen {
-		step := m.suspended[0]
-		m.suspended = m.suspended[1:]
-		step()
-	}
-}
-
 func (c *cluster) leader() *clusterMember {
 	for _, m := range c.members {
-		if m.up && !m.frozen && m.server.leading && m.server.consensus.HoldsLease(m.server.clock.Now()) {
+		if m.Running() && m.server.leading && m.server.consensus.HoldsLease(m.server.clock.Now()) {
 			return m
 		}
 	}
@@ -197,7 +173,7 @@
 		return false
 	}
 	for _, id := range l.server.consensus.Members() {
-		if !slices.ContainsFunc(c.members, func(m *clusterMember) bool { return m.up && !m.frozen && m.identity.ID == id }) {
+		if !slices.ContainsFunc(c.members, func(m *clusterMember) bool { return m.Running() && m.identity.ID == id }) {
 			return false
 		}
 	}
@@ -214,7 +190,7 @@
 	if l := c.leader(); l != nil && c.OneIn(2) {
 		m = l
 	}
-	if !m.up || m.frozen {
+	if !m.Running() {
 		return
 	}
 	duration := c.Between(50*unitsPerMs, 3*unitsPerSecond)
@@ -257,10 +233,10 @@
 }
 
 func (m *clusterMember) freeze(duration int64) {
-	c, incarnation := m.cluster, m.incarnation
+	c, incarnation := m.cluster, m.Incarnation()
 	c.LogFault("%s is suspended for %d ms", m.ip, duration/unitsPerMs)
-	m.frozen = true
-	c.After(duration, func() { m.resume(incarnation) })
+	m.Suspend()
+	c.After(duration, func() { m.Resume(incarnation) })
 }
 
 func (m *clusterMember) partition(duration int64) {
@@ -280,7 +256,7 @@
 func (c *cluster) losePower(duration int64) {
 	c.LogFault("all members lose power for %d ms", duration/unitsPerMs)
 	for _, m := range c.members {
-		if m.up {
+		if m.Up() {
 			m.crash(true)
 			c.After(duration+c.Between(0, 300*unitsPerMs), m.start)
 		}
@@ -293,7 +269,7 @@
 	c.LogFault("%s loses its disk, down for %d ms", m.ip, duration/unitsPerMs)
 	m.crash(true)
 	m.disk.Lose()
-	m.identity = storage.Identity{ID: consensus.ID(fmt.Sprintf("%s+%d", m.ip, m.incarnation))}
+	m.identity = storage.Identity{ID: consensus.ID(fmt.Sprintf("%s+%d", m.ip, m.Incarnation()))}
 	c.faultsEndAt += 3 * unitsPerSecond
 	c.After(duration, m.start)
 }
--- a/internal/control/forwarding_simulation_test.go
+++ b/internal/control/forwarding_simulation_test.go
@@ -17,6 +17,7 @@
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/simulation/memberdisk"
+	"ferrypitch/internal/simulation/memberprocess"
 	"ferrypitch/internal/simulation/scheduler"
 	"ferrypitch/internal/statemachine"
 )
@@ -34,13 +35,13 @@
 }
 
 type forwardingMember struct {
-	cluster     *forwardingCluster
-	ip          string
-	server      *Server
-	up          bool
-	incarnation int
-	identity    storage.Identity
-	disk        memberdisk.Disk
+	memberprocess.Process
+
+	cluster  *forwardingCluster
+	ip       string
+	server   *Server
+	identity storage.Identity
+	disk     memberdisk.Disk
 }
 
 func newForwardingCluster(seed uint64) *forwardingCluster {
@@ -61,9 +62,8 @@
 
 func (m *forwardingMember) start() {
 	c := m.cluster
-	m.incarnation++
-	m.up = true
-	incarnation := uint64(m.incarnation)
+	m.StartIncarnation()
+	incarnation := uint64(m.Incarnation())
 	if c.reuseIncarnation {
 		incarnation = 1
 	}
@@ -73,12 +73,12 @@
 		panic(err)
 	}
 	m.server = server
-	server.SetEnvironment(Environment{Send: m.send, Persist: func(x []consensus.Write) { m.persist(m.incarnation, x) }})
-	m.tick(m.incarnation)
+	server.SetEnvironment(Environment{Send: m.send, Persist: func(x []consensus.Write) { m.persist(m.Incarnation(), x) }})
+	m.tick(m.Incarnation())
 }
 
 func (m *forwardingMember) tick(incarnation int) {
-	if m.up && m.incarnation == incarnation {
+	if m.Is(incarnation) {
 		m.server.Tick()
 		m.cluster.After(50*unitsPerMs, func() { m.tick(incarnation) })
 	}
@@ -103,7 +103,7 @@
 		}
 	}
 	c.After(c.Between(unitsPerMs/2, 8*unitsPerMs), func() {
-		if m.up && m.incarnation == incarnation {
+		if m.Is(incarnation) {
 			if sequence := m.disk.SyncAll(); sequence > 0 {
 				m.server.Persisted(sequence)
 			}
@@ -118,7 +118,7 @@
 	deliverAfter := func(after int64) {
 		c.After(after, func() {
 			for _, to := range c.members {
-				if to.ip == ip && to.up {
+				if to.ip == ip && to.Up() {
 					to.server.HandleFrame(m.ip, frame)
 				}
 			}
@@ -144,14 +144,14 @@
 // injectCrash crashes a member, which restarts with its disk soon after; mostly a follower, so that the term stays the same.
 func (c *forwardingCluster) injectCrash() {
 	s := c.members[c.Rand.IntN(3)]
-	if s.up && !c.members[0].down() && !c.members[1].down() && !c.members[2].down() && (c.OneIn(4) || !s.server.leading) {
-		s.up = false
+	if s.Up() && !c.members[0].down() && !c.members[1].down() && !c.members[2].down() && (c.OneIn(4) || !s.server.leading) {
+		s.End()
 		c.After(c.Between(20*unitsPerMs, 600*unitsPerMs), s.start)
 	}
 	c.After(c.Between(300*unitsPerMs, 1500*unitsPerMs), c.injectCrash)
 }
 
-func (m *forwardingMember) down() bool { return !m.up }
+func (m *forwardingMember) down() bool { return !m.Up() }
 
 // testCall is a call that only one response is right for. Its token stands in the response to an invalid call, and in the log for
 // a valid one.
@@ -174,7 +174,7 @@
 func (c *forwardingCluster) call() {
 	c.After(c.Between(10*unitsPerMs, 80*unitsPerMs), c.call)
 	m := c.members[c.Rand.IntN(3)]
-	if !m.up {
+	if !m.Up() {
 		return
 	}
 	call := c.randomCall(m.server.state.Generation)
--- a/internal/control/leader_lease_test.go
+++ b/internal/control/leader_lease_test.go
@@ -23,7 +23,7 @@
 	require.True(t, leader.server.MayAct(term))
 	require.False(t, leader.server.MayAct(term-1))
 	require.False(t, follower.server.MayAct(term))
-	leader.frozen = true
+	leader.Suspend()
 	c.RunFor(700)
 	require.False(t, leader.server.MayAct(term), "its event loop stands still, and its lease is over")
 }
--- a/internal/control/partition_cluster_test.go
+++ b/internal/control/partition_cluster_test.go
@@ -14,6 +14,7 @@
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/simulation/memberdisk"
+	"ferrypitch/internal/simulation/memberprocess"
 	"ferrypitch/internal/simulation/scheduler"
 	"ferrypitch/internal/statemachine"
 )
@@ -69,18 +70,16 @@
 }
 
 type partitionMember struct {
+	memberprocess.Process
+
 	cluster      *partitionCluster
 	ip           string
 	server       *Server
-	up           bool
-	frozen       bool
-	incarnation  int
 	clockRate    float64
 	startedAt    int64
 	identity     storage.Identity
 	disk         memberdisk.Disk
-	checkedIndex uint64 // up to which checkApplied has looked
-	suspended    []func()
+	checkedIndex uint64               // up to which checkApplied has looked
 	blocked      map[string]blockMode // by the address of the receiver
 	links        map[*partitionLink]bool
 }
@@ -115,16 +114,16 @@
 
 func (m *partitionMember) start() {
 	c := m.cluster
-	m.incarnation++
-	m.up, m.frozen, m.suspended, m.links = true, false, nil, map[*partitionLink]bool{}
+	m.StartIncarnation()
+	m.links = map[*partitionLink]bool{}
 	m.clockRate, m.startedAt, m.checkedIndex = c.clockRate(), c.Now, 0
 	nodeSettings := settingsAt(m.ip)
 	nodeSettings.FaultBudget.Machines = len(c.members) / 2
-	server, err := New(nodeSettings, hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.incarnation))
+	server, err := New(nodeSettings, hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.Incarnation()))
 	if err != nil {
 		panic(err)
 	}
-	incarnation := m.incarnation
+	incarnation := m.Incarnation()
 	m.server = server
 	server.SetEnvironment(Environment{
 		Send:      m.send,
@@ -141,14 +140,10 @@
 }
 
 func (m *partitionMember) run(incarnation int, step func()) {
-	switch {
-	case !m.up || m.incarnation != incarnation:
-	case m.frozen:
-		m.suspended = append(m.suspended, step)
-	default:
+	m.Run(incarnation, func() {
 		step()
 		m.cluster.checkInvariants()
-	}
+	})
 }
 
 func (m *partitionMember) tick(incarnation int) {
@@ -183,7 +178,7 @@
 	}
 	arrive := func() {
 		received := c.tamper(frame)
-		to.run(to.incarnation, func() { to.server.HandleFrame(from.ip, received) })
+		to.run(to.Incarnation(), func() { to.server.HandleFrame(from.ip, received) })
 	}
 	mode, blocked := from.blocked[to.ip]
 	switch {
@@ -229,7 +224,7 @@
 }
 
 func (m *partitionMember) crash(powerLoss bool) {
-	m.up = false
+	m.End()
 	m.disk.Crash(func() bool { return !powerLoss && !m.cluster.OneIn(2) })
 	for link := range m.links {
 		link.close()
@@ -237,27 +232,17 @@
 }
 
 func (m *partitionMember) freeze(span int64) {
-	c, incarnation := m.cluster, m.incarnation
-	if m.frozen || !m.up {
+	c, incarnation := m.cluster, m.Incarnation()
+	if m.Suspended() || !m.Up() {
 		return
 	}
-	m.frozen = true
-	c.After(span, func() {
-		if !m.up || m.incarnation != incarnation {
-			return
-		}
-		m.frozen = false
-		for len(m.suspended) > 0 && m.up && !m.frozen {
-			step := m.suspended[0]
-			m.suspended = m.suspended[1:]
-			m.run(incarnation, step)
-		}
-	})
+	m.Suspend()
+	c.After(span, func() { m.Resume(incarnation) })
 }
 
 // call makes an API call at a member. The response may be delayed by a suspension of the process after it was decided.
 func (m *partitionMember) call(method, path, base string, body []byte, respond Responder) {
-	c, incarnation := m.cluster, m.incarnation
+	c, incarnation := m.cluster, m.Incarnation()
 	delayedRespond := func(status int, response []byte) {
 		if !c.calm && c.OneIn(60) {
 			c.delayedResponses++
@@ -300,7 +285,7 @@
 			continue
 		}
 		for _, m := range c.members {
-			if m.up && m.server.leading && !slices.ContainsFunc(m.server.state.AppliedUpdates, func(update statemachine.AppliedUpdate) bool { return update.Digest == version.digest }) {
+			if m.Up() && m.server.leading && !slices.ContainsFunc(m.server.state.AppliedUpdates, func(update statemachine.AppliedUpdate) bool { return update.Digest == version.digest }) {
 				c.Violate("LOST: version %d was acknowledged and is gone", version.generation)
 			}
 		}
@@ -316,7 +301,7 @@
 func (c *partitionCluster) checkInvariants() {
 	var holder *partitionMember
 	for _, m := range c.members {
-		if !m.up {
+		if !m.Up() {
 			continue
 		}
 		c.checkApplied(m)
--- a/internal/control/partition_faults_test.go
+++ b/internal/control/partition_faults_test.go
@@ -9,12 +9,12 @@
 	m := c.members[c.Rand.IntN(len(c.members))]
 	if c.OneIn(2) {
 		for _, other := range c.members {
-			if other.up && other.server.consensus.IsLeader() {
+			if other.Up() && other.server.consensus.IsLeader() {
 				m = other
 			}
 		}
 	}
-	if !m.up {
+	if !m.Up() {
 		return
 	}
 	switch c.Rand.IntN(10) {
@@ -32,7 +32,7 @@
 		m.partition(c.Between(100, 5000))
 	case 7:
 		c.LogFault("%s transfers its leadership", m.ip)
-		m.run(m.incarnation, func() { m.server.carryOut(m.server.consensus.TransferLeadership(m.server.clock.Now())) })
+		m.run(m.Incarnation(), func() { m.server.carryOut(m.server.consensus.TransferLeadership(m.server.clock.Now())) })
 	case 8, 9:
 		c.proxies[c.Rand.IntN(len(c.proxies))].injectFault(m)
 	}
@@ -40,7 +40,7 @@
 
 func (c *partitionCluster) faultyMembers() (count int) {
 	for _, m := range c.members {
-		if !m.up || m.frozen || len(m.blocked) > 0 {
+		if !m.Running() || len(m.blocked) > 0 {
 			count++
 		}
 	}
@@ -50,7 +50,7 @@
 // restartSome restarts a member; if wild, others with it.
 func (c *partitionCluster) restartSome(m *partitionMember, wild bool) {
 	for _, other := range c.members {
-		if other == m || other.up && wild && c.OneIn(3) {
+		if other == m || other.Up() && wild && c.OneIn(3) {
 			c.LogFault("%s restarts", other.ip)
 			other.crash(c.OneIn(2))
 			c.After(c.Between(60, 400), other.start)
--- a/internal/control/partition_halves_test.go
+++ b/internal/control/partition_halves_test.go
@@ -85,13 +85,13 @@
 }
 
 func (w *halvesWorld) crashFor(m *partitionMember, span int64) {
-	if !m.up {
+	if !m.Up() {
 		return
 	}
 	w.LogFault("%s loses power for %d", m.ip, span)
 	m.crash(true)
 	w.After(span, func() {
-		if !m.up {
+		if !m.Up() {
 			m.start()
 		}
 	})
@@ -99,7 +99,7 @@
 
 // loseDisk has a member come back without its data, under a new identity.
 func (w *halvesWorld) loseDisk(m *partitionMember) {
-	if w.disksLeft == 0 || !m.up {
+	if w.disksLeft == 0 || !m.Up() {
 		return
 	}
 	w.disksLeft--
@@ -107,10 +107,10 @@
 	m.crash(true)
 	m.disk.Lose()
 	if !w.keepsIdentity {
-		m.identity = storage.Identity{ID: consensus.ID(fmt.Sprintf("%s+%d", m.ip, m.incarnation))}
+		m.identity = storage.Identity{ID: consensus.ID(fmt.Sprintf("%s+%d", m.ip, m.Incarnation()))}
 	}
 	w.After(w.Between(100, 1500), func() {
-		if !m.up {
+		if !m.Up() {
 			m.start()
 		}
 	})
@@ -139,7 +139,7 @@
 	w.calm = true
 	for _, m := range w.members {
 		clear(m.blocked)
-		if !m.up {
+		if !m.Up() {
 			m.start()
 		}
 	}
--- a/internal/control/partition_operator_test.go
+++ b/internal/control/partition_operator_test.go
@@ -40,7 +40,7 @@
 		}
 	}
 	m := c.members[c.Rand.IntN(len(c.members))]
-	if m.up {
+	if m.Up() {
 		m.call(method, path, base, body, func(status int, response []byte) {
 			c.checkResponse(path, base, body, calledAt, status, response)
 			if c.calm || !c.OneIn(8) { // else it is lost on its way
--- a/internal/control/partition_proxy_test.go
+++ b/internal/control/partition_proxy_test.go
@@ -56,9 +56,9 @@
 
 func (p *partitionProxy) connect(m *partitionMember) {
 	c := p.cluster
-	link := &partitionLink{proxy: p, member: m, proxyIncarnation: p.incarnation, memberIncarnation: m.incarnation, receivedAt: c.Now, requestedAt: map[uint64]int64{}}
+	link := &partitionLink{proxy: p, member: m, proxyIncarnation: p.incarnation, memberIncarnation: m.Incarnation(), receivedAt: c.Now, requestedAt: map[uint64]int64{}}
 	p.link = link
-	if !m.up {
+	if !m.Up() {
 		c.After(30, link.close)
 		return
 	}
@@ -66,7 +66,7 @@
 	hello := &rpc.ProxyHello{Node: p.name, Incarnation: p.incarnation, Zone: "z", AppliedIndex: p.applied}
 	link.toMember(func() { link.conn = m.server.AcceptProxy(hello, p.name, link.send, func() { c.After(2, link.close) }) })
 	if c.OneIn(10) && !c.calm { // the same hello once more, by a delayed connection
-		incarnation := m.incarnation
+		incarnation := m.Incarnation()
 		c.After(c.Between(100, 20000), func() {
 			m.run(incarnation, func() { m.server.AcceptProxy(hello, p.name, func(*rpc.Frame) bool { return true }, func() {}) })
 		})
--- a/internal/control/update_history_test.go
+++ b/internal/control/update_history_test.go
@@ -245,7 +245,7 @@
 		return
 	}
 	m := h.members[h.Rand.IntN(len(h.members))]
-	latency, incarnation := h.Between(unitsPerMs/2, 3*unitsPerMs), m.incarnation
+	latency, incarnation := h.Between(unitsPerMs/2, 3*unitsPerMs), m.Incarnation()
 	if h.OneIn(20) {
 		latency = h.Between(3*unitsPerMs, 600*unitsPerMs) // it may be overtaken by others
 	}
@@ -257,7 +257,7 @@
 		}
 	}
 	h.After(latency, func() {
-		m.run(incarnation, func() {
+		m.Run(incarnation, func() {
 			m.server.HandleCall(method, path, base, body, func(status int, body []byte) {
 				if h.OneIn(10) {
 					return // the response is lost
--- a/internal/proxy/outage_test.go
+++ b/internal/proxy/outage_test.go
@@ -44,10 +44,10 @@
 	}},
 	{"it ends, and the leader of the control plane is frozen", 4500, func(sim *simulation) {
 		leader := sim.cluster.leader()
-		leader.frozen = true
-		incarnation := leader.incarnation
+		leader.Suspend()
+		incarnation := leader.Incarnation()
 		sim.database.Primary().Crash(false, 8*second)
-		sim.After(4*second, func() { leader.thaw(incarnation) })
+		sim.After(4*second, func() { leader.Resume(incarnation) })
 	}},
 }
 
@@ -63,7 +63,7 @@
 // leader is the member that leads, or the first one if none does.
 func (c *controlCluster) leader() *member {
 	for _, m := range c.members {
-		if m.up && m.isLeader() {
+		if m.Up() && m.isLeader() {
 			return m
 		}
 	}
--- a/internal/proxy/simulation_cluster_test.go
+++ b/internal/proxy/simulation_cluster_test.go
@@ -97,7 +97,7 @@
 	sim, applied := c.sim, false
 	sim.After(100*millisecond, func() {
 		m := c.members[turn%clusterSize]
-		m.run(m.incarnation, func() {
+		m.Run(m.Incarnation(), func() {
 			m.server.HandleCall(http.MethodPost, "/Config.Replace", "0", []byte(initialConfig), func(status int, _ []byte) {
 				applied = applied || status == http.StatusOK
 			})
@@ -147,7 +147,7 @@
 			return
 		}
 		m := c.members[turn%clusterSize]
-		m.run(m.incarnation, func() {
+		m.Run(m.Incarnation(), func() {
 			m.server.HandleCall(http.MethodPost, path, "", body, func(status int, _ []byte) {
 				if !acknowledged && status == http.StatusOK {
 					acknowledged = !sim.OneIn(10) // else the answer is lost
--- a/internal/proxy/simulation_member_conn_test.go
+++ b/internal/proxy/simulation_member_conn_test.go
@@ -54,12 +54,12 @@
 		proxy:             p,
 		proxyIncarnation:  incarnation,
 		member:            m,
-		memberIncarnation: m.incarnation,
+		memberIncarnation: m.Incarnation(),
 		lastReceivedAt:    sim.Now,
 		requestedAt:       map[uint64]int64{},
 	}
 	p.memberConn = conn
-	if !m.up || m.frozen || p.partitioned {
+	if !m.Running() || p.partitioned {
 		sim.After(200*millisecond, conn.close)
 		return
 	}
@@ -79,7 +79,7 @@
 	c.lastArrivalAtMember = max(c.lastArrivalAtMember+1, sim.Now+sim.Between(millisecond/2, 3*millisecond))
 	sim.After(c.lastArrivalAtMember-sim.Now, func() {
 		if c.usable() {
-			c.member.run(c.memberIncarnation, do)
+			c.member.Run(c.memberIncarnation, do)
 		}
 	})
 }
@@ -170,7 +170,7 @@
 	delete(m.conns, c)
 	if handle := c.proxyConn; handle != nil {
 		sim.After(closeNoticeDelay, func() {
-			m.run(c.memberIncarnation, func() { m.server.ProxyDisconnected(handle) })
+			m.Run(c.memberIncarnation, func() { m.server.ProxyDisconnected(handle) })
 		})
 	}
 	sim.After(reconnectDelay, func() { c.proxy.connectToNextMember(c.proxyIncarnation) })
--- a/internal/proxy/simulation_member_faults_test.go
+++ b/internal/proxy/simulation_member_faults_test.go
@@ -62,7 +62,7 @@
 	seat := sim.Rand.IntN(clusterSize)
 	if sim.OneIn(2) {
 		for i, m := range c.members {
-			if m.up && m.isLeader() {
+			if m.Up() && m.isLeader() {
 				seat = i
 			}
 		}
@@ -87,13 +87,13 @@
 		f.faultEndsAt = f.sim.Now + f.duration
 	}
 	f.sim.LogFault("member %s freezes for %d ms", f.ip, f.duration/millisecond)
-	f.frozen = true
-	incarnation := f.incarnation
-	f.sim.After(f.duration, func() { f.thaw(incarnation) })
+	f.Suspend()
+	incarnation := f.Incarnation()
+	f.sim.After(f.duration, func() { f.Resume(incarnation) })
 }
 
 func (f memberFault) healLater() {
-	incarnation := f.incarnation
+	incarnation := f.Incarnation()
 	f.sim.After(f.duration, func() { f.heal(incarnation) })
 }
 
@@ -123,7 +123,7 @@
 
 func (f memberFault) resetConnections() {
 	f.sim.LogFault("connections of member %s are reset, now and then", f.ip)
-	f.cluster.resetConns(f.member, f.incarnation, f.sim.Now+f.duration)
+	f.cluster.resetConns(f.member, f.Incarnation(), f.sim.Now+f.duration)
 }
 
 func (f memberFault) restartGracefully() {
@@ -169,7 +169,7 @@
 			restart = m.restartWiped
 		}
 		sim.After(sim.Between(300*millisecond, 1500*millisecond), func() {
-			if !m.up {
+			if !m.Up() {
 				restart()
 			}
 		})
@@ -208,7 +208,7 @@
 // resetConns resets a member's connections to members and proxies, again and again until a time.
 func (c *controlCluster) resetConns(m *member, incarnation int, until int64) {
 	sim := c.sim
-	if !m.up || m.incarnation != incarnation || sim.Now > until {
+	if !m.Is(incarnation) || sim.Now > until {
 		return
 	}
 	m.resetCount++
--- a/internal/proxy/simulation_member_test.go
+++ b/internal/proxy/simulation_member_test.go
@@ -18,6 +18,7 @@
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
 	"ferrypitch/internal/simulation/memberdisk"
+	"ferrypitch/internal/simulation/memberprocess"
 	"ferrypitch/internal/statemachine"
 	"ferrypitch/internal/wire"
 )
@@ -27,18 +28,15 @@
 
 // member is a process of the control plane without its sockets, through its incarnations.
 type member struct {
-	cluster     *controlCluster
-	ip          string
-	identity    storage.Identity
-	server      *control.Server
-	incarnation int
-	up          bool
-	clockDrift  int64
-	diskFactor  int64 // how many times as long as the fastest its disk takes; 0: not drawn yet
-	disk        memberdisk.Disk
+	memberprocess.Process
 
-	frozen     bool
-	heldEvents []func() // for the end of the freeze
+	cluster    *controlCluster
+	ip         string
+	identity   storage.Identity
+	server     *control.Server
+	clockDrift int64
+	diskFactor int64 // how many times as long as the fastest its disk takes; 0: not drawn yet
+	disk       memberdisk.Disk
 
 	// Faults of its network.
 	partitioned      bool // from the other members
@@ -56,8 +54,7 @@
 
 func (m *member) start() {
 	sim := m.cluster.sim
-	m.incarnation++
-	m.up, m.frozen, m.heldEvents = true, false, nil
+	m.StartIncarnation()
 	m.healNetwork()
 	m.conns, m.lastArrival = map[*memberConn]bool{}, map[string]int64{}
 	cfg := &settings.Settings{Node: "n" + m.ip, Ip: m.ip, Zone: "z", BeatMs: heartbeatMs}
@@ -71,11 +68,11 @@
 		log = hclog.New(&hclog.LoggerOptions{Output: faultLogWriter{sim, m.ip}, DisableTime: true})
 	}
 	server, err := control.New(cfg, log, eventloop.NewMonotonicClock(sim.clock(m.clockDrift)), m.identity, m.disk.Restart(),
-		sim.Rand.Float64, uint64(m.incarnation))
+		sim.Rand.Float64, uint64(m.Incarnation()))
 	if err != nil {
 		panic(err)
 	}
-	incarnation := m.incarnation
+	incarnation := m.Incarnation()
 	m.server = server
 	server.SetEnvironment(control.Environment{
 		Send:      m.send,
@@ -86,19 +83,8 @@
 	m.tick(incarnation)
 }
 
-// run runs do in the member's process: later if it is frozen, never if its incarnation has ended.
-func (m *member) run(incarnation int, do func()) {
-	switch {
-	case !m.up || m.incarnation != incarnation:
-	case m.frozen:
-		m.heldEvents = append(m.heldEvents, do)
-	default:
-		do()
-	}
-}
-
 func (m *member) tick(incarnation int) {
-	m.run(incarnation, func() {
+	m.Run(incarnation, func() {
 		next := int64(50 * millisecond)
 		if m.server.Tick() {
 			next = 17 * millisecond
@@ -114,13 +100,13 @@
 		return
 	}
 	m.lastArrival[ip] = max(m.lastArrival[ip]+1, sim.Now+sim.Between(millisecond/2, 3*millisecond))
-	incarnation, resets, resetsThere := to.incarnation, m.resetCount, to.resetCount
+	incarnation, resets, resetsThere := to.Incarnation(), m.resetCount, to.resetCount
 	sim.After(m.lastArrival[ip]-sim.Now, func() {
 		reset := m.resetCount != resets || to.resetCount != resetsThere
 		if reset || m.partitioned || m.sendsNothing || to.partitioned || to.receivesNothing {
 			return
 		}
-		to.run(incarnation, func() { to.server.HandleFrame(m.ip, frame) })
+		to.Run(incarnation, func() { to.server.HandleFrame(m.ip, frame) })
 	})
 }
 
@@ -137,7 +123,7 @@
 		took = sim.Between(50*millisecond, 600*millisecond)
 	}
 	sim.After(took, func() {
-		m.run(incarnation, func() {
+		m.Run(incarnation, func() {
 			m.disk.Sync(lastSeq)
 			m.server.Persisted(lastSeq)
 		})
@@ -154,13 +140,13 @@
 	}
 	server := m.server
 	sim.After(late, func() {
-		m.run(incarnation, func() {
+		m.Run(incarnation, func() {
 			if !c.ignoresLease && !server.MayAct(term) {
 				withhold()
 				return
 			}
 			for _, other := range c.members {
-				if other != m && other.up && other.isLeader() {
+				if other != m && other.Up() && other.isLeader() {
 					sim.Violate("LEASE: %s sends %s while %s leads", m.ip, what, other.ip)
 				}
 			}
@@ -198,7 +184,7 @@
 		default:
 			result.Status = host.Control(query.Command.Text(), query.Term)
 		}
-		sim.After(wayBack, func() { m.run(incarnation, func() { m.server.QueryFinished(result) }) })
+		sim.After(wayBack, func() { m.Run(incarnation, func() { m.server.QueryFinished(result) }) })
 	})
 }
 
@@ -223,7 +209,7 @@
 		way = sim.Between(100*millisecond, 2*second) // it is slow
 	}
 	finish := func(outcome failover.PromotionOutcome) {
-		m.run(incarnation, func() { m.server.PromotionFinished(promotion, outcome) })
+		m.Run(incarnation, func() { m.server.PromotionFinished(promotion, outcome) })
 	}
 	if m.hostsUnreachable {
 		sim.After(600*millisecond, func() { finish(failover.PromotionNotExecuted) })
@@ -256,7 +242,7 @@
 }
 
 func (m *member) isLeader() (leads bool) {
-	if m.frozen {
+	if m.Suspended() {
 		return false
 	}
 	m.server.HandleCall(http.MethodGet, "/Member.Status", "", nil, func(_ int, body []byte) {
@@ -271,7 +257,7 @@
 // crash ends the process. Without a loss of power, the disk may still take some of what was not synced.
 func (m *member) crash(powerLost bool) {
 	sim := m.cluster.sim
-	m.up = false
+	m.End()
 	m.disk.Crash(func() bool { return !powerLost && !sim.OneIn(2) })
 	if !powerLost {
 		for _, conn := range m.connsByAge() {
@@ -282,23 +268,23 @@
 
 // shutDown is SIGTERM: the member serves on until it says that it may stop, or for 6 s.
 func (m *member) shutDown(then func()) {
-	sim, incarnation := m.cluster.sim, m.incarnation
+	sim, incarnation := m.cluster.sim, m.Incarnation()
 	until := sim.Now + 6*second
 	complete := false
-	m.run(incarnation, func() { m.server.BeginShutdown() })
+	m.Run(incarnation, func() { m.server.BeginShutdown() })
 	var poll func()
 	poll = func() {
-		if !m.up || m.incarnation != incarnation || complete {
+		if !m.Is(incarnation) || complete {
 			return
 		}
-		m.run(incarnation, func() { complete = complete || m.server.ShutdownComplete() })
+		m.Run(incarnation, func() { complete = complete || m.server.ShutdownComplete() })
 		if !complete && sim.Now < until {
 			sim.After(50*millisecond, poll)
 			return
 		}
 		complete = true
 		sim.After(100*millisecond, func() {
-			if m.incarnation == incarnation && m.up {
+			if m.Is(incarnation) {
 				sim.LogFault("member %s stops", m.ip)
 				m.crash(false)
 				then()
@@ -314,24 +300,11 @@
 
 // heal ends faults of the network, if the incarnation has not ended.
 func (m *member) heal(incarnation int) {
-	if m.incarnation == incarnation {
+	if m.Incarnation() == incarnation {
 		m.healNetwork()
 	}
 }
 
-// thaw ends a freeze: what was held up happens now.
-func (m *member) thaw(incarnation int) {
-	if !m.up || m.incarnation != incarnation {
-		return
-	}
-	m.frozen = false
-	for len(m.heldEvents) > 0 && m.up && !m.frozen {
-		next := m.heldEvents[0]
-		m.heldEvents = m.heldEvents[1:]
-		next()
-	}
-}
-
 // connsByAge are the connections of proxies, the oldest first.
 func (m *member) connsByAge() []*memberConn {
 	return slices.SortedFunc(maps.Keys(m.conns), func(a, b *memberConn) int { return cmp.Compare(a.id, b.id) })
--- a/internal/proxy/simulation_operator_test.go
+++ b/internal/proxy/simulation_operator_test.go
@@ -82,7 +82,7 @@
 			answered = answered || status < http.StatusInternalServerError
 			o.handleAnswer(request, status, body)
 		}
-		m.run(m.incarnation, func() {
+		m.Run(m.Incarnation(), func() {
 			baseVersion := strconv.FormatInt(request.baseVersion, 10)
 			m.server.HandleCall(http.MethodPost, "/Config.Replace", baseVersion, []byte(request.body), handle)
 		})
@@ -121,7 +121,7 @@
 func (o *operator) checkFinalConfig() {
 	sim := o.cluster.sim
 	for _, m := range o.cluster.members {
-		if !m.up || m.frozen || !m.isLeader() {
+		if !m.Running() || !m.isLeader() {
 			continue
 		}
 		m.server.HandleCall(http.MethodGet, "/Config.Read", "", nil, func(_ int, body []byte) {
