The exhaustive exploration takes in halves and losses of power with an empty disk

Need: it had neither halves nor a loss of all power with a lost disk. Change: a system may be cut into two sides, which meet again as a deviation; three scenarios: the leader is cut off with a learner, alone, with a lost disk and with a loss of power on the other side. What is asserted to go on without a member is asserted once the sides have met, since one side alone need not.

--- a/internal/consensus/explore_checks_test.go
+++ b/internal/consensus/explore_checks_test.go
@@ -169,10 +169,12 @@
 	}
 }
 
-// checkProgress asserts that without one replica the others elect a leader again, with all that was committed, in 12 s.
+// checkProgress asserts that without one replica the others, once they hear each other, elect a leader again, with all that was
+// committed, in 12 s.
 func (x *explorer) checkProgress(s *system, lost int) {
 	const stepMs, maxSteps = 50, 240
 	next := s.successor(fmt.Sprintf("%s is lost, the others go on", s.replicas[lost].id))
+	next.cutOff = 0
 	gone := *next.replicas[lost]
 	gone.node, gone.unsynced = nil, nil
 	gone.updateHash()
--- a/internal/consensus/explore_events_test.go
+++ b/internal/consensus/explore_events_test.go
@@ -97,6 +97,11 @@
 // deviations returns all systems that may come next instead of that of the usual course.
 func (x *explorer) deviations(s *system) []*system {
 	systems := x.reorderings(s)
+	if s.cutOff != 0 {
+		healed := s.successor("the halves meet")
+		healed.cutOff = 0
+		systems = append(systems, healed)
+	}
 	for i, r := range s.replicas {
 		if r.node != nil {
 			systems = append(systems, x.faults(s, i)...)
@@ -312,7 +317,7 @@
 // send makes a message pending at its receiver, or at all others if it has none.
 func (s *system) send(from int, m *Message) {
 	for i, to := range s.replicas {
-		if i != from && to.node != nil && (m.To == "" || m.To.Address() == to.id.Address()) {
+		if i != from && to.node != nil && s.cutOff.has(i) == s.cutOff.has(from) && (m.To == "" || m.To.Address() == to.id.Address()) {
 			h := newHasher()
 			h.message(m)
 			h.ints(int64(i))
--- a/internal/consensus/explore_hash_test.go
+++ b/internal/consensus/explore_hash_test.go
@@ -154,6 +154,7 @@
 	h.ints(s.nowMs, int64(s.proposals))
 	h.ints(int64(s.faults.powerLosses), int64(s.faults.losses), int64(s.faults.leaves), int64(s.faults.leaseEnds), int64(s.faults.proposals))
 	h.ids(s.unrecovered, s.unreplaced)
+	h.ints(int64(s.cutOff))
 	for _, r := range s.replicas {
 		h.ints(int64(r.hash))
 	}
--- a/internal/consensus/explore_system_test.go
+++ b/internal/consensus/explore_system_test.go
@@ -26,6 +26,7 @@
 	unreplaced     ID   // a member that may shut down without a replacement
 	tooManyLosses  bool // at once; nothing is asserted any more
 	faults         faultCounts
+	cutOff         replicaSet // these and the others don't hear each other
 	proposals      int
 	heartbeats     int
 	previous       *system
@@ -35,6 +36,18 @@
 // faultCounts counts the deviations of which a course has only so many.
 type faultCounts struct{ powerLosses, losses, leaves, leaseEnds, proposals int8 }
 
+// replicaSet is a set of replicas, by their places.
+type replicaSet uint8
+
+func setOf(places ...int) (set replicaSet) {
+	for _, i := range places {
+		set |= 1 << i
+	}
+	return set
+}
+
+func (r replicaSet) has(i int) bool { return r&(1<<i) != 0 }
+
 // replica is a machine with its process and disk.
 type replica struct {
 	id       ID
--- a/internal/consensus/explore_test.go
+++ b/internal/consensus/explore_test.go
@@ -39,6 +39,9 @@
 	powerAndFollowersDisk  = "all lose power, and a follower its disk"
 	powerAndLeadersDisk    = "all lose power, and the leader its disk"
 	followersPowerAndDisk  = "all but the leader lose power, and one of them its disk"
+	leaderIsCutOff         = "the leader is cut off with a learner"
+	halvesAndLostDisk      = "the leader is cut off with a learner, and one of the others loses its disk"
+	halvesAndLostPower     = "the leader is cut off with a learner, and the others lose power"
 )
 
 var scenarios = []scenario{
@@ -65,6 +68,15 @@
 		x.restartAll(s, func(i int) bool { return i != emptied })
 		x.lose(s, emptied, true)
 	}},
+	{leaderIsCutOff, func(_ *explorer, s *system) { s.cutOff = setOf(s.leaderIndex(), founderCount) }},
+	{halvesAndLostDisk, func(x *explorer, s *system) {
+		s.cutOff = setOf(s.leaderIndex(), founderCount)
+		x.lose(s, s.followerIndex(), true)
+	}},
+	{halvesAndLostPower, func(x *explorer, s *system) {
+		s.cutOff = setOf(s.leaderIndex(), founderCount)
+		x.restartAll(s, func(i int) bool { return !s.cutOff.has(i) })
+	}},
 	{followersPowerAndDisk, func(x *explorer, s *system) {
 		leaderIndex, emptied := s.leaderIndex(), s.followerIndex()
 		x.restartAll(s, func(i int) bool { return i != leaderIndex && i != emptied })
