Founders, Pre-Vote responses and serials have one place each

Cause, by reading the whole change once more: restore worked out the founders as the start of a member does; the response for an earlier member at an address was the Pre-Vote response written again; serials were compared by a difference of ints. Change: control.Founders, Node.sendPreVoteResponse, cmp.Compare; a comment is wrapped. Result: behaviour as before; go test of internal/consensus, internal/control and its packages passes, linter 0 findings.

--- a/cmd/ferrypitch-control/restore.go
+++ b/cmd/ferrypitch-control/restore.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"io"
 	"os"
-	"slices"
 
 	"github.com/google/subcommands"
 	"github.com/gravitational/trace"
 
 	"ferrypitch/internal/cli"
 	"ferrypitch/internal/consensus"
+	"ferrypitch/internal/control"
 	"ferrypitch/internal/control/backup"
 	"ferrypitch/internal/settings"
 )
@@ -74,15 +74,10 @@
 	if err != nil {
 		return nil, err
 	}
-	var founders []consensus.ID
-	for _, ip := range loaded.SeedHosts() {
-		founders = append(founders, consensus.ID(ip))
-	}
-	slices.Sort(founders)
 	progress("writing %s", loaded.DataDir)
 	return backup.Restore(loaded.DataDir, snapshot, backup.Options{
 		Self:         consensus.ID(loaded.Ip),
-		Founders:     founders,
+		Founders:     control.Founders(loaded),
 		OtherSystem:  c.otherSystem,
 		DiscardIndex: c.discard,
 	})
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -206,8 +206,7 @@
 
 // stepPreVoteRequest tells a candidate whether it would get this node's vote. Nothing is promised by that.
 func (n *Node) stepPreVoteRequest(m Message) {
-	upToDate := n.candidateUpToDate(m)
-	granted := upToDate && !n.leaseForbidsVote(m) && m.Term+1 > n.hardState.Term
+	granted := n.candidateUpToDate(m) && !n.leaseForbidsVote(m) && m.Term+1 > n.hardState.Term
 	if granted && n.tiesWith(m) {
 		if n.id < m.From {
 			granted = false
@@ -217,23 +216,20 @@
 			n.election.timeoutAtMs = n.nowMs + 2*n.HeartbeatMs + n.jitterMs()
 		}
 	}
-	n.send(n.withCommitPoint(Message{
-		Type:         MsgVoteResponse,
-		To:           m.From,
-		PreVote:      true,
-		Granted:      granted,
-		ColdStart:    !n.leaderSeen && upToDate,
-		PreVoteRound: m.PreVoteRound,
-	}))
+	n.sendPreVoteResponse(m, granted)
 }
 
 // reportColdStart tells a candidate, which asks an earlier member at this address, whether this node has heard a leader since
 // it started. It is no vote. The earlier member has ended, and with it any lease that it held as a leader.
-func (n *Node) reportColdStart(m Message) {
+func (n *Node) reportColdStart(m Message) { n.sendPreVoteResponse(m, false) }
+
+// sendPreVoteResponse answers a request for a Pre-Vote, and says whether this node has heard a leader since it started.
+func (n *Node) sendPreVoteResponse(m Message, granted bool) {
 	n.send(n.withCommitPoint(Message{
 		Type:         MsgVoteResponse,
 		To:           m.From,
 		PreVote:      true,
+		Granted:      granted,
 		ColdStart:    !n.leaderSeen && n.candidateUpToDate(m),
 		PreVoteRound: m.PreVoteRound,
 	}))
--- a/internal/control/address_check.go
+++ b/internal/control/address_check.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -66,4 +67,4 @@
 	}
 }
 
-func bySerial(a, b failover.HostQuery) int { return int(a.Serial) - int(b.Serial) }
+func bySerial(a, b failover.HostQuery) int { return cmp.Compare(a.Serial, b.Serial) }
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -126,16 +126,20 @@
 	return waitForConns, nil
 }
 
-// openDataDir opens the write-ahead log and returns this member's identity and what the log holds. A founder of a new system
-// is a member under its address; any other without data gets a random identity and starts as a learner, since what it had
-// promised as a member may be lost with its disk.
-func openDataDir(settings *settings.Settings) (*storage.WAL, storage.Identity, consensus.RestoredState, error) {
-	self := consensus.ID(settings.Ip)
-	var founders []consensus.ID
+// Founders returns the first members of a new control plane, in order: those at the addresses of SeedPeers.
+func Founders(settings *settings.Settings) (founders []consensus.ID) {
 	for _, ip := range settings.SeedHosts() {
 		founders = append(founders, consensus.ID(ip))
 	}
 	slices.Sort(founders)
+	return founders
+}
+
+// openDataDir opens the write-ahead log and returns this member's identity and what the log holds. A founder of a new system
+// is a member under its address; any other without data gets a random identity and starts as a learner, since what it had
+// promised as a member may be lost with its disk.
+func openDataDir(settings *settings.Settings) (*storage.WAL, storage.Identity, consensus.RestoredState, error) {
+	self, founders := consensus.ID(settings.Ip), Founders(settings)
 	return storage.Open(settings.DataDir, func() storage.Identity {
 		if settings.Bootstrap && slices.Contains(founders, self) {
 			return storage.Identity{ID: self, Founders: founders}
--- a/internal/control/storage/wal.go
+++ b/internal/control/storage/wal.go
@@ -58,8 +58,8 @@
 // stored last. Where there is no file, or none that can be read, it stores the identity that fresh returns, and the state is
 // zero.
 //
-// Errors: ErrLocked where another process has the folder open; a *ConflictingFilesError where two files could be the member's; otherwise those of the operating system, converted
-// by package trace. After an error nothing is open, and Open may be called again.
+// Errors: ErrLocked where another process has the folder open; a *ConflictingFilesError where two files could be the member's;
+// otherwise those of the operating system, converted by package trace. After an error nothing is open, and Open may be called again.
 func Open(folder string, fresh func() Identity) (*WAL, Identity, consensus.RestoredState, error) {
 	none := consensus.RestoredState{}
 	if err := os.MkdirAll(folder, 0o700); err != nil {
