The discovery fixture of the router's tests outlives a connection without a request

Change: such a connection is no watch; a request that is there is read as before. A test opens and closes one.

--- a/cmd/ferrypitch/fake_discovery_test.go
+++ b/cmd/ferrypitch/fake_discovery_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"net"
 	"strings"
+	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // listEntry is the entry of a host in a list.
@@ -30,7 +33,10 @@
 		}
 		go func() {
 			defer conn.Close()
-			line, _ := bufio.NewReader(conn).ReadString('\n')
+			line, err := bufio.NewReader(conn).ReadString('\n')
+			if err != nil {
+				return // the program has ended, or given up, before it asked for anything
+			}
 			_, since, _ := strings.Cut(line, "since=")
 			s.watchVersions <- strings.Fields(since + " ")[0]
 			if s.discoverySilent {
@@ -65,3 +71,20 @@
 	<-s.watchVersions
 	return <-s.watchVersions
 }
+
+// A connection that ends before its request is no watch, and the next one is served.
+func TestDiscoveryFixtureOutlivesAnEmptyConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	system := &testSystem{watchVersions: make(chan string, 1), watchEnded: make(chan bool, 1)}
+	go system.serveDiscovery(listener, nil)
+	empty, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	require.NoError(t, empty.Close())
+	watch, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer watch.Close()
+	fmt.Fprint(watch, "GET /watch?since=7 HTTP/1.1\r\n")
+	require.Equal(t, "7", <-system.watchVersions)
+}
