--- a/review/lab/database.go
+++ b/review/lab/database.go
@@ -139,8 +139,10 @@
 }
 
 func (db *service) newHost(i int) *host {
-	return &host{service: db, id: newHostID(), ip: db.ip(firstHost + i), zone: zone(i), term: 1, log: []entry{{term: 1}}, applied: 1,
-		conns: map[*hostConn]bool{}}
+	return &host{
+		service: db, id: newHostID(), ip: db.ip(firstHost + i), zone: zone(i), term: 1, log: []entry{{term: 1}}, applied: 1,
+		conns: map[*hostConn]bool{},
+	}
 }
 
 // crash ends a host's process: its port refuses, its connections end, its log stays.
@@ -342,8 +344,10 @@
 	if h.leader {
 		role = "leader"
 	}
-	body, _ := json.Marshal(map[string]any{"Service": serviceName, "Address": fmt.Sprintf("%s:%d", h.ip, databasePort), "Zone": h.zone,
-		"Generation": "v1", "Capacity": 5, "State": state, "ColdLeftMs": 0, "DbRole": role, "CallSeq": h.seq})
+	body, _ := json.Marshal(map[string]any{
+		"Service": serviceName, "Address": fmt.Sprintf("%s:%d", h.ip, databasePort), "Zone": h.zone,
+		"Generation": "v1", "Capacity": 5, "State": state, "ColdLeftMs": 0, "DbRole": role, "CallSeq": h.seq,
+	})
 	h.mu.Unlock()
 	client := http.Client{Timeout: time.Second}
 	for _, address := range h.controlAddresses() {
--- a/review/lab/truncated.go
+++ b/review/lab/truncated.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -17,8 +18,12 @@
 	receiveBuffer  = 4 << 10
 	readDeadlineMs = 2000
 	queryAfterTerm = 2250 * time.Millisecond
+	removeAfter    = 300 * time.Millisecond // from the requests to the configuration without the route
 )
 
+// variantRoute of VARIANT removes a route by a configuration in place of the SIGTERM.
+const variantRoute = "route"
+
 // truncatedAnswer has clients read a large row slowly while the proxy that serves them gets SIGTERM. Each of them has to get its
 // whole answer: it takes less than the time of the route, and less than GraceS.
 func truncatedAnswer(s *system, trouble bool) (broken bool, err error) {
@@ -48,7 +53,8 @@
 			return false, fmt.Errorf("a first read failed: %v", a)
 		}
 	}
-	if trouble {
+	removesRoute := os.Getenv("VARIANT") == variantRoute
+	if trouble && !removesRoute {
 		s.signal(fronts[0], syscall.SIGTERM)
 	}
 	time.Sleep(queryAfterTerm)
@@ -74,6 +80,12 @@
 			results <- fmt.Errorf("LOST: client %s got %d bytes of its answer, which a host had given, and then the end of the connection", c.name, a.received)
 		}()
 	}
+	if trouble && removesRoute {
+		time.Sleep(removeAfter)
+		if err := s.configure(route("r-lead", "desk", "leader", readDeadlineMs, 0), 5*time.Second); err != nil {
+			return false, err
+		}
+	}
 	for range readers {
 		if lost := <-results; lost != nil {
 			s.sayf("%v", lost)
