A replica at whose address another host runs is not marked as missing

A host that crashes and returns as a new host with its log receives and acknowledges writes before its first heartbeat. In that time a query for the old host is answered WRONGNODE, and the client of the control plane reported this as a refused connection.

Cause: one field stood for two facts, "nothing listens there" and "another host listens there". After 3 s of WRONGNODE the old host was marked as missing, so that no failover waited for its log, although a process with that log was running.

Change: QueryResult.Replaced is a result of its own. HasEnded covers both where only the end of the queried process matters (the check of a first heartbeat, resuming). Only refusals lead to the mark. The members of the simulation get the same answers.

--- a/internal/control/address_check.go
+++ b/internal/control/address_check.go
@@ -37,7 +37,7 @@
 	}
 	delete(s.addressChecks, result.Query)
 	switch {
-	case result.ConnectionRefused:
+	case result.HasEnded():
 		check.accept()
 	case result.TimedOut:
 		reject(check.respond, errcode.NoLeader, nil)
--- a/internal/control/address_check_test.go
+++ b/internal/control/address_check_test.go
@@ -31,7 +31,8 @@
 	}{
 		"the known host answers":          {func(r *failover.QueryResult) { r.Status = wire.HostStatus{Timeline: 1} }, http.StatusOK, "known"},
 		"the known host is busy":          {func(r *failover.QueryResult) { r.Code = wire.CodeRetry }, http.StatusOK, "known"},
-		"another host is at the address":  {func(r *failover.QueryResult) { r.ConnectionRefused = true }, http.StatusOK, "new"},
+		"another host is at the address":  {func(r *failover.QueryResult) { r.Replaced = true }, http.StatusOK, "new"},
+		"nothing is at the address":       {func(r *failover.QueryResult) { r.ConnectionRefused = true }, http.StatusOK, "new"},
 		"the address gives no answer":     {func(r *failover.QueryResult) { r.TimedOut = true }, http.StatusServiceUnavailable, "known"},
 		"leadership ends in the meantime": {nil, http.StatusServiceUnavailable, "known"},
 	} {
--- a/internal/control/failover/harness_test.go
+++ b/internal/control/failover/harness_test.go
@@ -44,6 +44,7 @@
 	wire.HostStatus
 	up       bool
 	silent   bool // while not up: connections time out instead of being refused
+	replaced bool // while not up: another host runs at the address
 	commands []Command
 }
 
@@ -157,6 +158,8 @@
 	h.outstanding++
 	result, delay := QueryResult{Query: query}, int64(testDelayMs)
 	switch {
+	case host != nil && !host.up && host.replaced:
+		result.Replaced, result.Code = true, wire.CodeWrongNode
 	case host == nil || !host.up && !host.silent:
 		result.ConnectionRefused = true
 	case host.silent:
--- a/internal/control/failover/query.go
+++ b/internal/control/failover/query.go
@@ -33,13 +33,17 @@
 type QueryResult struct {
 	Query             HostQuery
 	ConnectionRefused bool      // nothing listens at the host's address
+	Replaced          bool      // another host listens at the address: it may have the host's log, and receive writes
 	TimedOut          bool      // no answer came in time, or the connection broke: the command may have been executed
 	Code              wire.Code // error code returned by the host; empty if none
 	Status            wire.HostStatus
 }
 
 // answered reports whether the host answered, even if with an error.
-func (r *QueryResult) answered() bool { return !r.TimedOut && !r.ConnectionRefused }
+func (r *QueryResult) answered() bool { return !r.TimedOut && !r.HasEnded() }
+
+// HasEnded reports whether the result shows that the host's process has ended.
+func (r *QueryResult) HasEnded() bool { return r.ConnectionRefused || r.Replaced }
 
 // succeeded reports whether the host answered without an error.
 func (r *QueryResult) succeeded() bool { return r.answered() && r.Code == "" }
--- a/internal/control/failover/replicas.go
+++ b/internal/control/failover/replicas.go
@@ -7,7 +7,7 @@
 // markMissingReplicas finds replicas whose processes are gone, so that a failover does not have to wait for them: those that
 // were removed removedHostShutdownMs ago, and those whose machines have refused connections for refusalPeriodMs. Before such a
 // replica is marked, another must have received everything it had: see markMissingOnceOvertaken. A replica that does not answer,
-// without refusing connections, never counts as gone.
+// without refusing connections, never counts as gone, nor does one at whose address another host runs: that host has its log.
 func (e *evaluation) markMissingReplicas() stepResult {
 	for _, host := range e.state.UnaccountedHostIDs(e.service.name) {
 		e.recordGoneSince(host, e.nowMs+removedHostShutdownMs)
@@ -132,7 +132,7 @@
 	if !ok || !last.isOf(Resume) || last.sentAt < e.service.resumeStartedAt {
 		return true
 	}
-	if last.ConnectionRefused {
+	if last.HasEnded() {
 		return false
 	}
 	return !last.succeeded() || last.Status.PausedTimeline != 0 || !e.cannotBeUndone(host, Pause, last.sentAt)
--- a/internal/control/host_client.go
+++ b/internal/control/host_client.go
@@ -50,7 +50,7 @@
 		switch {
 		case errors.As(err, &refusal):
 			result.Code = refusal.Code
-			result.ConnectionRefused = refusal.Code == wire.CodeWrongNode // another host uses its address, so the queried host is gone
+			result.Replaced = refusal.Code == wire.CodeWrongNode
 		default:
 			result.ConnectionRefused = errors.Is(err, syscall.ECONNREFUSED)
 			result.TimedOut = !result.ConnectionRefused
--- a/internal/control/host_client_test.go
+++ b/internal/control/host_client_test.go
@@ -79,7 +79,7 @@
 		"reset twice":                 {[]any{scriptedSocket{readError: syscall.ECONNRESET}, scriptedSocket{readError: syscall.ECONNRESET}}, failover.QueryResult{Code: wire.CodeOverload}},
 		"reset by the process's end":  {[]any{scriptedSocket{readError: syscall.ECONNRESET}, syscall.ECONNREFUSED}, failover.QueryResult{ConnectionRefused: true}},
 		"silent":                      {[]any{scriptedSocket{readError: os.ErrDeadlineExceeded}}, failover.QueryResult{TimedOut: true}},
-		"another host at its address": {[]any{scriptedSocket{readable: "ERROR WRONGNODE i-9\r\n", readError: io.EOF}}, failover.QueryResult{ConnectionRefused: true, Code: wire.CodeWrongNode}},
+		"another host at its address": {[]any{scriptedSocket{readable: "ERROR WRONGNODE i-9\r\n", readError: io.EOF}}, failover.QueryResult{Replaced: true, Code: wire.CodeWrongNode}},
 	} {
 		client := &hostClient{holdsLease: alwaysHoldsLease, idle: map[string]*hostConn{}, dial: func(string, time.Duration) (net.Conn, error) {
 			next := test.dials[0]
--- a/internal/proxy/simulation_cluster_test.go
+++ b/internal/proxy/simulation_cluster_test.go
@@ -46,7 +46,9 @@
 	replacedHosts int
 	leaveFirst    bool // hosts leave without draining first, and keep serving
 	leaving       map[string]bool
-	lateCalls     bool // some calls of hosts arrive seconds late, after later calls
+	lateCalls     bool             // some calls of hosts arrive seconds late, after later calls
+	newAddresses  bool             // hosts that return unheard have other addresses
+	unheardUntil  map[string]int64 // by host: when its first heartbeat is sent
 
 	// The platform.
 	promotions     int
@@ -62,6 +64,7 @@
 	ignoresLease  bool // a member writes commands even after its lease has expired
 	losesLog      bool // a replacement host starts without the log of the host it replaces
 	keepsIdentity bool // a member whose disk was lost keeps its identity, and so its vote
+	hidesHosts    bool // an address at which a host runs that is not heard yet refuses connections of members
 }
 
 // newClusterSimulation returns a simulation whose control plane has several members, which fail.
@@ -72,6 +75,7 @@
 		memberByAddress: map[string]*member{},
 		draining:        map[string]bool{},
 		leaving:         map[string]bool{},
+		unheardUntil:    map[string]int64{},
 		platformFences:  sim.OneIn(2),
 		lateOneIn:       20,
 		proxyVersion:    proxyVersionOf(seed),
@@ -128,6 +132,9 @@
 
 // sendHeartbeat sends a host's heartbeat to the members in turn, until one acknowledges it or the retries are used up.
 func (c *controlCluster) sendHeartbeat(host *database.Host) {
+	if c.sim.Now < c.unheardUntil[host.ID] {
+		return
+	}
 	c.lastCallSeq++
 	request := control.HeartbeatRequest{
 		Service:  "db",
@@ -245,6 +252,16 @@
 	c.sim.LogFault("%s replaces %s", host.ID, left)
 }
 
+// hostAt returns the host at the address of a host that may have been replaced, or nil.
+func (c *controlCluster) hostAt(hostID string) *database.Host {
+	for _, host := range c.sim.database.Hosts {
+		if c.hostAddress(host.ID) == c.hostAddress(hostID) {
+			return host
+		}
+	}
+	return nil
+}
+
 // executePromotion executes a promotion as the platform does, and returns the outcome that the platform reports.
 func (c *controlCluster) executePromotion(promotion failover.Promotion) failover.PromotionOutcome {
 	sim, host := c.sim, c.sim.database.Host(promotion.Host)
--- a/internal/proxy/simulation_member_test.go
+++ b/internal/proxy/simulation_member_test.go
@@ -15,6 +15,7 @@
 	"ferrypitch/internal/control/failover"
 	"ferrypitch/internal/control/storage"
 	"ferrypitch/internal/eventloop"
+	"ferrypitch/internal/fake/database"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/settings"
 	"ferrypitch/internal/simulation/memberdisk"
@@ -169,25 +170,54 @@
 func (m *member) sendQuery(incarnation int, query failover.HostQuery) {
 	sim := m.cluster.sim
 	sim.After(sim.Between(1*millisecond, 4*millisecond), func() {
-		result := failover.QueryResult{Query: query}
 		responseDelay := sim.Between(1*millisecond, 4*millisecond)
-		switch host := sim.database.Host(query.Host); {
-		case host == nil || !host.Up && !host.Unreachable && !m.hostsUnreachable:
-			result.ConnectionRefused = true
-		case !host.Up || host.Unreachable || m.hostsUnreachable || sim.Now < sim.frozenUntil[host.ID]:
-			result.TimedOut, responseDelay = true, queryTimeout
-			if host.Up && !host.Unreachable && !m.hostsUnreachable {
-				sim.executeAfterFreeze(query, host)
-			}
-		case m.cluster.fakeAnswer != nil && m.cluster.fakeAnswer(query, host):
-			result.Status = wire.HostStatus{Timeline: host.Timeline, ReceivedPosition: host.PositionAt(len(host.Log))}
-		default:
-			result.Status = host.Control(query.Command.Text(), query.Term)
+		result := m.execute(query)
+		if result.TimedOut {
+			responseDelay = queryTimeout
 		}
 		sim.After(responseDelay, func() { m.Run(incarnation, func() { m.server.QueryFinished(result) }) })
 	})
 }
 
+// execute has a host execute a command, and returns the result that the member receives.
+func (m *member) execute(query failover.HostQuery) failover.QueryResult {
+	sim, host := m.cluster.sim, m.cluster.sim.database.Host(query.Host)
+	result := failover.QueryResult{Query: query}
+	switch {
+	case host == nil:
+		return m.resultOfReplacedHost(query)
+	case !host.Up && !host.Unreachable && !m.hostsUnreachable:
+		result.ConnectionRefused = true
+	case !m.reaches(host):
+		result.TimedOut = true
+		if host.Up && !host.Unreachable && !m.hostsUnreachable {
+			sim.executeAfterFreeze(query, host)
+		}
+	case m.cluster.fakeAnswer != nil && m.cluster.fakeAnswer(query, host):
+		result.Status = wire.HostStatus{Timeline: host.Timeline, ReceivedPosition: host.PositionAt(len(host.Log))}
+	default:
+		result.Status = host.Control(query.Command.Text(), query.Term)
+	}
+	return result
+}
+
+// resultOfReplacedHost returns the result of a command for a host whose address another host uses.
+func (m *member) resultOfReplacedHost(query failover.HostQuery) failover.QueryResult {
+	successor := m.cluster.hostAt(query.Host)
+	switch {
+	case successor == nil || m.cluster.hidesHosts || !successor.Up && !successor.Unreachable && !m.hostsUnreachable:
+		return failover.QueryResult{Query: query, ConnectionRefused: true}
+	case !m.reaches(successor):
+		return failover.QueryResult{Query: query, TimedOut: true}
+	}
+	return failover.QueryResult{Query: query, Replaced: true, Code: wire.CodeWrongNode}
+}
+
+// reaches reports whether a host answers the member.
+func (m *member) reaches(host *database.Host) bool {
+	return host.Up && !host.Unreachable && !m.hostsUnreachable && m.cluster.sim.Now >= m.cluster.sim.frozenUntil[host.ID]
+}
+
 // promote sends a promotion to the platform, if the lease is still valid.
 func (m *member) promote(incarnation int, promotion failover.Promotion) {
 	m.writeUnderLease(incarnation, promotion.LeaderTerm, "a promotion", func() { m.sendPromotion(incarnation, promotion) }, func() {
--- a/internal/proxy/simulation_run_test.go
+++ b/internal/proxy/simulation_run_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"testing"
 
@@ -39,6 +40,7 @@
 	t.Helper()
 	var mu sync.Mutex
 	leastSeed, report := -1, ""
+	var failed []int
 	var group errgroup.Group
 	group.SetLimit(runtime.GOMAXPROCS(0))
 	for seed := *firstSeed; seed < *firstSeed+count; seed++ {
@@ -50,6 +52,9 @@
 			sim.run()
 			mu.Lock()
 			defer mu.Unlock()
+			if len(sim.Violations) > 0 {
+				failed = append(failed, seed)
+			}
 			if len(sim.Violations) > 0 && (leastSeed < 0 || seed < leastSeed) {
 				leastSeed, report = seed, sim.report()
 			}
@@ -59,7 +64,8 @@
 	}
 	require.NoError(t, group.Wait())
 	if leastSeed >= 0 {
-		t.Fatalf("seed %d:\n%s", leastSeed, report)
+		slices.Sort(failed)
+		t.Fatalf("seed %d, the least of %v:\n%s", leastSeed, failed, report)
 	}
 }
 
