A replica is marked missing by positions reported after its last refusal

What callers saw: nothing yet; found by asking of each entry of the failover whether it is still true when it is used.

Cause: a replica that refuses connections for 3 s is marked as missing once another one has what the primary reported "since the replica is gone". That time was the first refusal. Refusals are a second apart: a process that ran between two of them, without a heartbeat, may have received and acknowledged writes that a report from before does not include. The same map held, for removed hosts, the end of their process, so an earlier refusal stood in for a later removal.

Change: the report has to be later than the last refusal; the two times are two maps, and a removal clears the first.

--- a/internal/control/failover/detection.go
+++ b/internal/control/failover/detection.go
@@ -21,6 +21,7 @@
 	delete(c.heartbeats, host)
 	for _, service := range c.services {
 		delete(service.missingSince, host)
+		delete(service.refusingSince, host)
 		delete(service.uncertainCommands, hostCommand{host, Pause})
 		delete(service.uncertainCommands, hostCommand{host, Resume})
 	}
--- a/internal/control/failover/replicas.go
+++ b/internal/control/failover/replicas.go
@@ -9,36 +9,34 @@
 // replica is marked, another must have received everything it had: see markMissingOnceOvertaken. A replica that does not answer,
 // without refusing connections, never counts as gone, nor does one at whose address another host runs: that host has its log.
 func (e *evaluation) markMissingReplicas() stepResult {
-	for _, host := range e.state.UnaccountedHostIDs(e.service.name) {
-		e.recordGoneSince(host, e.nowMs+removedHostShutdownMs)
-		e.markMissingOnceOvertaken(host)
+	service := e.service
+	for _, host := range e.state.UnaccountedHostIDs(service.name) {
+		if service.removedHostEndsAt[host] == 0 {
+			service.removedHostEndsAt[host] = e.nowMs + removedHostShutdownMs
+		}
+		e.markMissingOnceOvertaken(host, service.removedHostEndsAt[host])
 	}
 	for _, host := range e.hostIDs {
 		if host == e.primary.Host || e.state.Hosts[host].Missing || !e.isSilent(host) {
-			delete(e.service.goneSince, host)
+			delete(service.refusingSince, host)
 			continue
 		}
 		e.query(host, Stat, 0, idleQueryIntervalMs)
-		last, ok := e.service.lastResults[host]
+		last, ok := service.lastResults[host]
 		if !ok || !last.ConnectionRefused || e.nowMs > last.receivedAt+refusalTTLMs {
-			delete(e.service.goneSince, host)
+			delete(service.refusingSince, host)
 			continue
 		}
-		e.recordGoneSince(host, e.nowMs)
-		if e.nowMs >= e.service.goneSince[host]+refusalPeriodMs {
-			e.markMissingOnceOvertaken(host)
+		if service.refusingSince[host] == 0 {
+			service.refusingSince[host] = e.nowMs
+		}
+		if e.nowMs >= service.refusingSince[host]+refusalPeriodMs {
+			e.markMissingOnceOvertaken(host, last.receivedAt)
 		}
 	}
 	return proceed
 }
 
-// recordGoneSince records the time from which a replica counts as receiving nothing more. Later calls do not change it.
-func (e *evaluation) recordGoneSince(host string, sinceMs int64) {
-	if e.service.goneSince[host] == 0 {
-		e.service.goneSince[host] = sinceMs
-	}
-}
-
 // removeTerminatedHosts removes hosts that left without draining first, once they have been missing for terminatedHostRemovalMs.
 // Their processes have then terminated: a heartbeat would have cleared the mark.
 func (e *evaluation) removeTerminatedHosts() stepResult {
@@ -59,10 +57,10 @@
 	return proceed
 }
 
-// markMissingOnceOvertaken records in the log that a failover does not have to wait for a host that is gone. It does so once
-// another replica has reached a position that the primary reported after the host was gone, so the host's log is not needed.
-func (e *evaluation) markMissingOnceOvertaken(gone string) {
-	primaryStatus, ok := e.service.statusSince(e.primary.Host, Stat, e.service.goneSince[gone])
+// markMissingOnceOvertaken records in the log that a host's process was gone at endedAt and that its log is not needed: another
+// replica has reached a position that the primary reported after endedAt.
+func (e *evaluation) markMissingOnceOvertaken(gone string, endedAt int64) {
+	primaryStatus, ok := e.service.statusSince(e.primary.Host, Stat, endedAt)
 	if !ok {
 		e.query(e.primary.Host, Stat, 0, queryIntervalMs)
 		return
@@ -79,7 +77,8 @@
 		if ok && !status.ReceivedPosition.Before(primaryStatus.ReceivedPosition) {
 			e.emit(ReplicaMarkedMissing, gone)
 			e.coordinator.Counters.MarkedMissing++
-			delete(e.service.goneSince, gone)
+			delete(e.service.refusingSince, gone)
+			delete(e.service.removedHostEndsAt, gone)
 			e.propose(statemachine.Change{MarkMissing: gone})
 			return
 		}
--- a/internal/control/failover/service.go
+++ b/internal/control/failover/service.go
@@ -14,9 +14,11 @@
 	suspectedSince       int64            // when probing of the primary started; 0: not being probed
 	failedProbes         int              // consecutive failed probes
 	evaluatedProbeSentAt int64            // send time of the last probe whose result was evaluated
-	goneSince            map[string]int64 // by replica: when it first refused connections, or when its process has ended after a removal
 
-	missingSince map[string]int64 // by missing host that left without draining first: when this coordinator first saw it missing
+	// Replicas whose processes are gone.
+	refusingSince     map[string]int64 // by listed replica: since when it has refused connections
+	removedHostEndsAt map[string]int64 // by removed replica: when its process has ended
+	missingSince      map[string]int64 // by missing host that left without draining first: when this coordinator first saw it missing
 
 	// Queries.
 	pendingQueries    map[string]*pendingQuery // by host
@@ -53,7 +55,8 @@
 		service = &serviceState{
 			name:                 name,
 			suspicions:           map[string]int64{},
-			goneSince:            map[string]int64{},
+			refusingSince:        map[string]int64{},
+			removedHostEndsAt:    map[string]int64{},
 			missingSince:         map[string]int64{},
 			pendingQueries:       map[string]*pendingQuery{},
 			lastResults:          map[string]hostResult{},
