A failover asks whether a process runs at the address of a missing replica

Writes are acknowledged since the new host receives them. When the next primary crashes before the new host's first heartbeat, the deaf replica is promoted: 120 of 1,209 acknowledged commits are in no log any more.

Cause, by the record and the code: the crashed host was marked as missing after 3 s of refusals, rightly so. The mark says what was true then. The failover took it for "nothing runs there now", and awaited no answer for the host although it asked one. Ruled out: the positions (both replicas report theirs truly), the late heartbeat alone (with the mark not used, the rule holds), a lost answer (the new host's WRONGNODE arrives a millisecond before the promotion).

Change: the mark says whom a failover may skip, provided that the address refuses a connection after no proxy uses the old primary any more. Otherwise the failover waits: for the answer, or for the first heartbeat of whoever runs there. It costs a query that runs beside the others.

--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -225,7 +225,7 @@
 			continue
 		}
 		e.query(host, Pause, e.nextTerm(), queryIntervalMs)
-		if !e.state.Hosts[host].Missing {
+		if !e.isConfirmedGone(host) {
 			service.awaitedHosts = append(service.awaitedHosts, host)
 		}
 	}
@@ -233,6 +233,14 @@
 	return mostAdvanced
 }
 
+// isConfirmedGone reports whether nothing runs at the address of a replica that is marked as missing. The mark alone does not
+// show this: a process that started there since, with the replica's log, may have received acknowledged writes before its first
+// heartbeat. So the address must have refused a connection after the last write that a proxy can have sent.
+func (e *evaluation) isConfirmedGone(host string) bool {
+	last, ok := e.service.lastResults[host]
+	return e.state.Hosts[host].Missing && ok && last.ConnectionRefused && last.sentAt >= e.service.proxiesCaughtUpAt
+}
+
 // pausedStatus returns a replica's status if it is paused and cannot have received an acknowledged write since then.
 func (e *evaluation) pausedStatus(host string) (wire.HostStatus, bool) {
 	status, ok := e.service.statusSince(host, Pause, e.service.startedAt)
--- a/internal/control/failover/replicas.go
+++ b/internal/control/failover/replicas.go
@@ -58,7 +58,8 @@
 }
 
 // markMissingOnceOvertaken records in the log that a host's process was gone at endedAt and that its log is not needed: another
-// replica has reached a position that the primary reported after endedAt.
+// replica has reached a position that the primary reported after endedAt. Whether a process runs at the address again is asked in
+// each failover.
 func (e *evaluation) markMissingOnceOvertaken(gone string, endedAt int64) {
 	primaryStatus, ok := e.service.statusSince(e.primary.Host, Stat, endedAt)
 	if !ok {
