A failover waits for a host that has the writes which proxies saw acknowledged

A failover compares the hosts it knows. A replica that receives the log and has sent no heartbeat, at whatever address, may be the only one with acknowledged writes; nothing in the control plane speaks of it.

Cause: the evidence of what was acknowledged never reached the failover. The proxies have it: each acknowledgement goes through one of them.

Change: a proxy keeps, for each service, a lower bound of the acknowledged writes: a write that was acknowledged comes after every position of the primary that was known when it was sent. It reports the bound with the index it has applied (hello, lease request) while the primary is revoked; from then on it forwards no acknowledgement of that primary. The report names the revocation, so that one of an earlier failover is not taken for the present one. A failover promotes no host below the bound; the log has "failover waits for acknowledged writes", the status the position. The position in an acknowledgement is not used, as it may include commits that no replica has received: a failover would wait for them in vain. Proxies of older releases report nothing.

--- a/cmd/ferrypitch-control/status.go
+++ b/cmd/ferrypitch-control/status.go
@@ -50,6 +50,9 @@
 	case inProgress:
 		fmt.Fprintf(w, "  revoked %d ms ago, nominee %q, promotion requested of %q, waiting for %s\n",
 			transition.ElapsedMs, transition.Nominee, transition.PromotionRequested, strings.Join(transition.WaitingFor, " "))
+		if transition.AwaitedPosition != "" {
+			fmt.Fprintf(w, "  no known host has position %s, which was acknowledged\n", transition.AwaitedPosition)
+		}
 	case primary.Revoked:
 		fmt.Fprintln(w, "  revoked; ask the leader for details")
 	case primary.ReplicasPaused:
--- a/internal/control/failover/event.go
+++ b/internal/control/failover/event.go
@@ -16,13 +16,17 @@
 	NewPrimaryObserved
 	// ReplicaMarkedMissing means that the process of Event.Host is gone and another replica has received everything it had.
 	ReplicaMarkedMissing
+	// AcknowledgedWritesAwaited means that Event.Host is the most advanced known host and lacks writes that the lost primary
+	// acknowledged. The failover waits until a host that has them is heard.
+	AcknowledgedWritesAwaited
 )
 
 var eventKindTexts = [...]string{
-	FailoverStarted:      "failover started",
-	SwitchoverStarted:    "switchover started",
-	NewPrimaryObserved:   "new primary observed",
-	ReplicaMarkedMissing: "replica marked missing",
+	FailoverStarted:           "failover started",
+	SwitchoverStarted:         "switchover started",
+	NewPrimaryObserved:        "new primary observed",
+	ReplicaMarkedMissing:      "replica marked missing",
+	AcknowledgedWritesAwaited: "failover waits for acknowledged writes",
 }
 
 // String returns the text that is logged for the kind.
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -189,7 +189,7 @@
 func (e *evaluation) choosePromotion() (chosen candidate, complete bool) {
 	e.query(e.primary.Host, StepDown, e.nextTerm(), queryIntervalMs)
 	chosen = e.collectPositions()
-	complete = chosen.host != "" && len(e.service.awaitedHosts) == 0
+	complete = chosen.host != "" && len(e.service.awaitedHosts) == 0 && e.hasAcknowledgedWrites(chosen)
 	if complete && !e.inRegistrationGrace() {
 		return chosen, true
 	}
--- a/internal/control/failover/service.go
+++ b/internal/control/failover/service.go
@@ -1,5 +1,7 @@
 package failover
 
+import "ferrypitch/internal/wire"
+
 // serviceState is the coordinator's state of one service, in addition to the replicated state. Times are the nowMs of calls.
 type serviceState struct {
 	name       string
@@ -27,12 +29,16 @@
 	uncertainCommands map[hostCommand]int64    // commands that may still be executed: when their host last failed to answer
 
 	// The current failover or switchover; reset when it ends.
-	startedAt          int64    // when this member started or took over the failover or switchover; 0: none in progress
-	proxiesCaughtUpAt  int64    // since when no proxy uses the revoked primary; 0: some may
-	nominatedHost      string   // the host that this member nominated
-	promotedHost       string   // the host of the last promotion request, unless the request is known to have had no effect
-	promotedHostFailed bool     // promotedHost failed to answer a query sent after the request
-	awaitedHosts       []string // hosts whose positions are still needed
+	startedAt          int64         // when this member started or took over the failover or switchover; 0: none in progress
+	proxiesCaughtUpAt  int64         // since when no proxy uses the revoked primary; 0: some may
+	nominatedHost      string        // the host that this member nominated
+	promotedHost       string        // the host of the last promotion request, unless the request is known to have had no effect
+	promotedHostFailed bool          // promotedHost failed to answer a query sent after the request
+	awaitedHosts       []string      // hosts whose positions are still needed
+	awaitedPosition    wire.Position // acknowledged position that no known host has reached; zero if there is none
+	positionAwaited    bool          // AcknowledgedWritesAwaited was emitted
+
+	acknowledged acknowledgedWrites // of the primary that was revoked last
 
 	// Promotion requests; kept after a failover ends.
 	promotion        Promotion // the last request
@@ -75,6 +81,7 @@
 	s.nominatedHost = ""
 	s.promotedHost, s.promotedHostFailed, s.promotionPending = "", false, false
 	s.awaitedHosts = nil
+	s.awaitedPosition, s.positionAwaited = wire.Position{}, false
 }
 
 // isProbing reports whether the primary is suspected or a query to any host is pending.
--- a/internal/control/failover/transition.go
+++ b/internal/control/failover/transition.go
@@ -12,6 +12,7 @@
 	ElapsedMs          int64    // since this member started it; 0: not started by this member
 	PromotionRequested string   // the host whose promotion was requested from the platform; empty: none
 	WaitingFor         []string // hosts whose positions or logs are needed before a host can be chosen
+	AwaitedPosition    string   // acknowledged position that no known host has reached; empty if there is none
 	Planned            bool     // true for a switchover, during which the old primary still serves
 }
 
@@ -30,6 +31,9 @@
 			WaitingFor:         slices.Clone(service.awaitedHosts),
 			Planned:            !primary.Revoked,
 		}
+		if service.awaitedPosition.Known() {
+			transition.AwaitedPosition = service.awaitedPosition.String()
+		}
 		if service.startedAt > 0 {
 			transition.ElapsedMs = nowMs - service.startedAt
 		}
--- a/internal/control/failover/unheard_hosts_test.go
+++ b/internal/control/failover/unheard_hosts_test.go
@@ -124,3 +124,30 @@
 	h.run(2000)
 	require.True(t, h.state.Hosts["h2"].Missing)
 }
+
+// A failover promotes no host that lacks writes which the proxies saw acknowledged, whichever host has them.
+func TestFailoverWaitsForAcknowledgedWrites(t *testing.T) {
+	h := newHarness(t)
+	h.run(1500)
+	earlierRevocation := h.primary().ChangedIndex
+	h.allCaughtUp = func(uint64) bool { return false }
+	h.stopPrimary(true)
+	h.suspectPrimary()
+	h.run(1500)
+	require.True(t, h.primary().Revoked)
+	h.coordinator.Acknowledged("db", h.primary().ChangedIndex, wire.Position{Timeline: 4, Number: 120})
+	h.coordinator.Acknowledged("db", h.primary().ChangedIndex, wire.Position{Timeline: 4, Number: 110})
+	h.coordinator.Acknowledged("db", earlierRevocation, wire.Position{Timeline: 4, Number: 999})
+	h.allCaughtUp = nil
+	h.run(2000)
+	require.Empty(t, h.promotions, "no known host has position 120")
+	require.Equal(t, "4.120", h.coordinator.Transitions(h.state, h.now)["db"].AwaitedPosition)
+	require.Contains(t, h.observedEvents, Event{"db", AcknowledgedWritesAwaited, "h1"})
+	status := wire.HostStatus{Timeline: 4, ReceivedPosition: wire.Position{Timeline: 4, Number: 121}}
+	h.hosts["h3"] = &fakeHost{HostStatus: status, up: true}
+	h.apply(statemachine.Change{AddHost: &statemachine.Host{ID: "h3", Service: "db", Address: "h3"}})
+	h.run(500)
+	require.Len(t, h.promotions, 1)
+	require.Equal(t, "h3", h.promotions[0].Host)
+	require.Empty(t, h.coordinator.Transitions(h.state, h.now)["db"].AwaitedPosition)
+}
--- a/internal/control/proxies.go
+++ b/internal/control/proxies.go
@@ -5,6 +5,7 @@
 
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/statemachine"
+	"ferrypitch/internal/wire"
 )
 
 // maxWelcomeProxies is the number of other proxies that a ProxyWelcome names as initial gossip peers.
@@ -153,6 +154,7 @@
 	conn.sendOrClose(&rpc.Frame{Version: s.protocolVersion, ProxyWelcome: welcome})
 	if welcome.IsLeader {
 		s.proxies.add(conn)
+		s.recordAcknowledged(hello.Acknowledged)
 		s.grantor.Observe(hello.Node, hello.Incarnation, hello.AppliedIndex, s.clock.Now())
 		conn.catchUp(s)
 	}
@@ -198,6 +200,7 @@
 // renewLease responds to a proxy's lease request. It grants the lease if this member holds the leader lease and the proxy has
 // applied the latest revocation of a primary. A proxy that is not in the replicated state is registered first.
 func (s *Server) renewLease(conn *ProxyConn, request *rpc.LeaseRequest) {
+	s.recordAcknowledged(request.Acknowledged)
 	if _, known := s.state.Proxies[conn.node]; !known && s.leading {
 		s.registerProxy(conn, request)
 		return
@@ -226,6 +229,20 @@
 	}
 }
 
+// recordAcknowledged passes a proxy's report about writes that revoked primaries acknowledged to the failover coordinator. It comes
+// with the index that the proxy has applied, so it is known before the failover may regard the proxy as caught up.
+func (s *Server) recordAcknowledged(positions []rpc.AcknowledgedPosition) {
+	if !s.leading {
+		return
+	}
+	for _, reported := range positions {
+		if s.state.Primaries[reported.Service].Revoked {
+			position := wire.Position{Timeline: reported.Term, Number: reported.Number}
+			s.coordinator.Acknowledged(reported.Service, reported.RevocationIndex, position)
+		}
+	}
+}
+
 // postponeLease tells a proxy to stay connected although it gets no lease yet: a proxy disconnects from a silent member.
 func (c *ProxyConn) postponeLease(request *rpc.LeaseRequest) {
 	if c.version >= rpc.VersionPayloads {
--- a/internal/proxy/control_link.go
+++ b/internal/proxy/control_link.go
@@ -190,11 +190,10 @@
 // that the member speaks.
 func (l *controlLink) handshake(conn *rpc.Conn) (welcome *rpc.ProxyWelcome, version uint32, err error) {
 	s := l.server
-	index, ok := query(s.queue, s.replica.resumeIndex)
+	hello, ok := query(s.queue, s.newHello)
 	if !ok {
 		return nil, 0, errShuttingDown
 	}
-	hello := &rpc.ProxyHello{Node: s.settings.Node, Incarnation: s.incarnation, Zone: s.settings.Zone, AppliedIndex: index, Version: rpc.ProtocolVersion}
 	if err := conn.Send(&rpc.Frame{Version: rpc.ProtocolVersion, ProxyHello: hello}, controlSendTimeout); err != nil {
 		return nil, 0, fmt.Errorf("hello: %w", err)
 	}
@@ -212,6 +211,17 @@
 	return welcome, rpc.PeerVersion(frame.Version), nil
 }
 
+func (s *Server) newHello() *rpc.ProxyHello {
+	return &rpc.ProxyHello{
+		Node:         s.settings.Node,
+		Incarnation:  s.incarnation,
+		Zone:         s.settings.Zone,
+		AppliedIndex: s.replica.resumeIndex(),
+		Version:      rpc.ProtocolVersion,
+		Acknowledged: s.acknowledgedPositions(),
+	}
+}
+
 // followLeader receives log updates and lease responses until the connection fails. A second goroutine requests the leases; it
 // has ended when followLeader returns.
 func (l *controlLink) followLeader(ctx context.Context, cancel context.CancelFunc, conn *rpc.Conn) error {
--- a/internal/proxy/lease_renewal.go
+++ b/internal/proxy/lease_renewal.go
@@ -44,7 +44,7 @@
 	defer renewal.Stop()
 	for serial := uint64(1); ; serial++ {
 		request, ok := query(s.queue, func() *rpc.LeaseRequest {
-			return &rpc.LeaseRequest{Serial: serial, AppliedIndex: s.replica.state.Index, Sessions: len(s.sessions.open)}
+			return s.newLeaseRequest(serial)
 		})
 		if !ok {
 			return
@@ -61,6 +61,15 @@
 	}
 }
 
+func (s *Server) newLeaseRequest(serial uint64) *rpc.LeaseRequest {
+	return &rpc.LeaseRequest{
+		Serial:       serial,
+		AppliedIndex: s.replica.state.Index,
+		Sessions:     len(s.sessions.open),
+		Acknowledged: s.acknowledgedPositions(),
+	}
+}
+
 // frame returns the frame that a command sends. The command must not be a lease request.
 func (c linkCommand) frame() *rpc.Frame {
 	if c.quota != nil {
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -7,6 +7,7 @@
 	"ferrypitch/internal/proxy/position"
 	"ferrypitch/internal/retry"
 	"ferrypitch/internal/statemachine"
+	"ferrypitch/internal/wire"
 	"ferrypitch/policy"
 )
 
@@ -34,6 +35,7 @@
 	policySet     int64 // number of its replica set in calls to the policy
 	primary       statemachine.Primary
 	positions     position.Tracker // known log positions of the primary
+	acknowledged  wire.Position    // lower bound of the last write that a primary has acknowledged through this proxy
 	maxConns      int              // connections that each host accepts from all proxies
 	usedBySession bool             // a session has submitted a statement for the service
 
--- a/internal/proxy/simulation_member_conn_test.go
+++ b/internal/proxy/simulation_member_conn_test.go
@@ -66,11 +66,11 @@
 		sim.After(200*millisecond, conn.close)
 		return
 	}
-	resumeIndex := uint64(0)
-	p.run(incarnation, func(server *Server) { resumeIndex = server.replica.resumeIndex() })
+	hello := &rpc.ProxyHello{}
+	p.run(incarnation, func(server *Server) { hello = server.newHello() })
+	hello.Node, hello.Incarnation, hello.Zone, hello.Version = p.name, uint64(incarnation), "z", sim.cluster.proxyVersion
 	m.conns[conn] = true
 	conn.sendToMember(func() {
-		hello := &rpc.ProxyHello{Node: p.name, Incarnation: uint64(incarnation), Zone: "z", AppliedIndex: resumeIndex, Version: sim.cluster.proxyVersion}
 		conn.proxyConn = m.server.AcceptProxy(hello, p.name, conn.sendToProxy, func() { sim.After(closeNoticeDelay, conn.close) })
 	})
 	conn.checkSilence()
@@ -213,7 +213,7 @@
 func (c *memberConn) renewLease() {
 	c.proxy.run(c.proxyIncarnation, func(server *Server) {
 		c.lastSerial++
-		request := &rpc.LeaseRequest{Serial: c.lastSerial, AppliedIndex: server.replica.state.Index}
+		request := server.newLeaseRequest(c.lastSerial)
 		c.requestedAt[c.lastSerial] = server.clock.Now()
 		c.sendToMember(func() { c.member.server.HandleProxyFrame(c.proxyConn, &rpc.Frame{LeaseRequest: request}) })
 	})
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -45,6 +45,8 @@
 	writtenAt time.Time // when the statement was sent, for reportIfSilent
 	ended     bool
 
+	primaryPosition wire.Position // latest known position of the primary when the statement was sent to it; zero if unknown
+
 	// The next two fields keep the values of the previous attempt until this attempt is sent. If this attempt ends before it is
 	// sent, elapsed counts from the previous sentAt (policy.Host.recordConns uses it for unreachable hosts), and expireAttempt
 	// decides by the previous primaryEpoch whether to report the host as suspect.
--- a/internal/proxy/statement_response.go
+++ b/internal/proxy/statement_response.go
@@ -64,6 +64,9 @@
 	s.counters.hostResponses.Observe(toDuration(now - attempt.sentAt))
 	conn.pool.lossDetector.ResponseReceived(attempt.sentAt, now)
 	position := conn.pool.recordPosition(response.Position, attempt.sentAt, attempt.primaryEpoch)
+	if stmt.provesCommit(response) {
+		conn.pool.service.recordAcknowledgement(attempt)
+	}
 	switch {
 	case stmt.acknowledgesWrite(response) && !conn.pool.service.isCurrentEpoch(attempt.primaryEpoch):
 		s.counters.acksAfterRevocation.Add(1)
--- a/internal/proxy/statement_send.go
+++ b/internal/proxy/statement_send.go
@@ -72,6 +72,9 @@
 		return
 	}
 	attempt.sentAt, attempt.sent, attempt.writtenAt = now, true, s.clock.Time()
+	if attempt.primaryEpoch != noEpoch {
+		_, attempt.primaryPosition = conn.pool.service.positions.Latest()
+	}
 	if written, ok := conn.out.write(line); !ok {
 		attempt.sent = retry.ProgressOf(written, len(line)) == retry.Sent // a host never executes an incomplete line
 		s.deferred.add(func() { s.connLost(conn) })
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -76,8 +76,9 @@
 	Node         string
 	Incarnation  uint64
 	Zone         string
-	AppliedIndex uint64 // index of the last log entry that the proxy has applied
-	Version      uint32 // protocol version that the proxy speaks
+	AppliedIndex uint64                 // index of the last log entry that the proxy has applied
+	Version      uint32                 // protocol version that the proxy speaks
+	Acknowledged []AcknowledgedPosition // one for each service whose primary is revoked, if known
 }
 
 // ProxyWelcome is the response to a ProxyHello. Only the leader serves proxies.
@@ -99,10 +100,20 @@
 
 // LeaseRequest asks the leader to renew the lease of a proxy, and reports the proxy's observations.
 type LeaseRequest struct {
-	Serial           uint64            // copied to the response
-	AppliedIndex     uint64            // index of the last log entry that the proxy has applied
-	PrimaryPositions []PrimaryPosition // part of the wire format; this release neither sets nor reads it
-	Sessions         int               // open client sessions of the proxy; the leader does not use it
+	Serial           uint64                 // copied to the response
+	AppliedIndex     uint64                 // index of the last log entry that the proxy has applied
+	PrimaryPositions []PrimaryPosition      // part of the wire format; this release neither sets nor reads it
+	Sessions         int                    // open client sessions of the proxy; the leader does not use it
+	Acknowledged     []AcknowledgedPosition // one for each service whose primary is revoked, if known
+}
+
+// AcknowledgedPosition says how far the log of a revoked primary reaches at least: this proxy forwarded the acknowledgement of a
+// write at or after that position. A proxy reports it with the index up to which it has applied the log, and forwards no
+// acknowledgement of that primary from then on.
+type AcknowledgedPosition struct {
+	Service         string
+	RevocationIndex uint64 // log index of the primary's revocation, which identifies the failover
+	Term, Number    uint64 // timeline, and position on that timeline
 }
 
 // PrimaryPosition is the log position of a service's primary, as reported by a proxy.
