A failover asks the addresses of removed hosts as well

Cause: once another replica has what a removed host had received, the host is forgotten. A new host at its address starts with its log, receives and acknowledges, and until its first heartbeat nothing tells the failover to ask there.

Change: the state's index remembers removed hosts until their address is used again (1,024 at most, since the member's start; not in the log, whose form stays). A failover asks each of its service: nobody listens, or no answer since the machine is gone with its host: it goes on; another host listens: it waits for that host's first heartbeat; the removed host itself still runs: its position counts.

The safeguard is taken out and caught in TestSimulationCatchesEachRemovedSafeguard.

--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -230,9 +230,25 @@
 		}
 	}
 	service.awaitedHosts = append(service.awaitedHosts, e.state.UnaccountedHostIDs(service.name)...)
+	e.awaitHostsAtFormerAddresses(mostAdvanced)
 	return mostAdvanced
 }
 
+// awaitHostsAtFormerAddresses adds the removed hosts to awaitedHosts at whose addresses a process may have received more than the
+// most advanced replica. An address that gives no answer belongs to a machine that is gone, as its host was removed.
+func (e *evaluation) awaitHostsAtFormerAddresses(mostAdvanced candidate) {
+	service := e.service
+	for _, former := range e.state.FormerHosts(service.name) {
+		last, ok := service.lastResults[former.ID]
+		isRecent := ok && last.isOf(Pause) && last.sentAt >= service.proxiesCaughtUpAt
+		e.query(former.ID, Pause, e.nextTerm(), queryIntervalMs)
+		mayRun := last.Replaced || last.answered() && mostAdvanced.position.Before(last.Status.ReceivedPosition)
+		if !isRecent || mayRun {
+			service.awaitedHosts = append(service.awaitedHosts, former.ID)
+		}
+	}
+}
+
 // isConfirmedGone reports whether nothing runs at the address of a replica that is marked as missing. The mark alone does not
 // show this: a process that started there since, with the replica's log, may have received acknowledged writes before its first
 // heartbeat. So the address must have refused a connection after the last write that a proxy can have sent.
--- a/internal/control/failover/unheard_hosts_test.go
+++ b/internal/control/failover/unheard_hosts_test.go
@@ -16,6 +16,15 @@
 	require.True(h.t, h.state.Hosts["h2"].Missing)
 }
 
+// removeH2 removes h2 and runs until the other hosts are known to have its log.
+func removeH2(h *harness) {
+	h.apply(statemachine.Change{DrainHost: "h2"})
+	h.hosts["h2"].up = false
+	h.apply(statemachine.Change{RemoveHost: "h2"})
+	h.run(2000)
+	require.Empty(h.t, h.state.UnaccountedHostIDs("db"))
+}
+
 // loseTheUnheardHostsPrimary has the primary fail after h2's successor, at the address of h2, has received writes that h1 has not.
 func loseTheUnheardHostsPrimary(h *harness) {
 	h.hosts["h2"].replaced = true
@@ -37,7 +46,7 @@
 // A host that returned at the address of a missing or removed replica may be the only one that received acknowledged writes, though
 // it has sent no heartbeat yet.
 func TestFailoverWaitsForUnheardHostAtTheAddressOfALostReplica(t *testing.T) {
-	for name, lose := range map[string]func(h *harness){"missing": markH2Missing} {
+	for name, lose := range map[string]func(h *harness){"missing": markH2Missing, "removed": removeH2} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
 			h.run(1500)
@@ -78,7 +87,9 @@
 		silent  bool // the address of the lost replica gives no answer any more
 		limitMs int64
 	}{
-		"missing": {markH2Missing, false, 300},
+		"missing":                              {markH2Missing, false, 300},
+		"removed":                              {removeH2, false, 300},
+		"removed, and its machine is gone too": {removeH2, true, 300 + queryTimeoutMs},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -89,8 +89,8 @@
 	}
 	for _, query := range actions.Queries {
 		s.HostQueries.Add(1)
-		host, known := s.state.Hosts[query.Host]
-		if !known { // the host was removed
+		host, known := s.state.KnownHost(query.Host)
+		if !known { // the host was removed long ago
 			s.coordinator.QueryFinished(failover.QueryResult{Query: query, ConnectionRefused: true}, now)
 			continue
 		}
--- a/internal/proxy/safeguard_test.go
+++ b/internal/proxy/safeguard_test.go
@@ -118,6 +118,11 @@
 		})
 		sim.After(4700*millisecond, func() { sim.database.Hosts[0].Crash(true, 6*second) })
 	}},
+	{"writes of hosts that are not heard yet are forgotten", "LOST STALE", newClusterSimulation, func(sim *simulation) {
+		sim.cluster.hidesHosts = true
+		sim.forgetAcknowledgements()
+		sim.After(sim.Between(500*millisecond, 2*second), sim.cluster.returnUnheard)
+	}},
 	{"a member whose disk is lost keeps its vote", "ORDER", newClusterSimulation, func(sim *simulation) {
 		members := sim.cluster.members
 		cutOff, wiped, crashed := members[0], members[1], members[2]
--- a/internal/proxy/simulation_unheard_test.go
+++ b/internal/proxy/simulation_unheard_test.go
@@ -100,6 +100,27 @@
 	})
 }
 
+// A host that returns as another one receives and acknowledges writes before its first heartbeat, which may be seconds late.
+func TestSimulationKeepsGuaranteesWithUnheardHosts(t *testing.T) {
+	served, replaced, promotions := 0, 0, 0
+	build := func(seed uint64) *simulation {
+		sim := newClusterSimulation(seed, 3, 9)
+		sim.After(sim.Between(500*millisecond, 2*second), sim.cluster.returnUnheard)
+		return sim
+	}
+	simulateAll(t, seedCount()/2, build, func(sim *simulation) {
+		served += sim.served
+		replaced += sim.cluster.replacedHosts
+		promotions += sim.cluster.promotions
+	})
+	if *onlySeed >= 0 {
+		return
+	}
+	require.Greater(t, served, 300*(seedCount()/2), "too little was served for this to prove anything")
+	require.Greater(t, replaced, seedCount()/4, "too few hosts returned as others for this to prove anything")
+	t.Logf("%d statements served, %d hosts returned as others, %d promotions", served, replaced, promotions)
+}
+
 // A host at an address that the control plane has never heard of acknowledges writes: without other faults, the proxies' reports
 // are enough to keep them.
 func TestAcknowledgedWritesOfUnknownHostsAreKept(t *testing.T) {
--- a/internal/statemachine/lookup.go
+++ b/internal/statemachine/lookup.go
@@ -13,8 +13,12 @@
 	revocationIndex map[string]uint64   // index of the revocation, by service with a revoked primary
 	changedIndex    map[string]uint64   // index of the newest change to hosts or primary since the lookup was built, by service
 	serviceNames    []string            // sorted names of the services with hosts or a primary; nil if not computed
+	formerHosts     []Host              // hosts removed since the lookup was built, except at addresses used again; newest last
 }
 
+// maxFormerHosts limits how many removed hosts are remembered with their addresses.
+const maxFormerHosts = 1 << 10
+
 // ensureLookup returns the lookup of the state, and builds it if necessary.
 func (s *State) ensureLookup() *lookup {
 	if s.lookup != nil {
@@ -121,8 +125,48 @@
 	return index
 }
 
+// FormerHosts returns the hosts of a service that were removed since the state was restored and whose addresses no other host has
+// used since. A new host at such an address starts with the log of the former one, and may receive writes before its first
+// heartbeat.
+func (s *State) FormerHosts(service string) (former []Host) {
+	for _, host := range s.ensureLookup().formerHosts {
+		if host.Service == service {
+			former = append(former, host)
+		}
+	}
+	return former
+}
+
+// KnownHost returns a host that is listed or was removed recently, see FormerHosts.
+func (s *State) KnownHost(id string) (host Host, known bool) {
+	if host, known = s.Hosts[id]; known {
+		return host, true
+	}
+	for _, former := range s.ensureLookup().formerHosts {
+		if former.ID == id {
+			return former, true
+		}
+	}
+	return Host{}, false
+}
+
+// addFormerHost remembers a removed host, and forgets an earlier one at its address.
+func (l *lookup) addFormerHost(host Host) {
+	l.forgetFormerHost(host.Address)
+	if len(l.formerHosts) == maxFormerHosts {
+		l.formerHosts = slices.Delete(l.formerHosts, 0, 1)
+	}
+	l.formerHosts = append(l.formerHosts, host)
+}
+
+// forgetFormerHost forgets the host that was removed from an address.
+func (l *lookup) forgetFormerHost(address string) {
+	l.formerHosts = slices.DeleteFunc(l.formerHosts, func(host Host) bool { return host.Address == address })
+}
+
 func (s *State) putHost(host Host) {
 	l := s.ensureLookup()
+	l.forgetFormerHost(host.Address)
 	if previous, found := s.Hosts[host.ID]; found && (previous.Service != host.Service || previous.Address != host.Address) {
 		l.removeHost(previous)
 		l.changedIndex[previous.Service] = s.Index
@@ -136,6 +180,7 @@
 	l := s.ensureLookup()
 	delete(s.Hosts, host.ID)
 	l.removeHost(host)
+	l.addFormerHost(host)
 	l.changedIndex[host.Service] = s.Index
 }
 
--- a/internal/statemachine/lookup_test.go
+++ b/internal/statemachine/lookup_test.go
@@ -52,3 +52,43 @@
 		}
 	}
 }
+
+// A removed host is remembered until another host uses its address, whichever its service, and no more than maxFormerHosts are.
+func TestFormerHostsAreForgottenOnceTheirAddressesAreUsed(t *testing.T) {
+	state := &State{}
+	apply := func(changes ...Change) {
+		for _, change := range changes {
+			require.NoError(t, state.Apply(state.Index+1, change))
+		}
+	}
+	add := func(id, service, address string) Change {
+		return Change{AddHost: &Host{ID: id, Service: service, Address: address}}
+	}
+	apply(add("h1", "db", "a1"), add("h2", "db", "a2"), add("h3", "other", "a3"))
+	apply(Change{RemoveHost: "h1"}, Change{RemoveHost: "h2"}, Change{RemoveHost: "h3"})
+	ids := func(service string) (ids []string) {
+		for _, former := range state.FormerHosts(service) {
+			ids = append(ids, former.ID)
+		}
+		return ids
+	}
+	require.Equal(t, []string{"h1", "h2"}, ids("db"))
+	known, found := state.KnownHost("h2")
+	require.True(t, found)
+	require.Equal(t, "a2", known.Address)
+
+	apply(add("h4", "other", "a2"))
+	require.Equal(t, []string{"h1"}, ids("db"))
+	_, found = state.KnownHost("h2")
+	require.False(t, found)
+	apply(Change{RemoveHost: "h4"}, add("h5", "db", "a2"), Change{RemoveHost: "h5"})
+	require.Equal(t, []string{"h1", "h5"}, ids("db"), "the newest at its address")
+	require.Equal(t, []string{"h3"}, ids("other"))
+
+	for n := range maxFormerHosts {
+		id := fmt.Sprintf("n%d", n)
+		apply(add(id, "db", "b"+id), Change{RemoveHost: id})
+	}
+	require.Len(t, ids("db"), maxFormerHosts)
+	require.Equal(t, "n0", ids("db")[0])
+}
