A planned switchover stops writes as soon as an unheard host runs

What callers saw: in the simulation only, with hosts that return unheard: a nominee that received all, is asked to lead and falls deaf in that moment; a host that is not heard yet acknowledges writes until the nominee leads and cuts it back.

Cause: a switchover pauses the replicas it knows, so that nothing is acknowledged that the nominee lacks. A host that has sent no heartbeat is not among them.

Result: TestSwitchoverStopsWritesIfAnUnheardHostRuns fails without the step and passes.

--- a/internal/control/failover/switchover.go
+++ b/internal/control/failover/switchover.go
@@ -9,6 +9,7 @@
 var switchoverSteps = []step{
 	(*evaluation).beginSwitchover,
 	(*evaluation).abortIfHostLost,
+	(*evaluation).abortIfUnheardHostRuns,
 	(*evaluation).takeOverSwitchover,
 	(*evaluation).revokeOncePromoted,
 	(*evaluation).abortIfStalled,
@@ -63,6 +64,18 @@
 	return proceed
 }
 
+// abortIfUnheardHostRuns aborts the switchover if a process runs at the address of a removed host and has sent no heartbeat yet: it
+// cannot be paused, and may acknowledge writes that the nominee does not receive.
+func (e *evaluation) abortIfUnheardHostRuns() stepResult {
+	for _, former := range e.state.FormerHosts(e.service.name) {
+		e.query(former.ID, Stat, 0, promotedPollIntervalMs)
+		if last := e.service.lastResults[former.ID]; last.Replaced && last.sentAt >= e.service.startedAt {
+			return e.abortSwitchover()
+		}
+	}
+	return proceed
+}
+
 // takeOverSwitchover makes this member the owner of a switchover that a previous leader started.
 func (e *evaluation) takeOverSwitchover() stepResult {
 	if e.ownsTransition() {
--- a/internal/control/failover/unheard_hosts_test.go
+++ b/internal/control/failover/unheard_hosts_test.go
@@ -162,3 +162,17 @@
 	require.Equal(t, "h3", h.promotions[0].Host)
 	require.Empty(t, h.coordinator.Transitions(h.state, h.now)["db"].AwaitedPosition)
 }
+
+// A host that has sent no heartbeat cannot be paused, so it may acknowledge writes that the nominee does not receive.
+func TestSwitchoverStopsWritesIfAnUnheardHostRuns(t *testing.T) {
+	h := newHarness(t)
+	h.run(1500)
+	removeH2(h)
+	h.drain("h0")
+	h.run(300)
+	require.Len(t, h.promotions, 1)
+	require.Zero(t, h.revocations)
+	h.hosts["h2"].replaced = true
+	h.run(200)
+	require.Equal(t, 1, h.revocations)
+}
