A write acknowledged after the lease has expired is answered INDOUBT

Cause: a proxy withdraws an acknowledgement of a primary that it knows to be revoked. A proxy that is cut off from the control plane does not learn of the revocation; its lease ends, another host is promoted, and the old primary, cut off with it, may still acknowledge a write that was sent under the lease. That acknowledgement was forwarded, and the write is in no log that leads.

Change: an acknowledgement counts if the lease is valid when it arrives; otherwise the client gets INDOUBT, or ABORTED inside a transaction that has not committed.

--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -32,7 +32,7 @@
 	leaseExpiredBeforeSend atomic.Int64 // statements not sent because the lease or the primary's epoch had ended
 	rejectedAtLeaseLoss    atomic.Int64 // statements rejected while waiting for a host, because the lease expired
 	floorUnknown           atomic.Int64 // reads sent to the primary because no floor was known (see readOrWriteGroup)
-	acksAfterRevocation    atomic.Int64 // writes acknowledged by a primary after its revocation
+	acksAfterRevocation    atomic.Int64 // writes acknowledged by a primary after its revocation or the end of the lease
 	responsesLost          atomic.Int64 // transactions aborted because a response was considered lost
 	unexpectedResponses    atomic.Int64 // responses of hosts without a request or in violation of the protocol
 
--- a/internal/proxy/lease_loss_test.go
+++ b/internal/proxy/lease_loss_test.go
@@ -103,3 +103,34 @@
 		require.Equal(t, test.wantMs, r.retryAfterMs())
 	}
 }
+
+// A primary that is cut off together with this proxy may acknowledge a write after another host was promoted: the acknowledgement
+// counts only if the lease is still valid when it arrives.
+func TestAcknowledgementAfterTheLeaseHasExpiredIsInDoubt(t *testing.T) {
+	sim := newSimulation(1, 1, 0)
+	sim.database.LostAnswerOneIn, sim.database.RejectedWriteOneIn = 0, 0
+	sim.RunFor(2 * second)
+	proxy := sim.proxies[0]
+	session, conn := openSession(proxy, "lead")
+	sendStatement(t, proxy, session, "QUERY c1 STORE a 1")
+	sim.RunFor(100 * millisecond)
+	require.Contains(t, conn.take(), "DONE")
+
+	proxy.partitioned = true
+	sim.RunFor(1250 * millisecond)
+	for _, host := range sim.database.Hosts {
+		host.ReplicationStopped = true // the write is acknowledged only once a replica has received it
+	}
+	require.True(t, proxy.server.leaseValid())
+	sendStatement(t, proxy, session, "QUERY c2 STORE a 2")
+	for proxy.server.leaseValid() {
+		sim.RunFor(1 * millisecond)
+	}
+	require.Empty(t, conn.take())
+	for _, host := range sim.database.Hosts {
+		host.ReplicationStopped = false
+	}
+	sim.RunFor(100 * millisecond)
+	require.Contains(t, conn.take(), "ERROR INDOUBT")
+	require.Positive(t, proxy.server.counters.acksAfterRevocation.Load())
+}
--- a/internal/proxy/statement_response.go
+++ b/internal/proxy/statement_response.go
@@ -68,7 +68,7 @@
 		conn.pool.service.recordAcknowledgement(attempt)
 	}
 	switch {
-	case stmt.acknowledgesWrite(response) && !conn.pool.service.isCurrentEpoch(attempt.primaryEpoch):
+	case stmt.acknowledgesWrite(response) && !s.primaryEpochValid(conn.pool.service, attempt.primaryEpoch):
 		s.counters.acksAfterRevocation.Add(1)
 		s.withdrawAcknowledgement(conn, stmt)
 	case stmt.isPinned():
@@ -84,8 +84,8 @@
 	return stmt.attempt.primaryEpoch != noEpoch && writes && response.Code == ""
 }
 
-// withdrawAcknowledgement answers a write that a primary acknowledged after it was revoked. The next primary was chosen without
-// regard to that write, which may be lost. Unlike after a lost response (commitInDoubt), the write is in doubt although the host
+// withdrawAcknowledgement answers a write that a primary acknowledged after it was revoked, or after the lease has expired, when it
+// may have been revoked. The next primary was chosen without regard to that write, which may be lost. Unlike after a lost response (commitInDoubt), the write is in doubt although the host
 // acknowledged it.
 func (s *Server) withdrawAcknowledgement(conn *hostConn, stmt *statement) {
 	client := stmt.session
