A promotion that may be carried out late is settled before a planned switchover

The platform carried out a request that had been given up, its host took the lead back with what it had received.

Cause: a request without a clear answer was kept under its host, and everything forgot it: a repeated request overwrote it, the appointment of that host deleted it, the end of the failover dropped the one under way, and a new leader of the control plane began without it. All requests of one holder carry one fence, so that a platform with fences accepts the late one as well.

Change: such requests are remembered by themselves until 6 s after they were sent (uncertain_promotion.go), whatever becomes of their host, if it stays listed. No planned switchover starts before; after a failover no other host is appointed before. A member that becomes leader counts the present nominee and recent ones (its own memory of the changes it applied). The only request of a transition, whose host is the primary, was carried out and delays nothing.

Result: TestSwitchoverWaitsUntilAnEarlierPromotionCannotTakeEffect and TestPrimaryIsNotAppointedWhileAnEarlierPromotionMayTakeEffect fail without the memory and pass.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -192,6 +192,7 @@
 
 // changeApplied updates the data derived from the state: the failover coordinator and the sequence numbers of heartbeats.
 func (s *Server) changeApplied(change *statemachine.Change) {
+	s.nominations.applied(change, s.clock.Now())
 	switch {
 	case change.RemoveHost != "":
 		delete(s.lastCallSeq, change.RemoveHost)
--- a/internal/control/failover/monitor.go
+++ b/internal/control/failover/monitor.go
@@ -38,7 +38,7 @@
 
 // revokeLostPrimary starts a failover if the primary was removed or failure detection finds it lost.
 func (e *evaluation) revokeLostPrimary() stepResult {
-	e.service.resetTransition()
+	e.service.resetTransition(e.primary.Host)
 	if e.isRegistered(e.primary.Host) && !e.primaryLost() {
 		return proceed
 	}
@@ -66,11 +66,14 @@
 }
 
 // startSwitchover nominates a successor for a draining primary. It waits while the log of a removed host is unaccounted for,
-// or while unregistered replicas may be running.
+// while unregistered replicas may be running, or while an earlier promotion may still be carried out.
 func (e *evaluation) startSwitchover() stepResult {
 	if e.inRegistrationGrace() || !e.state.Hosts[e.primary.Host].Draining || len(e.state.UnaccountedHostIDs(e.service.name)) > 0 {
 		return stop
 	}
+	if e.awaitsUncertainPromotions() {
+		return stop
+	}
 	successor := e.chooseSuccessor()
 	if successor == "" {
 		return stop
--- a/internal/control/failover/promotion.go
+++ b/internal/control/failover/promotion.go
@@ -43,6 +43,7 @@
 		service.promotedHost = ""
 		delete(service.unresolvedPromotions, promotion.Host)
 	case PromotionUnknown: // times out unclearPromotionTimeoutMs after now instead of promotionTimeoutMs
+		c.RecordUncertainPromotion(service.name, promotion.Host, service.promotionSentAt)
 		service.promotionEndedAt = nowMs - promotionTimeoutMs + unclearPromotionTimeoutMs
 	}
 	return true
@@ -56,6 +57,7 @@
 		return
 	}
 	service.promotionPending, service.promotedHost, service.promotionSentAt = true, host, e.nowMs
+	service.requestsSent++
 	service.unresolvedPromotions[host] = e.nowMs + promotionTimeoutMs
 	service.promotion = Promotion{
 		Service:      service.name,
@@ -86,6 +88,12 @@
 			return host
 		}
 	}
+	e.expireUncertainPromotions()
+	for _, host := range slices.Sorted(maps.Keys(e.service.uncertainPromotions)) {
+		if host != except {
+			return host
+		}
+	}
 	nominee := e.primary.Nominee
 	isInherited := nominee != "" && nominee != e.service.nominatedHost && e.isRegistered(nominee)
 	if isInherited && nominee != except && e.nowMs < e.coordinator.leaderSince+promotionTimeoutMs {
--- a/internal/control/failover/service.go
+++ b/internal/control/failover/service.go
@@ -34,6 +34,7 @@
 	nominatedHost      string        // the host that this member nominated
 	promotedHost       string        // the host of the last promotion request, unless the request is known to have had no effect
 	promotedHostFailed bool          // promotedHost failed to answer a query sent after the request
+	requestsSent       int           // promotion requests sent
 	awaitedHosts       []string      // hosts whose positions are still needed
 	awaitedPosition    wire.Position // acknowledged position that no known host has reached; zero if there is none
 	positionAwaited    bool          // AcknowledgedWritesAwaited was emitted
@@ -47,6 +48,7 @@
 	promotionEndedAt int64
 	// unresolvedPromotions holds, by host, until when a requested promotion may still take effect.
 	unresolvedPromotions map[string]int64
+	uncertainPromotions  map[string]int64 // by host: until when a request without a clear answer may still be carried out
 	rejectedAt           map[string]int64 // by host: when its promotion was rejected, or when it failed to answer as nominee
 
 	// Resuming of replicas after a failover or switchover.
@@ -69,14 +71,17 @@
 			uncertainCommands:    map[hostCommand]int64{},
 			rejectedAt:           map[string]int64{},
 			unresolvedPromotions: map[string]int64{},
+			uncertainPromotions:  map[string]int64{},
 		}
 		c.services[name] = service
 	}
 	return service
 }
 
-// resetTransition clears the state of a failover or switchover that has ended.
-func (s *serviceState) resetTransition() {
+// resetTransition clears the state of a failover or switchover that has ended, with primary as the primary.
+func (s *serviceState) resetTransition(primary string) {
+	s.keepPendingPromotion(primary)
+	s.requestsSent = 0
 	s.startedAt, s.proxiesCaughtUpAt = 0, 0
 	s.nominatedHost = ""
 	s.promotedHost, s.promotedHostFailed, s.promotionPending = "", false, false
--- a/internal/control/failover/timing.go
+++ b/internal/control/failover/timing.go
@@ -78,6 +78,8 @@
 	promotionTimeoutMs = 5000
 	// unclearPromotionTimeoutMs replaces promotionTimeoutMs after PromotionUnknown: the request may never have arrived.
 	unclearPromotionTimeoutMs = 2 * promotionRetryMs
+	// latePromotionMs is how long after its request a promotion without a clear answer may still be carried out.
+	latePromotionMs = promotionTimeoutMs + 1000
 	// rejectionPeriodMs is how long a host is excluded as nominee after its promotion was rejected or it failed to answer as
 	// nominee.
 	rejectionPeriodMs = 2 * queryTimeoutMs
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -39,6 +39,7 @@
 	s.coordinator.OnEvent = func(event failover.Event) {
 		s.log.Info(event.Kind.String(), "service", event.Service, "host", event.Host)
 	}
+	s.recordUncertainPromotions(now)
 	s.startLender(term, now)
 	s.log.Info("became leader", "term", term, "members", s.consensus.Members())
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -43,6 +43,7 @@
 	addressChecks      map[failover.HostQuery]addressCheck
 	peerVersions       map[consensus.ID]uint32 // protocol versions that other members last announced
 	lastCallSeq        map[string]int64        // highest CallSeq of heartbeats, by host
+	nominations        recentNominations
 
 	proxies         servedProxies
 	proxiesAccepted uint64 // number of proxy connections accepted since the process started
@@ -96,6 +97,7 @@
 		addressChecks:    map[failover.HostQuery]addressCheck{},
 		peerVersions:     map[consensus.ID]uint32{},
 		lastCallSeq:      map[string]int64{},
+		nominations:      newRecentNominations(),
 		protocolVersion:  rpc.ProtocolVersion,
 		proxies:          newServedProxies(),
 		forwarder:        newForwarder(incarnation),
