--- a/internal/control/failover/uncertain_promotion.go
+++ b/internal/control/failover/uncertain_promotion.go
@@ -17,7 +17,7 @@
 func (s *serviceState) keepPendingPromotion(primary string) {
 	host := s.promotion.Host
 	if s.promotionPending && (s.requestsSent > 1 || host != primary) {
-			s.uncertainPromotions[host] = max(s.uncertainPromotions[host], s.promotionSentAt+latePromotionMs)
+		s.uncertainPromotions[host] = max(s.uncertainPromotions[host], s.promotionSentAt+latePromotionMs)
 	}
 }
 
--- a/internal/proxy/simulation_unheard_test.go
+++ b/internal/proxy/simulation_unheard_test.go
@@ -144,3 +144,13 @@
 	}
 	require.Greater(t, lost, simulations/3, "too few simulations lose writes without the reports for this to prove anything")
 }
+
+// A host that starts unheard while the platform carries out a planned promotion, whose host has just fallen deaf, acknowledges
+// writes that are lost.
+func TestUnheardHostThatStartsDuringAPlannedPromotionKeepsItsWrites(t *testing.T) {
+	const seed = 1309
+	sim := newClusterSimulation(seed, 3, 9)
+	sim.After(sim.Between(500*millisecond, 2*second), sim.cluster.returnUnheard)
+	sim.run()
+	require.Empty(t, sim.Violations, sim.report())
+}
