Soak: a host that replaces another sends its first heartbeat up to 3 s late

Need: the stand-ins' hosts were heard as soon as they ran, so that no soak could meet a host that receives unheard.

Change: Server.Replace takes the time until the first heartbeat; the soak draws it for each replacement.

--- a/internal/fake/database/host.go
+++ b/internal/fake/database/host.go
@@ -13,6 +13,8 @@
 	Unreachable bool
 	// Draining makes the host's heartbeats announce that it is about to leave.
 	Draining bool
+	// Unheard stops the host's heartbeats.
+	Unheard bool
 	// ReplicationStopped stops a replica from fetching the primary's log.
 	ReplicationStopped bool
 	// IsPrimary says that the host considers itself the primary. After a promotion, the former primary does so too until it
@@ -89,7 +91,7 @@
 }
 
 func (h *Host) sendHeartbeat() {
-	if h.Up && !h.Unreachable && h.group.OnHeartbeat != nil {
+	if h.Up && !h.Unreachable && !h.Unheard && h.group.OnHeartbeat != nil {
 		h.group.OnHeartbeat(h)
 	}
 }
--- a/internal/fake/database/membership.go
+++ b/internal/fake/database/membership.go
@@ -25,9 +25,9 @@
 }
 
 // Replace shuts a host down gracefully and replaces it: the host announces that it drains, serves for drainTime, announces that
-// it leaves, and ends. After downTime, a new host with the same log starts at its address. If the host drains already, Replace
-// does nothing. The caller holds the scheduler's lock.
-func (s *Server) Replace(host *Host, drainTime, downTime int64) {
+// it leaves, and ends. After downTime, a new host with the same log starts at its address, and sends its first heartbeat after
+// unheardTime. If the host drains already, Replace does nothing. The caller holds the scheduler's lock.
+func (s *Server) Replace(host *Host, drainTime, downTime, unheardTime int64) {
 	if host.Draining {
 		return
 	}
@@ -43,7 +43,11 @@
 		s.replacedHosts++
 		left := host.ID
 		host.ID = fmt.Sprintf("%s.%d", left, s.replacedHosts)
-		host.Draining = false
+		host.Draining, host.Unheard = false, true
+		s.After(downTime+unheardTime, func() {
+			host.Unheard = false
+			host.sendHeartbeat()
+		})
 		s.addresses[host.ID] = s.addresses[left]
 		s.Logf("%s replaces %s", host.ID, left)
 	})
--- a/internal/simulation/cluster/soak_faults.go
+++ b/internal/simulation/cluster/soak_faults.go
@@ -89,7 +89,7 @@
 	case faultplan.CrashPrimary, faultplan.CrashReplica:
 		host.Crash(event.Variant%2 == 0, span)
 	default:
-		k.hosts.Replace(host, span, hostDownTime)
+		k.hosts.Replace(host, span, hostDownTime, k.scheduler.Between(0, maxUnheardTime))
 	}
 	return nil
 }
@@ -97,6 +97,9 @@
 // hostDownTime is the time between the end of a host and the start of its replacement at the same address.
 const hostDownTime = 500 * database.Millisecond
 
+// maxUnheardTime is the longest time from the start of a replacement to its first heartbeat.
+const maxUnheardTime = 3 * database.Second
+
 // replica returns one of the running replicas, selected by variant, or nil if there is none.
 func (k *soak) replica(variant int) *database.Host {
 	var replicas []*database.Host
