--- a/review/rig/hosts.go
+++ b/review/rig/hosts.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -42,6 +43,8 @@
 	promotions []promotion
 	rec        *recorder
 	stopped    bool
+	lagMs      float64 // how much later replicas receive an entry, on average
+	silentNext bool    // the next host that starts sends no heartbeat
 	beatTarget map[string]string
 
 	onQuery       func(h *host, id, text string) // called for each statement with an id that a host runs
@@ -73,7 +76,7 @@
 	silent       bool                     // sends no heartbeat
 	cut          map[string]bool          // ids of hosts that it cannot reach
 	delay        time.Duration            // before each answer
-	lag          time.Duration            // before it receives an entry
+	scheduled    int                      // entries whose receipt is scheduled
 	received     map[int]time.Time        // when an entry may be received
 	deaf         bool                     // receives nothing
 	commandDelay map[string]time.Duration // by word: before the command is carried out
@@ -91,6 +94,12 @@
 	return g
 }
 
+// addSilent starts a new replica; if silent, its first heartbeat is late.
+func (g *group) addSilent(id, addr string, silent bool) *host {
+	g.silentNext = silent
+	return g.add(id, addr, false, nil)
+}
+
 // add starts a host. A new host takes the log given.
 func (g *group) add(id, addr string, primary bool, log []entry) *host {
 	g.mu.Lock()
@@ -98,6 +107,7 @@
 	h := &host{g: g, id: id, addr: addr, zone: "z", primary: primary, term: g.maxTerm, cut: map[string]bool{}, conns: map[net.Conn]bool{},
 		log: append([]entry(nil), log...), received: map[int]time.Time{}, commandDelay: map[string]time.Duration{}}
 	h.acked = len(h.log)
+	h.silent, g.silentNext = g.silentNext, false
 	g.hosts[id] = h
 	h.listen()
 	go h.beatLoop()
@@ -230,18 +240,20 @@
 	if common < len(r.log) {
 		p.g.rec.add("host %s is cut back from %s to %d entries by %s", r.id, r.position(), common, p.id)
 		r.log = r.log[:common]
-	}
-	for common < len(p.log) {
-		if r.lag > 0 {
-			due, known := r.received[common]
-			if !known {
-				r.received[common] = time.Now().Add(r.lag)
-				return
-			}
-			if time.Now().Before(due) {
-				return
+		r.scheduled = common
+	}
+	now := time.Now()
+	for i := max(common, r.scheduled); i < len(p.log); i++ {
+		due := now
+		if p.g.lagMs > 0 { // in order, as over one connection
+			due = now.Add(time.Duration((0.25 + 1.5*rand.Float64()) * p.g.lagMs * float64(time.Millisecond)))
+			if previous := r.received[i-1]; due.Before(previous) {
+				due = previous
 			}
 		}
+		r.received[i], r.scheduled = due, i+1
+	}
+	for common < len(p.log) && !now.Before(r.received[common]) {
 		r.log = append(r.log, p.log[common])
 		common++
 	}
@@ -262,6 +274,11 @@
 	}
 	g.maxTerm++
 	h.primary, h.term, h.paused, h.acked = true, g.maxTerm, 0, len(h.log)
+	for _, o := range g.hosts { // in that moment the old primary loses the lead
+		if o != h && o.primary && o.up && !o.cut[id] {
+			o.primary = false
+		}
+	}
 	g.promotions = append(g.promotions, promotion{time.Now(), id, h.term, append([]entry(nil), h.log...)})
 	g.mu.Unlock()
 	g.rec.add("promotion takes effect: host %s leads term %d with its log to %s", id, h.term, h.positionLocked())
