--- a/review/rig/hosts.go
+++ b/review/rig/hosts.go
@@ -104,8 +104,10 @@
 func (g *group) add(id, addr string, primary bool, log []entry) *host {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	h := &host{g: g, id: id, addr: addr, zone: "z", primary: primary, term: g.maxTerm, cut: map[string]bool{}, conns: map[net.Conn]bool{},
-		log: append([]entry(nil), log...), received: map[int]time.Time{}, commandDelay: map[string]time.Duration{}}
+	h := &host{
+		g: g, id: id, addr: addr, zone: "z", primary: primary, term: g.maxTerm, cut: map[string]bool{}, conns: map[net.Conn]bool{},
+		log: append([]entry(nil), log...), received: map[int]time.Time{}, commandDelay: map[string]time.Duration{},
+	}
 	h.acked = len(h.log)
 	h.silent, g.silentNext = g.silentNext, false
 	g.hosts[id] = h
@@ -310,8 +312,10 @@
 	if h.draining {
 		state = "draining"
 	}
-	body, _ := json.Marshal(map[string]any{"Service": h.g.service, "Address": h.addr, "Zone": h.zone, "Generation": "v1", "Capacity": 5,
-		"State": state, "ColdLeftMs": 0, "DbRole": h.role(), "CallSeq": h.seq})
+	body, _ := json.Marshal(map[string]any{
+		"Service": h.g.service, "Address": h.addr, "Zone": h.zone, "Generation": "v1", "Capacity": 5,
+		"State": state, "ColdLeftMs": 0, "DbRole": h.role(), "CallSeq": h.seq,
+	})
 	targets := append([]string(nil), h.g.members...)
 	if t := h.g.beatTarget[h.id]; t != "" {
 		targets = append([]string{t}, targets...)
