Review, case 5: a crash while a primary is replaced loses acknowledged commits

Cause: proxies report, of an acknowledged write, the position known when it was sent, plus one. With writes under way at the same time the commit lies above that, so a failover takes a replica that lacks what only an unheard new host has received.

--- a/review/rig/hosts.go
+++ b/review/rig/hosts.go
@@ -21,6 +21,7 @@
 	beatMs          = 1200
 	promoteTime     = 300 * time.Millisecond // how long a promotion takes
 	replicationTick = 2 * time.Millisecond
+	finerTick       = 500 * time.Microsecond // where hosts are spread over zones
 )
 
 // entry is one commit that wrote.
@@ -43,8 +44,10 @@
 	promotions []promotion
 	rec        *recorder
 	stopped    bool
-	lagMs      float64 // how much later replicas receive an entry, on average
-	silentNext bool    // the next host that starts sends no heartbeat
+	lagMs      float64           // how much later replicas receive an entry, on average
+	zoneMs     float64           // how much later replicas in other zones receive it; above 0, lagMs varies by a twentieth only
+	zones      map[string]string // by id of a host; the others are in zone z
+	silentNext bool              // the next host that starts sends no heartbeat
 	beatTarget map[string]string
 
 	onQuery       func(h *host, id, text string) // called for each statement with an id that a host runs
@@ -88,7 +91,7 @@
 }
 
 func newGroup(service string, members []string, rec *recorder) *group {
-	g := &group{service: service, members: members, hosts: map[string]*host{}, maxTerm: 1, maxConns: 57, rec: rec, beatTarget: map[string]string{}}
+	g := &group{service: service, members: members, hosts: map[string]*host{}, maxTerm: 1, maxConns: 57, rec: rec, beatTarget: map[string]string{}, zones: map[string]string{}}
 	g.changed = sync.NewCond(&g.mu)
 	go g.replicate()
 	return g
@@ -104,8 +107,12 @@
 func (g *group) add(id, addr string, primary bool, log []entry) *host {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	zone := g.zones[id]
+	if zone == "" {
+		zone = "z"
+	}
 	h := &host{
-		g: g, id: id, addr: addr, zone: "z", primary: primary, term: g.maxTerm, cut: map[string]bool{}, conns: map[net.Conn]bool{},
+		g: g, id: id, addr: addr, zone: zone, primary: primary, term: g.maxTerm, cut: map[string]bool{}, conns: map[net.Conn]bool{},
 		log: append([]entry(nil), log...), received: map[int]time.Time{}, commandDelay: map[string]time.Duration{},
 	}
 	h.acked = len(h.log)
@@ -200,9 +207,13 @@
 
 // replicate carries entries from primaries to the replicas that they reach.
 func (g *group) replicate() {
+	tick := replicationTick
 	for {
-		time.Sleep(replicationTick)
+		time.Sleep(tick)
 		g.mu.Lock()
+		if g.zoneMs > 0 {
+			tick = finerTick
+		}
 		if g.stopped {
 			g.mu.Unlock()
 			return
@@ -248,7 +259,7 @@
 	for i := max(common, r.scheduled); i < len(p.log); i++ {
 		due := now
 		if p.g.lagMs > 0 { // in order, as over one connection
-			due = now.Add(time.Duration((0.25 + 1.5*rand.Float64()) * p.g.lagMs * float64(time.Millisecond)))
+			due = now.Add(time.Duration(p.lagTo(r) * float64(time.Millisecond)))
 			if previous := r.received[i-1]; due.Before(previous) {
 				due = previous
 			}
@@ -262,6 +273,17 @@
 	p.acked = max(p.acked, common)
 }
 
+// lagTo returns how many milliseconds later a replica receives the next entry.
+func (p *host) lagTo(r *host) float64 {
+	switch {
+	case p.g.zoneMs == 0:
+		return (0.25 + 1.5*rand.Float64()) * p.g.lagMs
+	case r.zone == p.zone:
+		return (0.95 + 0.1*rand.Float64()) * p.g.lagMs
+	}
+	return (0.95+0.1*rand.Float64())*p.g.lagMs + p.g.zoneMs
+}
+
 // promote gives the lead to a host, with the log that it has.
 func (g *group) promote(id string) {
 	g.mu.Lock()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -63,6 +63,7 @@
 	nodes    map[string]*node
 	trouble  bool
 	fencing  bool
+	spread   bool // the first three hosts of a service are in three zones
 	violated []string
 	mu       sync.Mutex
 }
@@ -175,6 +176,8 @@
 Invariants = ["base","drain","config","cost","sql","recover"]
 [Zones]
 z = "r"
+z2 = "r"
+z3 = "r"
 [Listen]
 %s
 [Limits]
@@ -503,6 +506,9 @@
 		if i > 0 {
 			suffix = fmt.Sprint(i)
 		}
+		if l.spread {
+			g.zones["i-b"+suffix], g.zones["i-c"+suffix] = "z2", "z3"
+		}
 		g.add("i-a"+suffix, l.addr(70+3*i, l.ports.host), true, first)
 		g.add("i-b"+suffix, l.addr(71+3*i, l.ports.host), false, first)
 		g.add("i-c"+suffix, l.addr(72+3*i, l.ports.host), false, first)
