A write is acknowledged once a known replica has it; a failover waits for the rest

Cause: the bound that proxies report is the position known when a write was sent, plus one. With many writes under way the commit lies higher by as many as are committed while one waits for its replica (6 at 700 a second and 8 ms), and the most advanced known replica lies between the two. The record of a lost commit shows it: the bound was reached by the promoted host, the commit was not. A report that came late or not at all would have shown as no position in the failover; with one client, where the bound is exact, the failover waits as it should.

Change: the acknowledgement of a write whose position is not known exactly is held until a known replica has reported the end of the primary's log in the answer (RESET on an idle connection, which takes no slot, every 10 ms; any other response of a replica will do). What no replica confirms in 100 ms is forwarded, and its upper bound is reported with the revocation (AcknowledgedPosition.Unconfirmed). A failover waits for a host at that position for as long as a first heartbeat may take (3 s). The lower bound carries the term of the answer, not of what was known before.

The simulation had nine clients that mostly read, so that hardly two writes were under way at once, and new hosts only where another had ended.

--- a/internal/control/failover/confirmed_writes_test.go
+++ b/internal/control/failover/confirmed_writes_test.go
@@ -4,6 +4,9 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"ferrypitch/internal/statemachine"
+	"ferrypitch/internal/wire"
 )
 
 // Guards against a planned promotion while a proxy may still acknowledge writes that only an unheard host has received.
@@ -50,3 +53,36 @@
 	require.Len(t, h.promotions, 1)
 	require.Equal(t, "h1", h.promotions[0].Host)
 }
+
+// Guards against a failover to a host that lacks writes which only an unheard host has received, while the exact position of the last
+// acknowledged write is not known. The wait ends with the first heartbeat of a host that has them, and at the latest when the first
+// heartbeat of any host is overdue.
+func TestFailoverWaitsForUnconfirmedWrites(t *testing.T) {
+	for _, heard := range []bool{true, false} {
+		h := newHarness(t)
+		h.run(1500)
+		h.stopPrimary(false)
+		h.allCaughtUp = func(uint64) bool { return false }
+		h.suspectPrimary()
+		h.run(500)
+		h.coordinator.Acknowledged("db", h.primary().ChangedIndex, AcknowledgedWrites{
+			AtLeast: wire.Position{Timeline: 4, Number: 98},
+			AtMost:  wire.Position{Timeline: 4, Number: 104},
+		})
+		h.allCaughtUp = nil
+		h.run(firstHeartbeatMs - 500)
+		require.Empty(t, h.promotions, "no known host has position 104")
+		require.Equal(t, "4.104", h.coordinator.Transitions(h.state, h.now)["db"].AwaitedPosition)
+		if heard {
+			status := wire.HostStatus{Timeline: 4, ReceivedPosition: wire.Position{Timeline: 4, Number: 104}}
+			h.hosts["h3"] = &fakeHost{HostStatus: status, up: true}
+			h.apply(statemachine.Change{AddHost: &statemachine.Host{ID: "h3", Service: "db", Address: "h3"}})
+			h.run(300)
+			require.Len(t, h.promotions, 1)
+			require.Equal(t, "h3", h.promotions[0].Host)
+			continue
+		}
+		h.run(700)
+		require.Len(t, h.promotions, 1, "every host that can have received writes has been heard")
+	}
+}
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -270,7 +270,7 @@
 // moreAdvanced returns the candidate with the greater position. If the positions are equal, it prefers one that is not draining,
 // or the current nominee.
 func (e *evaluation) moreAdvanced(best, other candidate) candidate {
-	other.position.Timeline = min(other.position.Timeline, e.primary.Term) // no proxy held a lease in a later term, so nothing was acknowledged there
+	other.position = e.inPrimaryTerm(other.position)
 	switch {
 	case best.host == "", best.position.Before(other.position):
 		return other
--- a/internal/control/failover/timing.go
+++ b/internal/control/failover/timing.go
@@ -39,9 +39,11 @@
 	removedHostShutdownMs = 500
 	// terminatedHostRemovalMs is how long a host that left without draining first must be marked missing before it is removed.
 	terminatedHostRemovalMs = 60_000
-	// RegistrationGraceMs is how long after the start of the whole system a host's first heartbeat may still be outstanding:
-	// two lost calls with a one-second wait for each, and the third attempt.
-	RegistrationGraceMs = 3000
+	// firstHeartbeatMs is how long after its start a host's first heartbeat may still be outstanding: two lost calls with a
+	// one-second wait for each, and the third attempt.
+	firstHeartbeatMs = 3000
+	// RegistrationGraceMs is how long after the start of the whole system a host's first heartbeat may still be outstanding.
+	RegistrationGraceMs = firstHeartbeatMs
 	// refusalTTLMs is how long a replica's refused connection remains valid without another one.
 	refusalTTLMs = 8 * queryIntervalMs
 	// primaryReportTTLMs is how long a host's report that it is primary remains valid while the service has no known primary.
--- a/internal/control/failover/unheard_hosts_test.go
+++ b/internal/control/failover/unheard_hosts_test.go
@@ -146,9 +146,9 @@
 	h.suspectPrimary()
 	h.run(1500)
 	require.True(t, h.primary().Revoked)
-	h.coordinator.Acknowledged("db", h.primary().ChangedIndex, wire.Position{Timeline: 4, Number: 120})
-	h.coordinator.Acknowledged("db", h.primary().ChangedIndex, wire.Position{Timeline: 4, Number: 110})
-	h.coordinator.Acknowledged("db", earlierRevocation, wire.Position{Timeline: 4, Number: 999})
+	h.coordinator.Acknowledged("db", h.primary().ChangedIndex, AcknowledgedWrites{AtLeast: wire.Position{Timeline: 4, Number: 120}})
+	h.coordinator.Acknowledged("db", h.primary().ChangedIndex, AcknowledgedWrites{AtLeast: wire.Position{Timeline: 4, Number: 110}})
+	h.coordinator.Acknowledged("db", earlierRevocation, AcknowledgedWrites{AtLeast: wire.Position{Timeline: 4, Number: 999}})
 	h.allCaughtUp = nil
 	h.run(2000)
 	require.Empty(t, h.promotions, "no known host has position 120")
--- a/internal/control/proxies.go
+++ b/internal/control/proxies.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"ferrypitch/internal/control/failover"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/statemachine"
 	"ferrypitch/internal/wire"
@@ -253,8 +254,10 @@
 	}
 	for _, reported := range positions {
 		if s.state.Primaries[reported.Service].Revoked {
-			position := wire.Position{Timeline: reported.Term, Number: reported.Number}
-			s.coordinator.Acknowledged(reported.Service, reported.RevocationIndex, position)
+			s.coordinator.Acknowledged(reported.Service, reported.RevocationIndex, failover.AcknowledgedWrites{
+				AtLeast: wire.Position{Timeline: reported.Term, Number: reported.Number},
+				AtMost:  wire.Position{Timeline: reported.UnconfirmedTerm, Number: reported.UnconfirmedNumber},
+			})
 		}
 	}
 }
--- a/internal/proxy/confirmation.go
+++ b/internal/proxy/confirmation.go
@@ -69,7 +69,13 @@
 	case svc.primary.Nominee != "":
 		return true
 	}
-	return false
+	return !stmt.attempt.commitsExactlyAt(response.Position) && len(s.confirmingHosts(svc)) > 0
+}
+
+// commitsExactlyAt reports whether the commit of an acknowledged write is at end, the end of the primary's log in the response: the
+// commit comes after every position that was known when the write was sent.
+func (a *attempt) commitsExactlyAt(end wire.Position) bool {
+	return a.primaryPosition.Known() && end.Number == a.primaryPosition.Number+1
 }
 
 // hold keeps the acknowledgement of a write until a known replica has confirmed it.
--- a/internal/proxy/confirmation_test.go
+++ b/internal/proxy/confirmation_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ferrypitch/internal/fake/database"
+	"ferrypitch/internal/statemachine"
 )
 
 // confirmationScene is a proxy with one session, a primary and replicas that receive nothing, and a replica that the control plane
@@ -34,6 +35,56 @@
 
 func (s *confirmationScene) service() *service { return s.proxy.server.services["db"] }
 
+// store sends a write after another proxy's write, so that its position is not known exactly.
+func (s *confirmationScene) store() {
+	primary := s.sim.database.Primary()
+	primary.Log = append(primary.Log, database.Entry{Timeline: primary.Timeline, Data: []string{"another"}})
+	sendStatement(s.t, s.proxy, s.client, "QUERY c1 STORE a b")
+}
+
+// Guards against the acknowledgement of a write that no host has received which the control plane knows.
+func TestWriteIsAcknowledgedOnceAKnownReplicaHasIt(t *testing.T) {
+	scene := newConfirmationScene(t)
+	scene.store()
+	scene.sim.RunFor(60 * millisecond)
+	require.Empty(t, scene.answers.take(), "only an unheard host has the write")
+	scene.sim.database.Hosts[2].ReplicationStopped = false
+	scene.sim.RunFor(60 * millisecond)
+	require.Contains(t, scene.answers.take(), "DONE x.c1")
+	require.False(t, scene.service().unconfirmed.Known())
+	require.Empty(t, scene.service().confirmations.held)
+}
+
+// A write that no known replica confirms in time is acknowledged all the same, and the failover is told so.
+func TestUnconfirmedWriteIsReportedToTheFailover(t *testing.T) {
+	scene := newConfirmationScene(t)
+	scene.store()
+	scene.sim.RunFor(150 * millisecond)
+	require.Contains(t, scene.answers.take(), "DONE x.c1")
+	primary := scene.sim.database.Primary()
+	end := primary.PositionAt(len(primary.Log))
+	require.Equal(t, end, scene.service().unconfirmed)
+	require.EqualValues(t, 1, scene.proxy.server.counters.acksUnconfirmed.Load())
+	scene.sim.control.apply(statemachine.Change{RevokePrimary: &statemachine.RevokePrimary{Service: "db", Owner: "control"}})
+	scene.sim.RunFor(20 * millisecond)
+	reported := scene.proxy.server.newLeaseRequest(1).Acknowledged
+	require.Len(t, reported, 1)
+	require.Equal(t, end.Timeline, reported[0].UnconfirmedTerm)
+	require.Equal(t, end.Number, reported[0].UnconfirmedNumber)
+}
+
+// A primary that crashes before a known replica has confirmed a write leaves the write in doubt.
+func TestUnconfirmedWriteOfACrashedPrimaryIsInDoubt(t *testing.T) {
+	scene := newConfirmationScene(t)
+	scene.store()
+	scene.sim.RunFor(40 * millisecond)
+	require.Len(t, scene.service().confirmations.held, 1)
+	scene.sim.database.Primary().Crash(false, 10*second)
+	scene.sim.RunFor(1500 * millisecond)
+	require.Contains(t, scene.answers.take(), "ERROR INDOUBT")
+	require.False(t, scene.service().unconfirmed.Known(), "it was not acknowledged")
+}
+
 // Guards against the acknowledgement of a write during a switchover that the nominee has not received, whatever other replicas have.
 func TestWriteDuringASwitchoverWaitsForTheNominee(t *testing.T) {
 	scene := newConfirmationScene(t)
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -33,6 +33,7 @@
 	rejectedAtLeaseLoss    atomic.Int64 // statements rejected while waiting for a host, because the lease expired
 	floorUnknown           atomic.Int64 // reads sent to the primary because no floor was known (see readOrWriteGroup)
 	acksHeld               atomic.Int64 // writes whose acknowledgement waited for a known replica
+	acksUnconfirmed        atomic.Int64 // writes acknowledged although no known replica had confirmed them
 	confirmationQueries    atomic.Int64 // queries to replicas that confirm writes
 	acksAfterRevocation    atomic.Int64 // writes acknowledged by a primary after its revocation or the end of the lease
 	responsesLost          atomic.Int64 // transactions aborted because a response was considered lost
@@ -89,6 +90,7 @@
 		"rejected_at_lease_loss":    c.rejectedAtLeaseLoss.Load(),
 		"floor_unknown":             c.floorUnknown.Load(),
 		"acks_held":                 c.acksHeld.Load(),
+		"acks_unconfirmed":          c.acksUnconfirmed.Load(),
 		"confirmation_queries":      c.confirmationQueries.Load(),
 		"acks_after_revocation":     c.acksAfterRevocation.Load(),
 		"responses_lost":            c.responsesLost.Load(),
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -30,6 +30,7 @@
 		metrics.CounterFamily("rejected_at_lease_loss", "Statements that waited for a host when the lease expired."),
 		metrics.CounterFamily("floor_unknown", "Reads sent to the primary since no position was known that they had to see."),
 		metrics.CounterFamily("acks_held", "Writes whose acknowledgement waited until a known replica had received them."),
+		metrics.CounterFamily("acks_unconfirmed", "Writes acknowledged although no known replica was seen to have received them."),
 		metrics.CounterFamily("confirmation_queries", "Queries for the log position of a replica that is to confirm writes."),
 		metrics.CounterFamily("acks_after_revocation", "Writes acknowledged by a primary that was revoked, or whose lease had expired, meanwhile."),
 		metrics.CounterFamily("responses_lost", "Transactions ended since a response counted as lost."),
--- a/internal/proxy/reconcile.go
+++ b/internal/proxy/reconcile.go
@@ -7,6 +7,7 @@
 	"ferrypitch/internal/proxy/position"
 	"ferrypitch/internal/proxy/tenancy"
 	"ferrypitch/internal/statemachine"
+	"ferrypitch/internal/wire"
 	"ferrypitch/policy"
 )
 
@@ -135,6 +136,7 @@
 		return
 	}
 	svc.positions.Clear()
+	svc.unconfirmed = wire.Position{}
 	if pool := s.pools[current.Host]; pool != nil {
 		pool.policyHost.SetPrimary(true)
 		s.log.Info("primary changed", "service", svc.name, "host", current.Host, "term", current.Term)
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -36,6 +36,7 @@
 	primary       statemachine.Primary
 	positions     position.Tracker // known log positions of the primary
 	acknowledged  wire.Position    // lower bound of the last write that a primary has acknowledged through this proxy
+	unconfirmed   wire.Position    // upper bound of the acknowledged writes that no known replica has confirmed
 	confirmations confirmations    // acknowledgements that wait for a known replica
 	maxConns      int              // connections that each host accepts from all proxies
 	usedBySession bool             // a session has submitted a statement for the service
--- a/internal/proxy/simulation_client_test.go
+++ b/internal/proxy/simulation_client_test.go
@@ -21,6 +21,7 @@
 	index     int
 	routeKind string // database named in its CONNECT
 	key       string // key named in its CONNECT
+	isWriter  bool   // it only writes, outside transactions, with short pauses
 
 	sessionNumber    int
 	session          *clientSession
@@ -209,7 +210,15 @@
 		return
 	}
 	c.inTransaction, c.uncommitted, c.beganAt = false, nil, 0
-	c.actAfter(sim.Between(1*millisecond, 60*millisecond))
+	c.actAfter(c.pause())
+}
+
+// pause returns a random pause between two operations of a session.
+func (c *client) pause() int64 {
+	if c.isWriter {
+		return c.sim.Between(1*millisecond, 20*millisecond)
+	}
+	return c.sim.Between(1*millisecond, 60*millisecond)
 }
 
 // recordServed counts a statement that a host has executed, and checks that the answer belongs to the request.
@@ -289,6 +298,9 @@
 // randomRequest returns a random next request of a session and its text.
 func (c *client) randomRequest(item, data string) (request pendingRequest, text string) {
 	sim := c.sim
+	if c.isWriter {
+		return pendingRequest{verb: "STORE", data: data}, "STORE " + item + " " + data
+	}
 	switch chance := sim.Rand.IntN(20); {
 	case chance == 0:
 		name := fmt.Sprintf("v%d", sim.Rand.IntN(2))
--- a/internal/proxy/simulation_run_test.go
+++ b/internal/proxy/simulation_run_test.go
@@ -37,6 +37,17 @@
 
 // simulateAll runs simulations in parallel, calls visit for each of them, and fails with the lowest seed that has violations.
 func simulateAll(t *testing.T, count int, build func(seed uint64) *simulation, visit func(*simulation)) {
+	t.Helper()
+	play := func(seed uint64) *simulation {
+		sim := build(seed)
+		sim.run()
+		return sim
+	}
+	playAll(t, count, play, visit)
+}
+
+// playAll is like simulateAll, with a function that builds and runs the simulation of a seed.
+func playAll(t *testing.T, count int, play func(seed uint64) *simulation, visit func(*simulation)) {
 	t.Helper()
 	var mu sync.Mutex
 	leastSeed, report := -1, ""
@@ -48,8 +59,7 @@
 			continue
 		}
 		group.Go(func() error {
-			sim := build(uint64(seed))
-			sim.run()
+			sim := play(uint64(seed))
 			mu.Lock()
 			defer mu.Unlock()
 			if len(sim.Violations) > 0 {
--- a/internal/proxy/simulation_unheard_test.go
+++ b/internal/proxy/simulation_unheard_test.go
@@ -98,7 +98,7 @@
 	sim.skipConfirmations()
 	sim.changeRepeatedly(func(server *Server) {
 		for _, svc := range server.services {
-			svc.acknowledged = wire.Position{}
+			svc.acknowledged, svc.unconfirmed = wire.Position{}, wire.Position{}
 		}
 	})
 }
--- a/internal/proxy/statement_response.go
+++ b/internal/proxy/statement_response.go
@@ -78,8 +78,8 @@
 	attempt.ended = true
 	s.timers.Remove(attempt.timer)
 	conn.statement = nil
-	if stmt.provesCommit(response) {
-		conn.pool.service.recordAcknowledgement(attempt)
+	if stmt.provesCommit(response) && conn.pool.service.recordAcknowledgement(attempt, response.Position) {
+		s.counters.acksUnconfirmed.Add(1)
 	}
 	switch {
 	case stmt.acknowledgesWrite(response) && !s.primaryEpochValid(conn.pool.service, attempt.primaryEpoch):
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -114,6 +114,10 @@
 	Service         string
 	RevocationIndex uint64 // log index of the primary's revocation, which identifies the failover
 	Term, Number    uint64 // timeline, and position on that timeline
+
+	// UnconfirmedTerm and UnconfirmedNumber are the end of the primary's log when it acknowledged a write that no known replica had
+	// confirmed: the write is at or before that position. Zero if there was none.
+	UnconfirmedTerm, UnconfirmedNumber uint64
 }
 
 // PrimaryPosition is the log position of a service's primary, as reported by a proxy.
