A host is promoted for what its log holds, not for the number of its end

Cause: promoteCaughtUpNominee, which completes a switchover that had to stop writes, took a nominee at a greater number for one that has everything, whatever the terms. The record shows both positions before the request; a position that was reported falsely, or a switchover that was not aborted, is ruled out by it. The same comparison stood in choosePromotion, once the old primary has stepped down, and in oldPrimaryIsAhead.

Change: Position.Contains says that a log has a commit only where both end on the same timeline; the planned steps ask it. The other two compare positions with their terms. No comparison of numbers alone is left in internal/control.

Tests: TestNomineeWithADivergedLogIsNotPromoted and TestOldPrimaryInALaterTermIsNotOutnumbered fail on (a scratch copy) and pass. TestHostWithADivergedLogIsNotPromoted plays it: simulated hosts can be cut off from each other alone, which the simulation lacked.

--- a/internal/control/failover/confirmed_writes_test.go
+++ b/internal/control/failover/confirmed_writes_test.go
@@ -54,6 +54,38 @@
 	require.Equal(t, "h1", h.promotions[0].Host)
 }
 
+// Guards against the promotion of a nominee whose log is longer than the primary's, but ends in an earlier term.
+func TestNomineeWithADivergedLogIsNotPromoted(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
+		h := newHarness(t)
+		h.coordinator.WritesAreConfirmed = confirmed
+		h.hosts["h1"].ReceivedPosition = wire.Position{Timeline: 3, Number: 110}
+		h.run(1300)
+		h.drain("h0")
+		h.run(200)
+		require.Equal(t, "h1", h.primary().Nominee)
+		require.Empty(t, h.promotions)
+		h.drain("h1") // which aborts the switchover
+		h.run(2000)
+		require.NotEmpty(t, h.promotions)
+		require.Equal(t, "h2", h.promotions[0].Host, "only h2 has the primary's log")
+	}
+}
+
+// Guards against the choice of a host by the number of its position alone, once the old primary has stepped down and left.
+func TestOldPrimaryInALaterTermIsNotOutnumbered(t *testing.T) {
+	h := newHarness(t)
+	h.coordinator.RegistrationGraceUntil = testStartMs + 60_000 // so the old primary's position is compared
+	h.run(1300)
+	for _, id := range []string{"h1", "h2"} {
+		h.hosts[id].ReceivedPosition = wire.Position{Timeline: 3, Number: 110}
+	}
+	h.apply(statemachine.Change{RemoveHost: "h0"})
+	h.run(1500)
+	require.True(t, h.primary().Revoked)
+	require.Empty(t, h.promotions, "both replicas lack what was written in the old primary's term")
+}
+
 // Guards against a failover to a host that lacks writes which only an unheard host has received, while the exact position of the last
 // acknowledged write is not known. The wait ends with the first heartbeat of a host that has them, and at the latest when the first
 // heartbeat of any host is overdue.
--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -101,7 +101,7 @@
 // primary has acknowledged nothing yet, since no proxy holds a lease on it, so another host may still be chosen.
 func (e *evaluation) oldPrimaryIsAhead(newPrimary wire.HostStatus) bool {
 	old, ok := e.steppedDownStatus()
-	return ok && e.service.promotedHostFailed && newPrimary.ReceivedPosition.Number < old.ReceivedPosition.Number
+	return ok && e.service.promotedHostFailed && e.inPrimaryTerm(newPrimary.ReceivedPosition).Before(e.inPrimaryTerm(old.ReceivedPosition))
 }
 
 // steppedDownStatus returns the old primary's status after it stepped down. Its log then holds every acknowledged write.
@@ -132,7 +132,7 @@
 }
 
 // promoteCaughtUpNominee completes a switchover that had to stop writes: it promotes the nominee once the nominee has
-// reached the position of the old primary, which has not stepped down. After replicaWaitMs, or if the old primary does not
+// received everything that is in the log of the old primary, which has not stepped down. After replicaWaitMs, or if the old primary does not
 // answer, the steps of an unplanned failover run instead.
 func (e *evaluation) promoteCaughtUpNominee() stepResult {
 	service := e.service
@@ -147,7 +147,7 @@
 	e.queryNominee()
 	old, oldKnown := service.statusSince(e.primary.Host, Stat, service.proxiesCaughtUpAt)
 	nominee, nomineeKnown := service.statusSince(e.primary.Nominee, Stat, service.proxiesCaughtUpAt)
-	if oldKnown && nomineeKnown && old.IsPrimary && nominee.ReceivedPosition.Number >= old.ReceivedPosition.Number {
+	if oldKnown && nomineeKnown && old.IsPrimary && nominee.ReceivedPosition.Contains(old.ReceivedPosition) {
 		e.requestPromotion(e.primary.Nominee)
 	}
 	return stop
@@ -201,7 +201,7 @@
 	if e.isRegistered(e.primary.Host) {
 		chosen = e.moreAdvanced(chosen, candidate{e.primary.Host, old.ReceivedPosition})
 	}
-	return chosen, chosen.host != "" && chosen.position.Number >= old.ReceivedPosition.Number
+	return chosen, chosen.host != "" && !chosen.position.Before(e.inPrimaryTerm(old.ReceivedPosition))
 }
 
 // inRegistrationGrace reports whether replicas may be running that have not sent their first heartbeat. Such a replica may be
--- a/internal/fake/database/host.go
+++ b/internal/fake/database/host.go
@@ -17,6 +17,8 @@
 	Unheard bool
 	// ReplicationStopped stops a replica from fetching the primary's log.
 	ReplicationStopped bool
+	// Isolated cuts the host off from the other hosts, but not from their clients.
+	Isolated bool
 	// IsPrimary says that the host considers itself the primary. After a promotion, the former primary does so too until it
 	// learns of its successor.
 	IsPrimary bool
--- a/internal/fake/database/replication.go
+++ b/internal/fake/database/replication.go
@@ -18,7 +18,7 @@
 // replicate has a replica fetch the primary's log now, and schedules the next fetch after a random interval.
 func (h *Host) replicate() {
 	h.group.After(h.group.Between(minFetchInterval, maxFetchInterval), h.replicate)
-	if !h.Up || h.IsPrimary || h.ReplicationStopped || h.PausedTimeline > 0 || h.Unreachable {
+	if !h.Up || h.IsPrimary || h.ReplicationStopped || h.PausedTimeline > 0 || h.Unreachable || h.Isolated {
 		return
 	}
 	if source := h.replicationSource(); source != nil {
@@ -31,7 +31,7 @@
 func (h *Host) replicationSource() *Host {
 	var source *Host
 	for _, other := range h.group.Hosts {
-		if other.Up && !other.Unreachable && other.IsPrimary && other.Timeline >= h.Timeline && (source == nil || other.Timeline > source.Timeline) {
+		if other.Up && !other.Unreachable && !other.Isolated && other.IsPrimary && other.Timeline >= h.Timeline && (source == nil || other.Timeline > source.Timeline) {
 			source = other
 		}
 	}
--- a/internal/fake/database/role.go
+++ b/internal/fake/database/role.go
@@ -36,6 +36,9 @@
 // followNewPrimary notifies a host of a new primary. A reachable replica switches to the new timeline at once. A former primary
 // steps down after a random delay.
 func (h *Host) followNewPrimary(primary *Host) {
+	if h.Isolated || primary.Isolated {
+		return
+	}
 	if h.Up && !h.Unreachable && !h.ReplicationStopped && !h.IsPrimary {
 		h.PausedTimeline, h.Timeline = 0, max(h.Timeline, primary.Timeline)
 	}
--- a/internal/proxy/simulation_client_test.go
+++ b/internal/proxy/simulation_client_test.go
@@ -280,6 +280,10 @@
 	if c.sessionNumber != sessionNumber || c.pending.verb != "" {
 		return
 	}
+	if c.isWriter && sim.writersStopped {
+		sim.After(100*millisecond, func() { c.act(sessionNumber) })
+		return
+	}
 	if !c.inTransaction && sim.OneIn(25) || c.inTransaction && sim.OneIn(40) {
 		c.disconnect(sessionNumber)
 		c.reconnectLater()
--- a/internal/proxy/simulation_release_test.go
+++ b/internal/proxy/simulation_release_test.go
@@ -77,6 +77,31 @@
 	})
 }
 
+// divergePrimary cuts the primary off from the other hosts, and lets it crash with writes that no other host has received: more of them
+// than the next primary gets, since the writers pause. It comes back as a replica that is still cut off. Then the primary that took its place is replaced, and after it this host.
+func (c *controlCluster) divergePrimary() {
+	sim := c.sim
+	diverged := sim.database.Primary()
+	if diverged == nil {
+		return
+	}
+	sim.LogFault("%s is cut off from the other hosts", diverged.ID)
+	diverged.Isolated = true
+	sim.After(sim.Between(100*millisecond, 500*millisecond), func() {
+		sim.writersStopped = true
+		diverged.Crash(false, sim.Between(600*millisecond, second))
+	})
+	sim.After(sim.Between(1400*millisecond, 2*second), func() {
+		if primary := sim.database.Primary(); primary != nil && primary != diverged {
+			c.startHost(0)
+			c.startHost(0)
+			c.drainForGood(primary)
+			sim.After(sim.Between(100*millisecond, 1200*millisecond), func() { c.drainForGood(diverged) })
+		}
+	})
+	sim.After(7*second, func() { diverged.Isolated, sim.writersStopped = false, false })
+}
+
 // playRelease plays a release simulation and returns it.
 func playRelease(seed uint64, change func(*simulation)) *simulation {
 	sim := newReleaseSimulation(seed)
@@ -90,6 +115,10 @@
 	sim.After(sim.Between(1500*millisecond, 2*second), sim.cluster.releasePrimaries)
 }
 
+func divergePrimary(sim *simulation) {
+	sim.After(sim.Between(1500*millisecond, 2*second), sim.cluster.divergePrimary)
+}
+
 // requireNothingLost plays a kind of release with a number of seeds, and requires that no rule is broken and enough was written.
 func requireNothingLost(t *testing.T, count int, release func(*simulation)) {
 	t.Helper()
@@ -112,6 +141,11 @@
 	requireNothingLost(t, max(1, seedCount()/25), releasePrimaries)
 }
 
+// Guards against the promotion of a host whose log is longer than the primary's, but ends in an earlier term.
+func TestHostWithADivergedLogIsNotPromoted(t *testing.T) {
+	requireNothingLost(t, max(1, seedCount()/25), divergePrimary)
+}
+
 // A host that drains is promoted, since no other has as much, and leaves before its appointment is in the log. Then the failover waits
 // for its log, although others have all of it.
 func TestFailoverDoesNotWaitForAPromotedHostThatHasLeft(t *testing.T) {
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -32,6 +32,8 @@
 	checker *checker.Checker
 	tenants *simulatedTenants // nil: clients do not authenticate
 
+	writersStopped bool // writers send nothing
+
 	served          int   // statements answered without an error
 	dials           int   // connection attempts of proxies to hosts
 	lastWriteAt     int64 // when the last write was acknowledged
