A held acknowledgement frees its place at the primary for the policy

Need: while a write waits for its confirmation the host has long done its work. The policy counted it as in flight at the primary, which would hold other statements back there; and its host-less command would have looked unsent once the lease was lost, and been told RETRY.

Change: the dispatch ends for the policy when the answer comes. If the attempt ends otherwise before the confirmation, the statement is answered INDOUBT without asking the policy.

--- a/internal/proxy/confirmation.go
+++ b/internal/proxy/confirmation.go
@@ -82,7 +82,12 @@
 func (s *Server) hold(conn *hostConn, stmt *statement, response *wire.Response) {
 	svc := conn.pool.service
 	s.counters.acksHeld.Add(1)
-	conn.acknowledged = true
+	stmt.attempt.held = true
+	if stmt.commandID != "" { // for the policy, the host has done its work
+		stmt.mayHaveRun = true
+		position := stmt.attempt.hostPosition
+		stmt.command.EndDispatch(policy.Answered, position.upToDateAsOf, position.role, stmt.attempt.answerTime(), stmt.finished)
+	}
 	svc.confirmations.held = append(svc.confirmations.held, &heldAcknowledgement{conn, stmt, response, s.clock.Time()})
 	if svc.confirmations.nextQuery == nil {
 		s.scheduleConfirmation(svc)
@@ -215,7 +220,7 @@
 	waiting.held = kept
 	for _, held := range released {
 		if held.isPending() { // releasing another one may have ended it
-			held.conn.acknowledged = false
+			held.statement.attempt.held = false
 			s.finishAttempt(held.conn, held.statement, held.response)
 		}
 	}
--- a/internal/proxy/confirmation_test.go
+++ b/internal/proxy/confirmation_test.go
@@ -98,3 +98,25 @@
 	scene.sim.RunFor(60 * millisecond)
 	require.Contains(t, scene.answers.take(), "DONE x.c1")
 }
+
+// A held acknowledgement does not take a place at the primary in the policy's view, and the loss of the lease does not turn it into a
+// promise that nothing is kept.
+func TestHeldAcknowledgementIsNotRejectedAtTheLossOfTheLease(t *testing.T) {
+	scene := newConfirmationScene(t)
+	hosts := scene.sim.database.Hosts
+	hosts[2].ReplicationStopped = false
+	scene.proxy.run(scene.proxy.incarnation, func(*Server) { scene.service().primary.Nominee = hosts[1].ID })
+	sendStatement(t, scene.proxy, scene.client, "QUERY c1 STORE a b")
+	scene.sim.RunFor(40 * millisecond)
+	held := scene.service().confirmations.held
+	require.Len(t, held, 1)
+	require.Nil(t, held[0].statement.command.Host)
+	scene.proxy.run(scene.proxy.incarnation, func(server *Server) {
+		server.lease.drop()
+		server.rejectUnsentStatements()
+	})
+	require.Empty(t, scene.answers.take())
+	hosts[1].ReplicationStopped = false
+	scene.sim.RunFor(100 * millisecond)
+	require.Contains(t, scene.answers.take(), "ERROR INDOUBT", "the primary may have been revoked")
+}
--- a/internal/proxy/host_conn.go
+++ b/internal/proxy/host_conn.go
@@ -29,7 +29,6 @@
 	pendingInternal int            // number of internal statements of the proxy that have no response yet
 	rollingBack     bool           // one of the pending internal statements is an ABORT
 	confirming      bool           // the pending internal statement asks for the host's position
-	acknowledged    bool           // the acknowledgement of statement is held until a replica has confirmed it
 	closed          bool
 	idleSince       time.Time
 }
@@ -92,7 +91,7 @@
 // tenant, or becomes idle.
 func (s *Server) releaseConn(conn *hostConn) {
 	pool := conn.pool
-	conn.statement, conn.session, conn.acknowledged = nil, nil, false
+	conn.statement, conn.session = nil, nil
 	if pool.retired || conn.closed {
 		s.closeConn(conn)
 		return
--- a/internal/proxy/safeguard_test.go
+++ b/internal/proxy/safeguard_test.go
@@ -103,6 +103,7 @@
 		sim.changeRepeatedly(func(server *Server) { server.settings.Bounds.RevokeClosed = false })
 	}},
 	{"transactions of a revoked key go on", "DOWNGRADE", newSimulationWithTenants, func(sim *simulation) {
+		sim.maxTransactionPause = 400 * millisecond
 		sim.changeRepeatedly(func(server *Server) { server.settings.Bounds.DowngradeMs = 0 })
 	}},
 	{"a partitioned proxy denies unknown keys", "DENIED", newSimulationWithTenants, func(sim *simulation) {
--- a/internal/proxy/simulation_client_test.go
+++ b/internal/proxy/simulation_client_test.go
@@ -197,7 +197,7 @@
 	}
 	c.recordAnswer(request, answer)
 	if answer.State == stateInTransaction {
-		c.actAfter(sim.Between(1*millisecond, 60*millisecond))
+		c.actAfter(sim.Between(1*millisecond, sim.maxTransactionPause))
 		return
 	}
 	if answer.Code.NothingKept() && request.verb != "COMMIT" && c.inTransaction {
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -32,7 +32,8 @@
 	checker *checker.Checker
 	tenants *simulatedTenants // nil: clients do not authenticate
 
-	writersStopped bool // writers send nothing
+	writersStopped      bool  // writers send nothing
+	maxTransactionPause int64 // longest pause of a client inside a transaction
 
 	served          int   // statements answered without an error
 	dials           int   // connection attempts of proxies to hosts
@@ -70,6 +71,8 @@
 		Scheduler:   scheduler.New(seed, 1<<40, millisecond),
 		epoch:       time.Unix(1e9, 0),
 		frozenUntil: map[string]int64{},
+
+		maxTransactionPause: 60 * millisecond,
 	}
 	sim.database = &database.Group{
 		Scheduler:          sim.Scheduler,
--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -47,6 +47,7 @@
 
 	answeredAt   policy.TenthMs // when the host's response arrived
 	hostPosition hostPosition   // of the host that responded
+	held         bool           // the response acknowledges a write and waits for a known replica
 
 	primaryPosition wire.Position // latest known position of the primary when the statement was sent to it; zero if unknown
 
--- a/internal/proxy/statement_outcome.go
+++ b/internal/proxy/statement_outcome.go
@@ -34,6 +34,11 @@
 	attempt := &stmt.attempt
 	now := s.refreshPolicyTime()
 	s.counters.outcomes[outcome].Add(1)
+	if attempt.held { // the policy regards the statement as answered
+		s.forgetIfFinished(stmt)
+		s.finishStatement(stmt, s.errorReply(errcode.InDoubt, 0))
+		return
+	}
 	if attempt.sent && outcome != policy.Expired {
 		stmt.mayHaveRun = stmt.mayHaveRun || stmt.writesData()
 		stmt.quota.charged = false // it may have run, so the next attempt is charged as another operation
--- a/internal/proxy/statement_response.go
+++ b/internal/proxy/statement_response.go
@@ -23,7 +23,7 @@
 		s.handleConfirmation(conn, response)
 	case conn.pendingInternal > 0:
 		s.completeInternal(conn, response)
-	case stmt == nil || !stmt.attempt.sent || conn.acknowledged || !response.Completed():
+	case stmt == nil || !stmt.attempt.sent || stmt.attempt.held || !response.Completed():
 		s.counters.unexpectedResponses.Add(1)
 		s.connLost(conn)
 	default:
