Confirmations are asked of the replica that gave the last one

Cause: replicas were asked in turn, so every second query for a confirmation went to one that applies its log late, and waited for the next.

Change: the replica that has confirmed something is asked again; the next one once it has confirmed nothing.

--- a/internal/proxy/confirmation.go
+++ b/internal/proxy/confirmation.go
@@ -40,7 +40,8 @@
 	position  wire.Position          // latest position that a host which counts has reported
 	conn      *hostConn              // connection of the query that is under way; nil: none
 	askedAt   time.Time              // when that query was sent
-	nextHost  int                    // incremented to choose the replicas round-robin
+	nextHost  int                    // which replica is asked next; incremented once one has confirmed nothing
+	inVain    bool                   // nothing was confirmed since the last query
 	nextQuery timer                  // nil: no acknowledgement is held
 }
 
@@ -133,11 +134,13 @@
 	return pools
 }
 
-// takeConfirmingConn returns an idle connection to a host that may confirm writes, trying the hosts in turn. If there is none, it
-// opens one if it may, and returns nil.
+// takeConfirmingConn returns an idle connection to a host that may confirm writes: to the one that confirmed the last ones, or else to
+// the next that has one. If there is none, it opens one if it may, and returns nil.
 func (s *Server) takeConfirmingConn(svc *service) *hostConn {
 	pools := s.confirmingHosts(svc)
-	svc.confirmations.nextHost++
+	if svc.confirmations.inVain {
+		svc.confirmations.nextHost++
+	}
 	for i := range pools {
 		pool := pools[(svc.confirmations.nextHost+i)%len(pools)]
 		if last := len(pool.idle) - 1; last >= 0 {
@@ -163,7 +166,7 @@
 		text = conn.state.ResetStatement()
 	}
 	s.counters.confirmationQueries.Add(1)
-	conn.confirming = true
+	conn.confirming, conn.pool.service.confirmations.inVain = true, true
 	conn.pendingInternal++
 	if _, ok := conn.out.write(wire.AppendQuery(nil, internalRequestID, text)); !ok {
 		s.deferred.add(func() { s.connLost(conn) })
@@ -217,7 +220,7 @@
 			kept = append(kept, held)
 		}
 	}
-	waiting.held = kept
+	waiting.held, waiting.inVain = kept, waiting.inVain && len(released) == 0
 	for _, held := range released {
 		if held.isPending() { // releasing another one may have ended it
 			held.statement.attempt.held = false
