A failover no longer waits for a promoted host that has left if another has its log

Cause: the most advanced replica drains; it is promoted and leaves. Its removal is applied while its appointment is under way, so it counts as a removed replica whose log is unaccounted for, and then as the primary. When it ends, the failover waits for the log; the evidence that ends the wait comes from a primary, and there is none. The status shows it (WaitingFor h0); a replica that does not answer, or a bound of acknowledged writes that nobody reaches, would show there as well, and did not.

Change: the leader remembers with which log it appointed a primary. A replica at or past that position has what the removed host may alone have had; what that acknowledged as primary, another has received. A leader that did not appoint it still waits.

--- a/internal/control/failover/failover.go
+++ b/internal/control/failover/failover.go
@@ -59,6 +59,7 @@
 		return proceed
 	}
 	delete(e.service.unresolvedPromotions, host)
+	e.service.appointed = candidate{host, status.ReceivedPosition}
 	e.emit(NewPrimaryObserved, host)
 	appointment := statemachine.AppointPrimary{Service: e.service.name, Host: host, Term: status.Timeline}
 	if e.service.promotedHost == host {
@@ -229,11 +230,24 @@
 			service.awaitedHosts = append(service.awaitedHosts, host)
 		}
 	}
-	service.awaitedHosts = append(service.awaitedHosts, e.state.UnaccountedHostIDs(service.name)...)
+	e.awaitUnaccountedHosts(mostAdvanced)
 	e.awaitHostsAtFormerAddresses(mostAdvanced)
 	return mostAdvanced
 }
 
+// awaitUnaccountedHosts adds the removed hosts to awaitedHosts that may alone have received acknowledged writes. A host that was removed
+// before its appointment as primary was applied is one of them, unless the most advanced replica has the log with which it was
+// appointed: what it acknowledged as primary, another has received.
+func (e *evaluation) awaitUnaccountedHosts(mostAdvanced candidate) {
+	service := e.service
+	for _, id := range e.state.UnaccountedHostIDs(service.name) {
+		wasAppointed := id == e.primary.Host && id == service.appointed.host && service.appointed.position.Known()
+		if !wasAppointed || mostAdvanced.host == "" || mostAdvanced.position.Before(e.inPrimaryTerm(service.appointed.position)) {
+			service.awaitedHosts = append(service.awaitedHosts, id)
+		}
+	}
+}
+
 // awaitHostsAtFormerAddresses adds the removed hosts to awaitedHosts at whose addresses a process may have received more than the
 // most advanced replica. An address that gives no answer belongs to a machine that is gone, as its host was removed.
 func (e *evaluation) awaitHostsAtFormerAddresses(mostAdvanced candidate) {
--- a/internal/control/failover/service.go
+++ b/internal/control/failover/service.go
@@ -40,6 +40,7 @@
 	positionAwaited    bool          // AcknowledgedWritesAwaited was emitted
 
 	acknowledged acknowledgedWrites // of the primary that was revoked last
+	appointed    candidate          // the primary that this member appointed last, with the end of its log at that time
 
 	nomineeConfirmation nomineeConfirmation // of the switchover in progress
 
