A statement that has its answer is not sent to a host

Cause: failPendingStatements answered each pending statement, but left it in the queues of the policy and of the host pools; the event loop goes on until nothing is due, and a response that frees a connection gives it to the oldest waiting statement. Nothing before the write to the socket asked whether the statement had its answer. A write sent before its answer would show the other order in the record.

Change: such a statement is withdrawn, as at the loss of a lease, and encodeStatement, through which each statement goes, refuses one that is finished, whatever queue it was in; so do its setup statements. Counter answered_before_send.

--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -32,6 +32,7 @@
 	leaseExpiredBeforeSend atomic.Int64 // statements not sent because the lease or the primary's epoch had ended
 	rejectedAtLeaseLoss    atomic.Int64 // statements rejected while waiting for a host, because the lease expired
 	floorUnknown           atomic.Int64 // reads sent to the primary because no floor was known (see readOrWriteGroup)
+	answeredBeforeSend     atomic.Int64 // statements not sent since they had been answered meanwhile
 	acksHeld               atomic.Int64 // writes whose acknowledgement waited for a known replica
 	acksUnconfirmed        atomic.Int64 // writes acknowledged although no known replica had confirmed them
 	confirmationQueries    atomic.Int64 // queries to replicas that confirm writes
@@ -89,6 +90,7 @@
 		"lease_expired_before_send": c.leaseExpiredBeforeSend.Load(),
 		"rejected_at_lease_loss":    c.rejectedAtLeaseLoss.Load(),
 		"floor_unknown":             c.floorUnknown.Load(),
+		"answered_before_send":      c.answeredBeforeSend.Load(),
 		"acks_held":                 c.acksHeld.Load(),
 		"acks_unconfirmed":          c.acksUnconfirmed.Load(),
 		"confirmation_queries":      c.confirmationQueries.Load(),
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -29,6 +29,7 @@
 		metrics.CounterFamily("lease_expired_before_send", "Statements not sent since a lease or the time of a primary had ended."),
 		metrics.CounterFamily("rejected_at_lease_loss", "Statements that waited for a host when the lease expired."),
 		metrics.CounterFamily("floor_unknown", "Reads sent to the primary since no position was known that they had to see."),
+		metrics.CounterFamily("answered_before_send", "Statements not sent to a host since they had been answered meanwhile."),
 		metrics.CounterFamily("acks_held", "Writes whose acknowledgement waited until a known replica had received them."),
 		metrics.CounterFamily("acks_unconfirmed", "Writes acknowledged although no known replica was seen to have received them."),
 		metrics.CounterFamily("confirmation_queries", "Queries for the log position of a replica that is to confirm writes."),
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -95,7 +95,8 @@
 	}
 }
 
-// failPendingStatements answers every pending statement with an error, because the proxy is about to stop.
+// failPendingStatements answers every pending statement with an error, because the proxy is about to stop. A statement that waits for a
+// host is withdrawn, so that no connection that becomes free sends it after the answer said that it was not sent.
 func (s *Server) failPendingStatements() {
 	for _, client := range s.sessions.byAge() {
 		stmt := client.statement
@@ -108,6 +109,9 @@
 		}
 		client.draining, client.readerEnded = true, true
 		s.finishStatement(stmt, s.errorReply(kind, 0))
+		if stmt.command != nil {
+			s.withdraw(stmt)
+		}
 	}
 }
 
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -48,3 +48,37 @@
 		require.True(t, client.draining || !client.isIdle(), "a session that became idle was not closed")
 	}
 }
+
+// Guards against a write that is answered RETRY at the end of the proxy, while it waits for a connection, and then sent on one that
+// becomes free in the same moment.
+func TestStatementAnsweredAtShutdownIsNotSent(t *testing.T) {
+	for _, withdrawn := range []bool{true, false} {
+		sim := newSimulation(3, 1, 0)
+		sim.database.LostAnswerOneIn, sim.database.RejectedWriteOneIn = 0, 0
+		sim.RunFor(2 * second)
+		proxy, primary := sim.proxies[0], sim.database.Primary()
+		waiting, answers := openSession(proxy, "lead")
+		answers.take()
+		pool := proxy.server.pools[primary.ID]
+		var taken *hostConn
+		proxy.run(proxy.incarnation, func(*Server) {
+			require.NotEmpty(t, pool.idle)
+			taken, pool.idle = pool.idle[0], nil
+		})
+		sendStatement(t, proxy, waiting, "QUERY c1 STORE a b")
+		require.Len(t, pool.queue.statements, 1)
+		stmt, before := waiting.statement, len(primary.Log)
+		proxy.run(proxy.incarnation, func(server *Server) {
+			if withdrawn {
+				server.failPendingStatements()
+				require.Empty(t, pool.queue.statements)
+			} else { // answered, and by mistake still in a queue
+				server.finishStatement(stmt, server.errorReply(stmt.shutdownError(), 0))
+			}
+			server.releaseConn(taken)
+		})
+		require.Contains(t, answers.take(), "ERROR RETRY")
+		sim.RunFor(200 * millisecond)
+		require.Len(t, primary.Log, before, "withdrawn %v: it was sent after its answer", withdrawn)
+	}
+}
--- a/internal/proxy/statement_send.go
+++ b/internal/proxy/statement_send.go
@@ -31,8 +31,8 @@
 // first, and the statement follows once they are all acknowledged.
 func (s *Server) prepareAndSend(conn *hostConn, stmt *statement) {
 	conn.statement, stmt.attempt.conn = stmt, conn
-	if !s.isAuthorized(stmt) {
-		s.sendStatement(conn, stmt) // rejects the statement: no setup statements are sent under a revoked key
+	if stmt.finished || !s.isAuthorized(stmt) {
+		s.sendStatement(conn, stmt) // sends nothing: no setup statements are sent under a revoked key or for an answered statement
 		return
 	}
 	setup := conn.state.SetupStatements(&stmt.session.Session, stmt.request)
@@ -52,7 +52,7 @@
 }
 
 // sendStatement writes a statement to the host, unless the host may no longer serve it: since the policy chose the host, the
-// lease may have expired, the primary may have been replaced or the key may have been revoked.
+// statement may have been answered, the lease may have expired, the primary may have been replaced or the key may have been revoked.
 func (s *Server) sendStatement(conn *hostConn, stmt *statement) {
 	now := s.refreshPolicyTime()
 	attempt := &stmt.attempt
@@ -89,7 +89,7 @@
 // the read while it lacks that position, so a wrong choice of the policy costs an attempt but never returns stale data.
 func (s *Server) encodeStatement(pool *hostPool, stmt *statement, now policy.TenthMs) (line []byte, ok bool) {
 	attempt := &stmt.attempt
-	if !s.isAuthorized(stmt) {
+	if stmt.finished || !s.isAuthorized(stmt) {
 		return nil, false
 	}
 	if stmt.isPinned() {
@@ -114,9 +114,12 @@
 
 // countUnsent counts a statement that may not be sent, by reason.
 func (s *Server) countUnsent(stmt *statement) {
-	if s.isAuthorized(stmt) {
+	switch {
+	case stmt.finished:
+		s.counters.answeredBeforeSend.Add(1)
+	case s.isAuthorized(stmt):
 		s.counters.leaseExpiredBeforeSend.Add(1)
-	} else {
+	default:
 		s.counters.revokedStatements.Add(1)
 	}
 }
