--- a/internal/control/failover/doc.go
+++ b/internal/control/failover/doc.go
@@ -16,8 +16,8 @@
 // has applied the revocation or its lease has expired; all replicas are paused and report their positions; the most advanced
 // one is nominated in the log, promoted by the platform, and appointed in the log once it reports itself primary.
 //
-// Switchover: the successor is nominated; the other replicas are paused, so that no write is acknowledged that the successor
-// has not received; the successor is promoted while the old primary still serves; then the old primary is revoked, and the
+// Switchover: the successor is nominated; from then on the proxies acknowledge a write to a client only once the successor has
+// received it; the successor is promoted while the old primary still serves; then the old primary is revoked, and the
 // failover steps appoint the successor.
 //
 // All state that must survive a change of leader is in the log, so the next leader continues from there.
