--- a/internal/proxy/outage_test.go
+++ b/internal/proxy/outage_test.go
@@ -107,6 +107,16 @@
 	}
 }
 
+// A primary that goes dark while acknowledgements wait for a replica is replaced in time.
+func TestDarkPrimaryWithHeldAcknowledgementsIsReplacedInTime(t *testing.T) {
+	const seed = 30
+	for _, kind := range outageKinds {
+		if kind.name == "the primary goes dark" {
+			require.Less(t, kind.gapMs(t, seed), kind.maxGapMs)
+		}
+	}
+}
+
 // gapMs returns the longest gap between two acknowledged writes in one simulation, in milliseconds.
 func (kind outageKind) gapMs(t *testing.T, seed uint64) int64 {
 	t.Helper()
