A process that no leader answers says so; discarded messages are logged with their sender

Change: after 5 s without a leader, then each minute, a warning: a process that is no member names whom it asked, a member who voted for it; a line when that ends. The first message of each kind that does not come from its sender's address is logged with type, sender and source. The leader logs new learners. Counters campaigns, join_requests, joins_forwarded, learners_added, gauge leaderless_seconds, Votes and LeaderlessForMs in the status. No decision changes.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -58,6 +58,7 @@
 func (n *Node) campaign(kind campaignType) {
 	n.role, n.leaderID, n.election.campaignType = candidate, "", kind
 	n.election.campaignCount++
+	n.Campaigns++
 	n.election.coldStarts = map[ID]bool{n.id: !n.leaderSeen}
 	n.resetCampaignTimer()
 	request := n.withCommitPoint(Message{
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -142,6 +142,7 @@
 func (n *Node) tickJoin() {
 	if n.nowMs >= n.nextJoinAtMs {
 		n.nextJoinAtMs = n.nowMs + n.LeaseMs/2
+		n.JoinRequests++
 		n.send(Message{Type: MsgJoin, Index: n.log.lastIndex()})
 	}
 }
@@ -151,6 +152,7 @@
 func (n *Node) stepJoin(m Message) {
 	if n.role == follower && n.leaderID != "" && m.To == "" {
 		m.To = n.leaderID
+		n.JoinsForwarded++
 		n.ready.Messages = append(n.ready.Messages, m)
 		return
 	}
@@ -182,6 +184,7 @@
 		n.DiscardedMessages++
 		return false
 	}
+	n.LearnersAdded++
 	n.peers[m.From] = &progress{nextIndex: min(m.Index, n.log.lastIndex()) + 1, heardAtMs: n.nowMs, learner: true}
 	return true
 }
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "fmt"
+
 // MessageType is the type of a Message. It determines which fields are set.
 type MessageType uint8
 
@@ -42,6 +44,32 @@
 	MsgLeaveResponse
 )
 
+// messageTypeNames are the names of the message types in logs.
+var messageTypeNames = [...]string{
+	MsgHeartbeat:         "heartbeat",
+	MsgHeartbeatResponse: "heartbeat response",
+	MsgAppend:            "append",
+	MsgAppendAccepted:    "append accepted",
+	MsgAppendRejected:    "append rejected",
+	MsgSnapshotChunk:     "snapshot chunk",
+	MsgVoteRequest:       "vote request",
+	MsgVoteResponse:      "vote response",
+	MsgTimeoutNow:        "timeout now",
+	MsgJoin:              "join",
+	MsgSnapshotChunkAck:  "snapshot chunk acknowledgement",
+	MsgSnapshotRequest:   "snapshot request",
+	MsgLeave:             "leave",
+	MsgLeaveResponse:     "leave response",
+}
+
+// String returns the name of the type for logs.
+func (t MessageType) String() string {
+	if int(t) < len(messageTypeNames) && messageTypeNames[t] != "" {
+		return messageTypeNames[t]
+	}
+	return fmt.Sprintf("type %d", uint8(t))
+}
+
 // Message is exchanged between members. Type, From and Term are always set; the comments on the message types and
 // fields say which others are.
 type Message struct {
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -9,6 +9,10 @@
 	SnapshotTransfers  int64 // snapshot transfers started
 	SnapshotsInstalled int64
 	DiskHandovers      int64 // leadership transfers started because this node's disk was stalled
+	Campaigns          int64 // elections and Pre-Votes that this node started
+	JoinRequests       int64 // requests to a leader to track this node
+	JoinsForwarded     int64 // join requests of other nodes that this node forwarded to the leader
+	LearnersAdded      int64 // times that this node, as leader, started to track a learner
 	DiscardedMessages  int64 // messages to another ID, from non-members, or from learners beyond the tracked number
 }
 
@@ -20,6 +24,7 @@
 	LastIndex, PersistedIndex  uint64
 	Members                    []ID
 	Learners                   []ID // empty unless this node is the leader
+	Votes                      []ID // members that have granted their vote in the current campaign; empty unless this node is a candidate
 	HoldsLease                 bool
 	DiscardedMessages          int64
 }
@@ -36,6 +41,7 @@
 		PersistedIndex:    n.persistedIndex,
 		Members:           slices.Clone(n.Members()),
 		Learners:          n.learners(),
+		Votes:             n.votes(),
 		HoldsLease:        n.HoldsLease(nowMs),
 		DiscardedMessages: n.DiscardedMessages,
 	}
@@ -50,3 +56,14 @@
 	}
 	return learners
 }
+
+// votes returns the members that have granted their vote in this candidate's campaign, in sorted order.
+func (n *Node) votes() (voters []ID) {
+	for id, granted := range n.election.votes {
+		if n.role == candidate && granted {
+			voters = append(voters, id)
+		}
+	}
+	slices.Sort(voters)
+	return voters
+}
--- a/internal/control/counters.go
+++ b/internal/control/counters.go
@@ -105,6 +105,10 @@
 		"snapshot_chunks_sent":         s.consensus.ChunksSent,
 		"snapshot_chunks_ignored":      s.consensus.ChunksIgnored,
 		"disk_handovers":               s.consensus.DiskHandovers,
+		"campaigns":                    s.consensus.Campaigns,
+		"join_requests":                s.consensus.JoinRequests,
+		"joins_forwarded":              s.consensus.JoinsForwarded,
+		"learners_added":               s.consensus.LearnersAdded,
 		"pending_writes":               int64(s.consensus.PendingWriteCount()),
 		"discarded_consensus_messages": s.consensus.DiscardedMessages,
 
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -5,6 +5,8 @@
 	"ferrypitch/internal/metrics"
 )
 
+const msPerSecond = 1000
+
 // metricsNamespace is the prefix of the names of all metrics of a member.
 const metricsNamespace = "ferrypitch_control"
 
@@ -36,6 +38,10 @@
 		metrics.CounterFamily("disk_damages", "Checks of the write-ahead log that found and repaired damage on disk."),
 		metrics.CounterFamily("disk_handovers", "Leadership transfers started because the disk had stalled."),
 		metrics.CounterFamily("state_divergences", "Times that the state was found to differ from the log or from a majority."),
+		metrics.CounterFamily("campaigns", "Elections and votes before elections that this member started."),
+		metrics.CounterFamily("join_requests", "Requests of this process to a leader to replicate to it."),
+		metrics.CounterFamily("joins_forwarded", "Join requests of other processes that this member forwarded to the leader."),
+		metrics.CounterFamily("learners_added", "Times that this member, as the leader, began to replicate to a process that is not a member."),
 		metrics.CounterFamily("snapshot_transfers", "Snapshot transfers to members that were started."),
 		metrics.CounterFamily("snapshots_installed", "Snapshots from the leader that were installed on this member."),
 		metrics.CounterFamily("snapshot_chunks_sent", "Chunks of snapshots sent to members."),
@@ -70,6 +76,9 @@
 	commitIndexFamily = metrics.Family{
 		Name: "commit_index", Help: "Index of the newest log entry known to be committed.", Kind: metrics.Gauge,
 	}
+	leaderlessFamily = metrics.Family{
+		Name: "leaderless_seconds", Help: "Time for which this process has heard from no leader; 0 while it hears from one.", Kind: metrics.Gauge,
+	}
 	membersFamily = metrics.Family{
 		Name: "voting_members", Help: "Voting members of the control plane.", Kind: metrics.Gauge,
 	}
@@ -105,6 +114,7 @@
 		metrics.Sample{Family: holdsLeaseFamily, Value: boolValue(status.Consensus.HoldsLease)},
 		metrics.Sample{Family: termFamily, Value: float64(status.Consensus.Term)},
 		metrics.Sample{Family: commitIndexFamily, Value: float64(status.Consensus.CommitIndex)},
+		metrics.Sample{Family: leaderlessFamily, Value: float64(status.LeaderlessForMs) / msPerSecond},
 		metrics.Sample{Family: membersFamily, Value: float64(len(status.Consensus.Members))},
 		metrics.Sample{Family: configVersionFamily, Value: float64(status.Version)},
 		metrics.Sample{Family: hostsFamily, Value: float64(status.Hosts)},
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -44,6 +44,8 @@
 	peerVersions       map[consensus.ID]uint32 // protocol versions that other members last announced
 	lastCallSeq        map[string]int64        // highest CallSeq of heartbeats, by host
 	nominations        recentNominations
+	leaderless         conditionReport            // this process hears from no leader
+	misattributed      map[misattributed]struct{} // discarded messages that were logged
 
 	proxies         servedProxies
 	proxiesAccepted uint64 // number of proxy connections accepted since the process started
@@ -101,6 +103,7 @@
 		protocolVersion:  rpc.ProtocolVersion,
 		proxies:          newServedProxies(),
 		forwarder:        newForwarder(incarnation),
+		misattributed:    map[misattributed]struct{}{},
 	}, nil
 }
 
@@ -116,6 +119,7 @@
 	s.tickLender(now)
 	s.expireForwarded(now)
 	s.tickDigests(now)
+	s.reportLeaderless(now)
 	return s.leading && s.coordinator.Active(s.state)
 }
 
@@ -128,13 +132,10 @@
 func (s *Server) HandleFrame(from string, frame *rpc.Frame) {
 	switch {
 	case frame.Consensus != nil && frame.Consensus.From.Address() != from:
-		s.discard(messageWrongSender)
+		s.discardMisattributed(from, frame.Consensus)
 	case frame.Consensus != nil:
 		s.peerVersions[frame.Consensus.From] = rpc.PeerVersion(frame.Version)
-		if frame.Consensus.Type == consensus.MsgSnapshotRequest && s.leading {
-			s.refreshSnapshot()
-		}
-		s.processReady(s.consensus.Step(*frame.Consensus, s.clock.Now()))
+		s.handleConsensus(frame.Consensus)
 	case frame.ForwardRequest != nil:
 		s.handleForwardRequest(from, frame.ForwardRequest)
 	case frame.ForwardResponse != nil:
@@ -148,6 +149,18 @@
 	}
 }
 
+// handleConsensus passes a message from another member or a learner to the consensus node.
+func (s *Server) handleConsensus(message *consensus.Message) {
+	if message.Type == consensus.MsgSnapshotRequest && s.leading {
+		s.refreshSnapshot()
+	}
+	learners := s.consensus.LearnersAdded
+	s.processReady(s.consensus.Step(*message, s.clock.Now()))
+	if s.consensus.LearnersAdded > learners {
+		s.log.Info("replicating to a new learner", "learners", s.consensus.Status(s.clock.Now()).Learners)
+	}
+}
+
 // send sends a frame to the member at an IP address, with the protocol version that this process speaks.
 func (s *Server) send(ip string, frame *rpc.Frame) {
 	frame.Version = s.protocolVersion
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -16,6 +16,7 @@
 // Status is the report of a member about itself, whether it leads or not.
 type Status struct {
 	Consensus        consensus.Status
+	LeaderlessForMs  int64  // time for which this process has heard from no leader; 0 while it hears from one
 	ProtocolVersion  uint32 // protocol version that this process speaks
 	LeastVersion     uint32 // lowest protocol version among the members whose version is known
 	Version          int64  // version (Generation) of the configuration
@@ -45,7 +46,8 @@
 func (s *Server) status() *Status {
 	now := s.clock.Now()
 	status := &Status{
-		Consensus: s.consensus.Status(now),
+		Consensus:       s.consensus.Status(now),
+		LeaderlessForMs: s.leaderless.durationMs(now),
 
 		ProtocolVersion: s.protocolVersion,
 		LeastVersion:    s.leastVersion(),
