--- a/cmd/ferrylab/main.go
+++ b/cmd/ferrylab/main.go
@@ -38,7 +38,7 @@
 		SilenceUsage:  true,
 	}
 	root.CompletionOptions.HiddenDefaultCmd = true
-	root.AddCommand(systemCommand(), soakCommand(), demoCommand(), tiersCommand(), exportCommand())
+	root.AddCommand(systemCommand(), soakCommand(), lossesCommand(), demoCommand(), tiersCommand(), exportCommand())
 	err := root.ExecuteContext(ctx)
 	if err == nil {
 		return 0
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -42,6 +42,7 @@
 	ip        string
 	server    *Server
 	identity  storage.Identity
+	seeds     []string // nil for the seeds of settingsAt
 	disk      memberdisk.Disk
 	arrivesAt map[string]int64 // arrival time of the last frame, by receiver address
 
@@ -92,7 +93,11 @@
 	c := m.cluster
 	m.StartIncarnation()
 	m.arrivesAt = map[string]int64{}
-	server, err := New(settingsAt(m.ip), hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.Incarnation()))
+	nodeSettings := settingsAt(m.ip)
+	if m.seeds != nil {
+		nodeSettings.SeedPeers = m.seeds
+	}
+	server, err := New(nodeSettings, hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.Incarnation()))
 	if err != nil {
 		panic(err)
 	}
--- a/internal/simulation/cluster/start.go
+++ b/internal/simulation/cluster/start.go
@@ -232,15 +232,16 @@
 
 // nodeSettings holds the settings that differ between nodes.
 type nodeSettings struct {
-	name       string
-	role       string
-	ip         string
-	seedPeers  []string // addresses of members of the control plane
-	restarted  bool     // not the first start of the system, so Bootstrap is false
-	countsLoss bool
-	dataDir    string // empty if the node stores nothing
-	listen     []listenAddress
-	platform   string
+	name        string
+	role        string
+	ip          string
+	seedPeers   []string // addresses of members of the control plane
+	restarted   bool     // not the first start of the system, so Bootstrap is false
+	countsLoss  bool
+	faultBudget int    // members that may be lost at once; 0 means 1
+	dataDir     string // empty if the node stores nothing
+	listen      []listenAddress
+	platform    string
 }
 
 // listenAddress is an address and its name in the settings.
@@ -265,7 +266,7 @@
 [Listen]
 %s
 [FaultBudget]
-Machines = 1
+Machines = %d
 [Bounds]
 GraceS = %d
 DrainMs = %d
@@ -283,5 +284,5 @@
 		listen = append(listen, fmt.Sprintf("%s = %q", l.name, l.address))
 	}
 	return fmt.Sprintf(settingsFormat, s.name, s.role, s.ip, linkPort, linkPort+linkPorts-1, strings.Join(seedPeers, ","),
-		!s.restarted, s.countsLoss, s.dataDir, strings.Join(listen, "\n"), graceS, drainMs, s.platform)
+		!s.restarted, s.countsLoss, s.dataDir, strings.Join(listen, "\n"), max(1, s.faultBudget), graceS, drainMs, s.platform)
 }
