A join request that a follower forwards reaches the leader

What callers saw: Config.Read answered 503 for good, at a member or at all, after disks were lost. Cause: a follower forwarded MsgJoin with the joining process still as From. HandleFrame discards messages whose From is not the address that they came from, so none ever arrived: a process with an empty disk whose SeedPeers did not name the leader got no seat. Its old seat stayed with an identity that no longer existed, and two more lost disks took the majority of five. Change: a follower sends a MsgJoin of its own, in which Joiner is who asked. From remains the sender, so the check stays as it is.

--- a/internal/consensus/explore_hash_test.go
+++ b/internal/consensus/explore_hash_test.go
@@ -68,7 +68,7 @@
 }
 
 func (h *hasher) message(m *Message) {
-	h.ids(m.From, m.To)
+	h.ids(m.From, m.To, m.Joiner)
 	h.ints(int64(m.Type), int64(m.Term), int64(m.Index), int64(m.PrevTerm), int64(m.CommitIndex), int64(m.CommitTerm), m.SentAtMs)
 	h.ints(int64(m.PreVoteRound))
 	h.bools(m.PreVote, m.LeadershipTransfer, m.Granted, m.ColdStart)
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -147,34 +147,40 @@
 	}
 }
 
-// stepJoin handles a join request: a leader starts to track the sender. The sender knows only its seeds, and none of
-// them may be the leader or able to reach it, so a follower forwards the request once.
+// stepJoin handles a join request: a leader starts to track the node that asks to join. That node knows only its seeds,
+// and none of them may be the leader or able to reach it, so a follower forwards the request once.
 func (n *Node) stepJoin(m Message) {
-	if n.role == follower && n.leaderID != "" && m.To == "" {
-		m.To = n.leaderID
+	joiner := m.From
+	if m.Joiner != "" {
+		joiner = m.Joiner
+	} else if n.role == follower && n.leaderID != "" {
 		n.JoinsForwarded++
-		n.ready.Messages = append(n.ready.Messages, m)
+		n.send(Message{Type: MsgJoin, To: n.leaderID, Joiner: joiner, Index: m.Index})
 		return
 	}
-	if n.role != leader || n.isMember(m.From) || n.leadership.transferInProgress {
+	if n.role != leader || n.isMember(joiner) || n.leadership.transferInProgress {
 		return
 	}
-	if n.peers[m.From] == nil && !n.addLearner(m) {
+	if joiner.Address() == n.id.Address() { // an earlier process at this address
+		n.DiscardedMessages++
+		return
+	}
+	if n.peers[joiner] == nil && !n.addLearner(joiner, m.Index) {
 		return
 	}
-	p := n.peers[m.From]
-	n.sendHeartbeat(m.From)
-	n.replicate(m.From, p)
+	p := n.peers[joiner]
+	n.sendHeartbeat(joiner)
+	n.replicate(joiner, p)
 }
 
-// addLearner starts to track the sender of a MsgJoin, in place of any earlier learner at its address. It returns
-// false if too many learners are tracked already.
-func (n *Node) addLearner(m Message) bool {
+// addLearner starts to track a node that asks to join, in place of any earlier learner at its address. lastIndex is the
+// last index of its log. It returns false if too many learners are tracked already.
+func (n *Node) addLearner(joiner ID, lastIndex uint64) bool {
 	others := 0
 	for id, p := range n.peers {
 		switch {
 		case !p.learner:
-		case id.Address() == m.From.Address():
+		case id.Address() == joiner.Address():
 			delete(n.peers, id)
 		default:
 			others++
@@ -185,7 +191,7 @@
 		return false
 	}
 	n.LearnersAdded++
-	n.peers[m.From] = &progress{nextIndex: min(m.Index, n.log.lastIndex()) + 1, heardAtMs: n.nowMs, learner: true}
+	n.peers[joiner] = &progress{nextIndex: min(lastIndex, n.log.lastIndex()) + 1, heardAtMs: n.nowMs, learner: true}
 	return true
 }
 
--- a/internal/consensus/membership_test.go
+++ b/internal/consensus/membership_test.go
@@ -116,6 +116,23 @@
 	require.Equal(t, ID("c"), n.nodes["d+1"].Leader())
 }
 
+// A follower forwards a join request as its own message, and only once. A leader does not track a process that has ended.
+func TestForwardedJoinNamesItsForwarder(t *testing.T) {
+	n := newNetworkLedByC(t)
+	n.nowMs += 140
+	n.tick("c")
+	n.deliver(everyMessage)
+	forwarded := n.nodes["b"].Step(Message{Type: MsgJoin, From: "d+1", Index: 7}, n.nowMs).Messages
+	require.Equal(t, []Message{{Type: MsgJoin, From: "b", To: "c", Term: n.nodes["b"].Term(), Joiner: "d+1", Index: 7}}, forwarded)
+	forwarded[0].To = "a"
+	require.Empty(t, n.nodes["a"].Step(forwarded[0], n.nowMs), "forwarded twice")
+	leader := n.nodes["c"]
+	for _, joiner := range []ID{"a", "c", "c+1"} {
+		leader.Step(Message{Type: MsgJoin, From: "b", To: "c", Joiner: joiner}, n.nowMs)
+		require.Empty(t, leader.Status(n.nowMs).Learners, joiner)
+	}
+}
+
 // A node at the address of an earlier member, whose disk was lost, discards messages that are addressed to that
 // member.
 func TestMessagesForEarlierMemberAtAddressAreDiscarded(t *testing.T) {
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -30,7 +30,7 @@
 	MsgTimeoutNow
 	// MsgJoin asks the leader to replicate to the sender, which is a learner or a member that has not heard from a
 	// leader for joinDelayLeases lease durations. It has no receiver and goes to all known members. Index is the
-	// sender's last index.
+	// sender's last index. A follower forwards it to the leader as a message of its own, with the sender as Joiner.
 	MsgJoin
 	// MsgSnapshotChunkAck reports in Chunk.Offset how many bytes of a snapshot have been received in order.
 	MsgSnapshotChunkAck
@@ -87,6 +87,7 @@
 	Granted            bool           // of MsgVoteResponse, MsgLeaveResponse and MsgHeartbeatResponse
 	ColdStart          bool           // of MsgVoteResponse: the sender has heard from no leader since its start; of MsgVoteRequest: no member has
 	PreVoteRound       uint64         // of a Pre-Vote: echoed in the response; a cold start counts only in its own round
+	Joiner             ID             // of a forwarded MsgJoin: the node that asked to join; Index is that node's
 	CommitTerm         uint64         // of MsgVoteRequest, MsgVoteResponse and MsgLeaveResponse: term of the entry at CommitIndex
 }
 
