A process without useful seeds asks whoever still sends to its address to let it join

Cause, by reading, then shown by the test: a process with an empty disk asks only its SeedPeers, which may be itself, gone, or empty too. The leader meanwhile sends heartbeats to the earlier member at that very address, and the process discards them, since they are not for it. Change: the process keeps the sender of the latest such message and sends it a join request as well. The message itself is discarded as before. Result: TestProcessWithoutUsefulSeedsIsAdmittedAtTheAddressOfAMember fails without it (not admitted in 4 s) and passes; go test ./internal/control ./internal/consensus ok (14.6 s, 26.8 s).

--- a/internal/consensus/explore_hash_test.go
+++ b/internal/consensus/explore_hash_test.go
@@ -87,7 +87,7 @@
 }
 
 func (h *hasher) node(n *Node) {
-	h.ids(n.id, n.leaderID)
+	h.ids(n.id, n.leaderID, n.joinContact)
 	h.hardState(&n.hardState)
 	h.ints(int64(n.commitIndex), int64(n.persistedIndex), int64(n.persistedConfigIndex))
 	h.ints(int64(n.role), n.startedAtMs, n.leaderHeardAtMs, n.nextJoinAtMs)
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -144,6 +144,9 @@
 		n.nextJoinAtMs = n.nowMs + n.LeaseMs/2
 		n.JoinRequests++
 		n.send(Message{Type: MsgJoin, Index: n.log.lastIndex()})
+		if n.joinContact != "" {
+			n.send(Message{Type: MsgJoin, To: n.joinContact, Index: n.log.lastIndex()})
+		}
 	}
 }
 
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -39,6 +39,7 @@
 	leaderHeardAtMs int64
 	leaderSeen      bool // this node has heard from a leader, or been one, since it started
 	nextJoinAtMs    int64
+	joinContact     ID // sender of the latest message to an earlier member at this address; empty if there was none
 	election        electionState
 	peers           map[ID]*progress // leader only: all members and learners, including this node
 	leadership      leadershipState
@@ -116,9 +117,12 @@
 
 // Step handles a message from another member. Messages addressed to another ID are discarded: a message for an
 // earlier member at this address relies on a log that this node does not hold. The exception is a Pre-Vote request,
-// which is answered to report that the earlier member's process has ended.
+// which is answered to report that the earlier member's process has ended. This node asks the sender to let it join.
 func (n *Node) Step(m Message, nowMs int64) Ready {
 	n.advanceClock(nowMs)
+	if n.id.SharesAddressWith(m.To) && m.From.Address() != n.id.Address() {
+		n.joinContact = m.From
+	}
 	switch {
 	case m.From == "" || m.From == n.id:
 		n.DiscardedMessages++
--- a/internal/control/admission_test.go
+++ b/internal/control/admission_test.go
@@ -25,7 +25,7 @@
 	return leader != nil && slices.Contains(leader.server.consensus.Members(), m.identity.ID)
 }
 
-// A process with an empty disk whose only seed is a follower becomes a member: the follower forwards its join request.
+// Its only seed is a follower, which forwards its join request.
 func TestProcessThatReachesOnlyAFollowerIsAdmitted(t *testing.T) {
 	c, _, follower := newClusterWithLeader(t, 3)
 	lost := c.members[slices.IndexFunc(c.members, func(m *clusterMember) bool { return m != follower && m != c.leader() })]
@@ -34,3 +34,12 @@
 	c.RunFor(300*unitsPerMs + catchUpTime)
 	require.True(t, c.isMember(lost), "%s was not admitted, members are %v", lost.identity.ID, c.leader().server.consensus.Members())
 }
+
+// Its seeds are itself and a process that is gone; the leader still sends messages to the earlier member at its address.
+func TestProcessWithoutUsefulSeedsIsAdmittedAtTheAddressOfAMember(t *testing.T) {
+	c, _, follower := newClusterWithLeader(t, 3)
+	follower.seeds = []string{follower.ip + ":8080", "10.0.0.99:8080"}
+	follower.loseDisk(300 * unitsPerMs)
+	c.RunFor(300*unitsPerMs + catchUpTime)
+	require.True(t, c.isMember(follower), "%s was not admitted, members are %v", follower.identity.ID, c.leader().server.consensus.Members())
+}
