Simulated members start with drawn seeds; disks lost in succession leave no seat empty

Need: simulated members had the leader among their seeds, or a forwarded join request was not needed, so no seed could show the incident. Change: members of the partition simulations draw SeedPeers at each start from all members, themselves and an address that is gone, by a generator of their own, so that schedules stay as they were. A new simulation loses disks within the budget four times in succession, with 3, 5 and 7 members, and asks for a seat for each process CatchupS after its return.

--- a/internal/control/partition_cluster_test.go
+++ b/internal/control/partition_cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -51,7 +52,8 @@
 	removedSafeguard  safeguard
 	faultsDisabled    bool
 	operatorsStopped  bool
-	delayedDeliveries []func() // deliveries that wait for the end of a partition
+	delayedDeliveries []func()   // deliveries that wait for the end of a partition
+	seedRand          *rand.Rand // draws the SeedPeers of each start
 
 	applied          []appliedVersion // all versions in order of application; the first represents the empty configuration
 	confirmed        int              // number of confirmed updates
@@ -86,6 +88,7 @@
 
 func newPartitionCluster(seed uint64, size, proxies int, drift float64, removedSafeguard safeguard) *partitionCluster {
 	c := &partitionCluster{Scheduler: scheduler.New(seed, 1<<30, 1), drift: drift, removedSafeguard: removedSafeguard, applied: []appliedVersion{{acknowledgedAt: 1}}}
+	c.seedRand = rand.New(rand.NewPCG(seed, seedPeersStream))
 	var founders []consensus.ID
 	for i := range size {
 		founders = append(founders, consensus.ID(fmt.Sprintf("10.0.0.%d", i+1)))
@@ -110,6 +113,20 @@
 	return c
 }
 
+// seedPeersStream is the stream of the random generator that draws SeedPeers.
+const seedPeersStream = 3
+
+// drawSeeds returns SeedPeers for the start of a process: three addresses of members, the process itself perhaps among them, and
+// one that is gone.
+func (c *partitionCluster) drawSeeds() []string {
+	addresses := []string{"10.0.0.99:8080"}
+	for _, m := range c.members {
+		addresses = append(addresses, m.ip+":8080")
+	}
+	c.seedRand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:3]
+}
+
 func (c *partitionCluster) clockRate() float64 { return 1 + c.drift*(2*c.Rand.Float64()-1) }
 
 func (m *partitionMember) start() {
@@ -119,6 +136,7 @@
 	m.clockRate, m.startedAt, m.checkedIndex = c.clockRate(), c.Now, 0
 	nodeSettings := settingsAt(m.ip)
 	nodeSettings.FaultBudget.Machines = len(c.members) / 2
+	nodeSettings.SeedPeers = c.drawSeeds()
 	server, err := New(nodeSettings, hclog.NewNullLogger(), eventloop.NewMonotonicClock(m.time), m.identity, m.disk.Restart(), c.Rand.Float64, uint64(m.Incarnation()))
 	if err != nil {
 		panic(err)
--- a/internal/control/partition_halves_test.go
+++ b/internal/control/partition_halves_test.go
@@ -240,3 +240,48 @@
 	}
 	require.Greater(t, faultsAfterAck, partitionSeedCount()*3/4)
 }
+
+// catchUpMs is the time that a machine has for catching up after its return (CatchupS of the small deployments).
+const catchUpMs = 4000
+
+// checkSeats records a violation unless each process is a member.
+func (s *splitCluster) checkSeats() {
+	for _, leader := range s.members {
+		if !leader.Running() || !leader.server.holdsLease() {
+			continue
+		}
+		members := leader.server.consensus.Members()
+		for _, m := range s.members {
+			if !slices.Contains(members, m.identity.ID) {
+				s.RecordViolation("SEAT: %s is not among the members %v", m.identity.ID, members)
+			}
+		}
+		return
+	}
+	s.RecordViolation("SEAT: no leader")
+}
+
+func TestDisksLostInSuccessionLeaveNoSeatEmpty(t *testing.T) {
+	t.Parallel()
+	sizes := []int{3, 5, 7}
+	for seed := range partitionSeedCount() {
+		s := newSplitCluster(uint64(seed), sizes[seed%len(sizes)])
+		budget := s.diskLossBudget
+		s.faultsDisabled = true
+		s.RunFor(3000)
+		for range 4 {
+			s.diskLossBudget = budget
+			first, count := s.Rand.IntN(len(s.members)), 1+s.Rand.IntN(budget)
+			for i := range count {
+				lost := s.members[(first+i)%len(s.members)]
+				s.After(s.Between(0, 1500), func() { s.loseDisk(lost) })
+			}
+			s.RunFor(3000 + catchUpMs) // they are back after 3 s
+			s.checkSeats()
+		}
+		s.finish()
+		if len(s.Violations) > 0 {
+			t.Fatalf("seed %d, %d members:\n%s", seed, len(s.members), s.report())
+		}
+	}
+}
