--- a/cmd/ferrylab/losses.go
+++ b/cmd/ferrylab/losses.go
@@ -22,6 +22,12 @@
 	logsDir string // parent folder of the folders of failed seeds; empty: the temporary folder
 }
 
+// Numbers of members that the command accepts. Fewer than three survive no loss.
+const (
+	minLossMembers = 3
+	maxLossMembers = 9
+)
+
 func lossesCommand() *cobra.Command {
 	var options lossOptions
 	command := &cobra.Command{
@@ -40,7 +46,7 @@
 	flags.Uint64Var(&options.Seed, "seed", 1, "the first seed")
 	flags.IntVar(&options.seeds, "seeds", 1, "number of consecutive seeds to run")
 	flags.IntVar(&options.jobs, "jobs", 1, "runs at a time")
-	flags.IntVar(&options.Members, "members", 5, "members of the control plane: 3, 5 or 7")
+	flags.IntVar(&options.Members, "members", 5, "members of the control plane, 3 to 9; of an even number one is a spare")
 	flags.IntVar(&options.Losses, "losses", 5, "losses before the closing one")
 	flags.StringVar(&options.logsDir, "keep-in", "", "`folder` for the folders of failed seeds; empty: the folder for temporary files")
 	flags.BoolVar(&options.asJSON, "json", false, "print each result as JSON")
@@ -49,8 +55,8 @@
 
 // runLosses runs all seeds. A violation with one seed does not stop the run of the others.
 func runLosses(ctx context.Context, out io.Writer, options lossOptions) error {
-	if options.Members < 3 || options.Members > 7 || options.Members%2 == 0 {
-		return fmt.Errorf("%d members: want 3, 5 or 7", options.Members)
+	if options.Members < minLossMembers || options.Members > maxLossMembers {
+		return fmt.Errorf("%d members: want %d to %d", options.Members, minLossMembers, maxLossMembers)
 	}
 	programs, err := os.MkdirTemp("", "ferrylab-programs")
 	if err != nil {
--- a/cmd/ferrylab/soak.go
+++ b/cmd/ferrylab/soak.go
@@ -49,6 +49,7 @@
 	flags.IntVar(&options.Members, "members", 3, "members of the control plane")
 	flags.IntVar(&options.Proxies, "proxies", 4, "proxies")
 	flags.IntVar(&options.Clients, "clients", 12, "clients per proxy")
+	flags.BoolVar(&options.LoseDisks, "lose-disks", false, "members lose their disks, within the fault budget, and start with other seeds")
 	flags.BoolVar(&options.large, "large", false,
 		fmt.Sprintf("run %d members and %d proxies with %d clients each", largeMembers, largeProxies, largeClients))
 	flags.StringVar(&options.logsDir, "keep-in", "", "`folder` for the folders of failed seeds; empty: the folder for temporary files")
@@ -108,8 +109,8 @@
 		os.RemoveAll(dir)
 		return false, err
 	}
-	fmt.Fprintf(os.Stderr, "logs are in %s; to run it again:\n  ferrylab soak --seed %d --duration %v --members %d --proxies %d --clients %d\n",
-		dir, options.Seed, options.Duration, options.Members, options.Proxies, options.Clients)
+	fmt.Fprintf(os.Stderr, "logs are in %s; to run it again:\n  ferrylab soak --seed %d --duration %v --members %d --proxies %d --clients %d --lose-disks=%v\n",
+		dir, options.Seed, options.Duration, options.Members, options.Proxies, options.Clients, options.LoseDisks)
 	return true, err
 }
 
@@ -122,9 +123,9 @@
 		failed += row.Failed
 	}
 	fmt.Fprintf(out, "seed %d: %d events, %d answered, %d nothing kept, %d in doubt, %d failed (%d unanswered), %d writes, %d configurations, "+
-		"%d promotions, all served after %d ms, memory %d MB (proxy %d, member %d), stalled %d ms: %d violations\n",
+		"%d disks lost, %d promotions, all served after %d ms, memory %d MB (proxy %d, member %d), stalled %d ms: %d violations\n",
 		r.Seed, r.Events, answered, nothingKept, inDoubt, failed, r.Unanswered, r.AcknowledgedWrites, r.ConfigVersions,
-		r.Promotions, r.RecoveredMs, r.PeakRSSKB>>10, r.PeakProxyKB>>10, r.PeakMemberKB>>10, r.StalledMs, len(r.Violations))
+		r.LostDisks, r.Promotions, r.RecoveredMs, r.PeakRSSKB>>10, r.PeakProxyKB>>10, r.PeakMemberKB>>10, r.StalledMs, len(r.Violations))
 	for _, violation := range r.Violations {
 		fmt.Fprintln(out, "  "+violation)
 	}
--- a/cmd/ferrylab/soak_test.go
+++ b/cmd/ferrylab/soak_test.go
@@ -26,3 +26,17 @@
 	require.NoError(t, runSoak(t.Context(), &out, options), "%s", &out)
 	require.Equal(t, soakSeeds, bytes.Count(out.Bytes(), []byte(" 0 violations\n")), "%s", &out)
 }
+
+func TestTheWholeSystemKeepsItsRulesWhileMembersLoseDisks(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs many processes for a minute")
+	}
+	t.Parallel()
+	var out bytes.Buffer
+	options := soakOptions{
+		SoakOptions: cluster.SoakOptions{Seed: 1, Duration: 15 * time.Second, Members: 5, Proxies: 3, Clients: 6, LoseDisks: true},
+		seeds:       1,
+	}
+	require.NoError(t, runSoak(t.Context(), &out, options), "%s", &out)
+	require.Equal(t, 1, bytes.Count(out.Bytes(), []byte(" 0 violations\n")), "%s", &out)
+}
--- a/internal/control/admission_test.go
+++ b/internal/control/admission_test.go
@@ -10,14 +10,13 @@
 // catchUpTime is the time that a machine has for catching up after its return (CatchupS).
 const catchUpTime = 4 * unitsPerSecond
 
-// newClusterWithLeader returns a cluster of three founders and others, with its leader and a follower.
-func newClusterWithLeader(t *testing.T, members int) (c *cluster, leader, follower *clusterMember) {
-	c = newCluster(1, members)
+// newClusterWithFollower returns a cluster of three founders that has a leader, and one of its followers.
+func newClusterWithFollower(t *testing.T) (c *cluster, follower *clusterMember) {
+	c = newCluster(1, 3)
 	c.RunFor(3 * unitsPerSecond)
-	leader = c.leader()
+	leader := c.leader()
 	require.NotNil(t, leader)
-	follower = c.members[slices.IndexFunc(c.members, func(m *clusterMember) bool { return m != leader })]
-	return c, leader, follower
+	return c, c.members[slices.IndexFunc(c.members, func(m *clusterMember) bool { return m != leader })]
 }
 
 func (c *cluster) isMember(m *clusterMember) bool {
@@ -27,7 +26,7 @@
 
 // Its only seed is a follower, which forwards its join request.
 func TestProcessThatReachesOnlyAFollowerIsAdmitted(t *testing.T) {
-	c, _, follower := newClusterWithLeader(t, 3)
+	c, follower := newClusterWithFollower(t)
 	lost := c.members[slices.IndexFunc(c.members, func(m *clusterMember) bool { return m != follower && m != c.leader() })]
 	lost.seeds = []string{follower.ip + ":8080"}
 	lost.loseDisk(300 * unitsPerMs)
@@ -37,7 +36,7 @@
 
 // Its seeds are itself and a process that is gone; the leader still sends messages to the earlier member at its address.
 func TestProcessWithoutUsefulSeedsIsAdmittedAtTheAddressOfAMember(t *testing.T) {
-	c, _, follower := newClusterWithLeader(t, 3)
+	c, follower := newClusterWithFollower(t)
 	follower.seeds = []string{follower.ip + ":8080", "10.0.0.99:8080"}
 	follower.loseDisk(300 * unitsPerMs)
 	c.RunFor(300*unitsPerMs + catchUpTime)
--- a/internal/simulation/cluster/losses.go
+++ b/internal/simulation/cluster/losses.go
@@ -99,13 +99,13 @@
 	r := &lossRun{
 		cluster:     newCluster(dir, network, size{members: options.Members}, Options{Seed: options.Seed, Logf: func(string, ...any) {}}),
 		LossOptions: options,
-		budget:      (options.Members - 1) / 2,
 		catchUp:     largeCatchUp, recovery: largeRecovery, ackMax: largeAckTime,
 		events:      events,
 		nextAddress: options.Members,
 		random:      rand.New(rand.NewPCG(options.Seed, lossRunStream)),
 		lastLoss:    time.Now(),
 	}
+	r.budget = r.faultBudget()
 	if options.Members <= fewMembers {
 		r.catchUp, r.recovery, r.ackMax = smallCatchUp, smallRecovery, smallAckTime
 	}
--- a/internal/simulation/cluster/losses_check.go
+++ b/internal/simulation/cluster/losses_check.go
@@ -105,53 +105,18 @@
 	return true
 }
 
-// memberReport is what a member says of itself.
-type memberReport struct {
-	Consensus struct {
-		ID, Leader string
-		Term       uint64
-		LastIndex  uint64
-		Members    []string
-		Learners   []string
-		HoldsLease bool
-	}
-	LeaderlessForMs int64
-}
-
-func (m *memberReport) String() string {
-	c := m.Consensus
-	return fmt.Sprintf("%s: term %d, leader %q, index %d, members %v, learners %v, without a leader for %d ms", c.ID, c.Term, c.Leader,
-		c.LastIndex, c.Members, c.Learners, m.LeaderlessForMs)
-}
-
-// askMember asks a member for its status. It returns nil if there is no answer.
-func askMember(ctx context.Context, address string) *memberReport {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/Member.Status", nil)
-	if err != nil {
-		return nil
-	}
-	status, text, err := doRequest(request)
-	report := &memberReport{}
-	if err != nil || status != http.StatusOK || json.Unmarshal([]byte(text), report) != nil {
-		return nil
-	}
-	return report
-}
-
 // leaderSlot returns the slot of the member that leads, or -1.
 func (r *lossRun) leaderSlot(ctx context.Context) int {
-	return slices.IndexFunc(r.addresses(), func(address string) bool {
-		report := askMember(ctx, address)
-		return report != nil && report.Consensus.HoldsLease
-	})
+	leader := findLeader(ctx, r.addresses())
+	return slices.IndexFunc(r.addresses(), func(address string) bool { return leader != nil && leader.runsAt(address) })
 }
 
-// checkSeats waits until each process is a member, and no other is. A process has the time for catching up for that, counted
-// from its return.
+// checkSeats waits until all seats are filled by processes that run, and the leader replicates to all others. A process has the
+// time for catching up for that, counted from its return.
 func (r *lossRun) checkSeats(ctx context.Context, after string) {
 	missing := []string{"no leader"}
 	for began := time.Now(); time.Since(began) < r.catchUp; {
-		if missing = r.unseated(ctx); len(missing) == 0 || sleep(ctx, retryInterval) != nil {
+		if missing = unfilledSeats(ctx, r.addresses(), r.budget); len(missing) == 0 || sleep(ctx, retryInterval) != nil {
 			return
 		}
 	}
@@ -159,29 +124,6 @@
 	r.logReports(ctx)
 }
 
-// unseated returns the processes that are not members, and the members that are no processes.
-func (r *lossRun) unseated(ctx context.Context) (problems []string) {
-	leader := r.leaderSlot(ctx)
-	if leader < 0 {
-		return []string{"no leader"}
-	}
-	addresses := r.addresses()
-	report := askMember(ctx, addresses[leader])
-	if report == nil {
-		return []string{"no leader"}
-	}
-	for _, address := range addresses {
-		process := askMember(ctx, address)
-		if process == nil || !slices.Contains(report.Consensus.Members, process.Consensus.ID) {
-			problems = append(problems, address+" is not a member")
-		}
-	}
-	if len(report.Consensus.Members) != len(addresses) {
-		problems = append(problems, fmt.Sprintf("members are %v", report.Consensus.Members))
-	}
-	return problems
-}
-
 // checkRecovery waits until each member by itself reads back the newest acknowledged configuration or a later one, and a change
 // is acknowledged. It returns how long that took, or 0 if it took too long.
 func (r *lossRun) checkRecovery(ctx context.Context) time.Duration {
--- a/internal/simulation/cluster/soak.go
+++ b/internal/simulation/cluster/soak.go
@@ -22,6 +22,9 @@
 	Members, Proxies int
 	// Clients is the number of clients for each proxy.
 	Clients int
+	// LoseDisks makes members lose their disks, and start with SeedPeers drawn anew. In the end as many disks are lost as the fault
+	// budget allows, and all other processes end at the same moment.
+	LoseDisks bool
 	// Binaries holds the programs. If it is nil, they are built.
 	Binaries Binaries
 	// Logf logs progress. Optional.
@@ -37,6 +40,7 @@
 	Outcomes []Outcomes
 	// Unanswered counts the statements whose connection ended before the answer, including cases that are no violation.
 	Unanswered         int
+	LostDisks          int
 	AcknowledgedWrites int
 	ConfigVersions     int
 	Promotions         int
@@ -65,6 +69,7 @@
 	memberNodes, proxyNodes []*node
 	operators               *operators
 	stalls                  stallMeter
+	losses                  *diskLosses    // nil if no disks are lost
 	tasks                   sync.WaitGroup // events in progress
 	probes                  atomic.Int64   // number of sessions opened to check whether a proxy serves
 
@@ -103,6 +108,9 @@
 		soakResult: SoakResult{Seed: options.Seed},
 	}
 	k.binaries = options.Binaries
+	if options.LoseDisks {
+		k.losses = newDiskLosses(k)
+	}
 	k.onHostEvent = func(event string) { k.log("%s", event) }
 	k.onViolation = func(violation string) { k.log("VIOLATION %s", violation) }
 	ctx, cancel := context.WithCancel(ctx)
@@ -173,6 +181,9 @@
 	watchers.Go(func() { k.watchMemory(watching, abort) })
 	sending, stopSending := context.WithCancel(ctx)
 	defer stopSending()
+	if k.losses != nil {
+		k.losses.start(ctx)
+	}
 	for proxy := range k.proxyNodes {
 		for client := range k.Sessions {
 			clients.Go(func() { k.runSoakClient(sending, proxy, client) })
@@ -184,6 +195,9 @@
 	for _, n := range k.nodes() {
 		n.awaitRunning(ctx)
 	}
+	if k.losses != nil {
+		k.losses.close(ctx)
+	}
 	k.Logf("all faults have ended, waiting until all nodes serve again")
 	recovered := k.awaitRecovery(ctx)
 	_ = sleep(ctx, quietTime) // an error means that the run is aborted, which is checked below
@@ -211,6 +225,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	result.Events = events
+	if k.losses != nil {
+		result.LostDisks = k.losses.count
+	}
 	result.Outcomes, result.AcknowledgedWrites = collected.Outcomes, collected.AcknowledgedWrites
 	result.ConfigVersions, result.Promotions = collected.ConfigVersions, collected.Promotions
 	result.Violations = collected.Violations
--- a/internal/simulation/cluster/soak_node.go
+++ b/internal/simulation/cluster/soak_node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,6 +40,7 @@
 	mu          sync.Mutex         // protects the fields below
 	incarnation *incarnationRecord // of the current incarnation
 	closing     bool               // the process is not restarted
+	losesDisk   bool               // the process starts again with an empty disk
 	ready       bool               // result of the last readiness check
 	peakKB      int
 }
@@ -99,11 +101,21 @@
 	if n.closing {
 		return nil
 	}
-	if err := n.soak.writeSettings(n.name, n.settings.toml()); err != nil {
+	settings := n.settings
+	if n.soak.losses != nil {
+		settings.seedPeers = n.soak.losses.drawSeeds()
+	}
+	if err := n.soak.writeSettings(n.name, settings.toml()); err != nil {
 		return err
 	}
+	if n.losesDisk {
+		n.losesDisk = false
+		if err := os.RemoveAll(settings.dataDir); err != nil {
+			return err
+		}
+	}
 	n.incarnation = newIncarnationRecord()
-	n.soak.log("%s starts", n.name)
+	n.soak.log("%s starts with seeds %v", n.name, settings.seedPeers)
 	return n.process.Restart()
 }
 
@@ -165,6 +177,14 @@
 	incarnation.Signal(syscall.SIGKILL)
 }
 
+// loseDisk sends SIGKILL and has the process start again with an empty disk.
+func (n *node) loseDisk(downTime time.Duration) {
+	n.mu.Lock()
+	n.losesDisk = true
+	n.mu.Unlock()
+	n.kill(downTime)
+}
+
 // freeze suspends the process with SIGSTOP for a span. If freezes overlap, the process resumes after the last one.
 func (n *node) freeze(ctx context.Context, span time.Duration) {
 	incarnation, record := n.process.Incarnation(), n.currentIncarnation()
--- a/internal/simulation/cluster/start.go
+++ b/internal/simulation/cluster/start.go
@@ -203,16 +203,20 @@
 	return os.WriteFile(c.settingsFile(node), []byte(toml), 0o600)
 }
 
+// faultBudget returns the number of members that may be lost at once.
+func (c *cluster) faultBudget() int { return max(1, (c.size.members-1)/2) }
+
 func (c *cluster) memberSettings(i int) nodeSettings {
 	return nodeSettings{
-		name:       fmt.Sprintf("%s%d", controlProgram, i),
-		role:       controlProgram,
-		ip:         c.network.ip(firstMember + i),
-		seedPeers:  c.seedPeers(),
-		countsLoss: true,
-		dataDir:    filepath.Join(c.dir, fmt.Sprintf("disk%d", i)),
-		listen:     []listenAddress{{"Control", c.network.address(firstMember+i, controlPort)}},
-		platform:   c.platformAddress(),
+		name:        fmt.Sprintf("%s%d", controlProgram, i),
+		role:        controlProgram,
+		ip:          c.network.ip(firstMember + i),
+		seedPeers:   c.seedPeers(),
+		countsLoss:  true,
+		faultBudget: c.faultBudget(),
+		dataDir:     filepath.Join(c.dir, fmt.Sprintf("disk%d", i)),
+		listen:      []listenAddress{{"Control", c.network.address(firstMember+i, controlPort)}},
+		platform:    c.platformAddress(),
 	}
 }
 
