--- a/internal/proxy/host_pool.go
+++ b/internal/proxy/host_pool.go
@@ -231,7 +231,7 @@
 	s.leader.reportSuspect(&rpc.SuspectReport{Service: p.Service, Host: p.ID, Refused: refused})
 }
 
-// reportIfSilent reports a primary that has sent nothing since a statement was sent to it, for longer than silentPrimaryTimeout.
+// reportIfSilent reports a primary that has sent nothing for longer than silentPrimaryTimeout while a statement was in flight.
 func (p *hostPool) reportIfSilent(now time.Time) {
 	if !p.service.isPrimary(p.ID) {
 		return
@@ -241,8 +241,7 @@
 		if stmt == nil || !stmt.attempt.sent {
 			continue
 		}
-		writtenAt := stmt.attempt.writtenAt
-		if now.Sub(writtenAt) > silentPrimaryTimeout && p.lastResponseAt.Before(writtenAt) {
+		if min(now.Sub(stmt.attempt.writtenAt), now.Sub(p.lastResponseAt)) > silentPrimaryTimeout {
 			p.reportSuspect(false)
 			return
 		}
--- a/internal/proxy/outage_test.go
+++ b/internal/proxy/outage_test.go
@@ -109,22 +109,23 @@
 
 // A primary that goes dark while acknowledgements wait for a replica is replaced in time.
 func TestDarkPrimaryWithHeldAcknowledgementsIsReplacedInTime(t *testing.T) {
-	for _, seed := range []uint64{30, 257, 292, 410} {
-		requireDarkPrimaryIsReplacedInTime(t, seed)
-	}
+	requireOutagesWithinBound(t, "the primary goes dark", 30, 257, 292, 410)
 }
 
-// The failover of a primary that goes dark begins in time.
+// A primary that goes dark is suspected although its last response came after the statement that is in flight.
 func TestDarkPrimaryIsSuspectedInTime(t *testing.T) {
-	requireDarkPrimaryIsReplacedInTime(t, 98)
+	requireOutagesWithinBound(t, "the primary goes dark", 98)
+}
+
+func TestCrashWithAPartitionedProxyIsHandledInTime(t *testing.T) {
+	requireOutagesWithinBound(t, "it ends, and a proxy is partitioned", 156, 424)
 }
 
-func requireDarkPrimaryIsReplacedInTime(t *testing.T, seed uint64) {
+func requireOutagesWithinBound(t *testing.T, name string, seeds ...uint64) {
 	t.Helper()
-	for _, kind := range outageKinds {
-		if kind.name == "the primary goes dark" {
-			require.Less(t, kind.gapMs(t, seed), kind.maxGapMs, "seed %d", seed)
-		}
+	kind := outageKinds[slices.IndexFunc(outageKinds, func(kind outageKind) bool { return kind.name == name })]
+	for _, seed := range seeds {
+		require.Less(t, kind.gapMs(t, seed), kind.maxGapMs, "seed %d", seed)
 	}
 }
 
