--- a/cmd/ferrylab/losses.go
+++ b/cmd/ferrylab/losses.go
@@ -16,10 +16,8 @@
 // lossOptions holds the flags of ferrylab losses.
 type lossOptions struct {
 	cluster.LossOptions
-	seeds   int // number of consecutive seeds to run
-	jobs    int // runs at a time
-	asJSON  bool
-	logsDir string // parent folder of the folders of failed seeds; empty: the temporary folder
+	seedOptions
+	jobs int // runs at a time
 }
 
 // Numbers of members that the command accepts. Fewer than three survive no loss.
@@ -43,13 +41,10 @@
 		},
 	}
 	flags := command.Flags()
-	flags.Uint64Var(&options.Seed, "seed", 1, "the first seed")
-	flags.IntVar(&options.seeds, "seeds", 1, "number of consecutive seeds to run")
+	options.addFlags(command, &options.Seed)
 	flags.IntVar(&options.jobs, "jobs", 1, "runs at a time")
 	flags.IntVar(&options.Members, "members", 5, "members of the control plane, 3 to 9; of an even number one is a spare")
 	flags.IntVar(&options.Losses, "losses", 5, "losses before the closing one")
-	flags.StringVar(&options.logsDir, "keep-in", "", "`folder` for the folders of failed seeds; empty: the folder for temporary files")
-	flags.BoolVar(&options.asJSON, "json", false, "print each result as JSON")
 	return command
 }
 
@@ -58,14 +53,12 @@
 	if options.Members < minLossMembers || options.Members > maxLossMembers {
 		return fmt.Errorf("%d members: want %d to %d", options.Members, minLossMembers, maxLossMembers)
 	}
-	programs, err := os.MkdirTemp("", "ferrylab-programs")
+	binaries, remove, err := buildPrograms()
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(programs)
-	if options.Binaries, err = cluster.BuildPrograms(programs); err != nil {
-		return err
-	}
+	defer remove()
+	options.Binaries = binaries
 	results := make(chan lossOutcome)
 	go playLosses(ctx, options, results)
 	failed := 0
@@ -103,7 +96,7 @@
 			play := options.LossOptions
 			play.Seed += i
 			outcome := lossOutcome{seed: play.Seed}
-			if outcome.dir, outcome.err = os.MkdirTemp(options.logsDir, fmt.Sprintf("ferrylab-losses-%d-", play.Seed)); outcome.err == nil {
+			if outcome.dir, outcome.err = options.makeDir("losses", play.Seed); outcome.err == nil {
 				outcome.result, outcome.err = cluster.RunLosses(ctx, outcome.dir, play)
 			}
 			results <- outcome
--- a/cmd/ferrylab/losses_test.go
+++ b/cmd/ferrylab/losses_test.go
@@ -20,7 +20,7 @@
 	var out bytes.Buffer
 	options := lossOptions{
 		LossOptions: cluster.LossOptions{Seed: 1, Members: 5, Losses: 5},
-		seeds:       lossSeeds,
+		seedOptions: seedOptions{seeds: lossSeeds},
 		jobs:        lossSeeds,
 	}
 	require.NoError(t, runLosses(t.Context(), &out, options), "%s", &out)
--- a/cmd/ferrylab/soak.go
+++ b/cmd/ferrylab/soak.go
@@ -15,10 +15,8 @@
 // soakOptions holds the flags of ferrylab soak.
 type soakOptions struct {
 	cluster.SoakOptions
-	seeds   int // number of consecutive seeds to run
-	large   bool
-	asJSON  bool
-	logsDir string // parent folder of the folders of failed seeds; empty: the temporary folder
+	seedOptions
+	large bool
 }
 
 // Sizes of a large run, which keep it below a few hundred processes.
@@ -43,8 +41,7 @@
 		},
 	}
 	flags := command.Flags()
-	flags.Uint64Var(&options.Seed, "seed", 1, "the first seed")
-	flags.IntVar(&options.seeds, "seeds", 1, "number of consecutive seeds to run")
+	options.addFlags(command, &options.Seed)
 	flags.DurationVar(&options.Duration, "duration", 20*time.Second, "how long faults are injected for each seed")
 	flags.IntVar(&options.Members, "members", 3, "members of the control plane")
 	flags.IntVar(&options.Proxies, "proxies", 4, "proxies")
@@ -52,8 +49,6 @@
 	flags.BoolVar(&options.LoseDisks, "lose-disks", false, "members lose their disks, within the fault budget, and start with other seeds")
 	flags.BoolVar(&options.large, "large", false,
 		fmt.Sprintf("run %d members and %d proxies with %d clients each", largeMembers, largeProxies, largeClients))
-	flags.StringVar(&options.logsDir, "keep-in", "", "`folder` for the folders of failed seeds; empty: the folder for temporary files")
-	flags.BoolVar(&options.asJSON, "json", false, "print each result as JSON")
 	return command
 }
 
@@ -65,14 +60,12 @@
 	if isTerminal(os.Stderr) {
 		options.Logf = func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
 	}
-	programs, err := os.MkdirTemp("", "ferrylab-programs")
+	binaries, remove, err := buildPrograms()
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(programs)
-	if options.Binaries, err = cluster.BuildPrograms(programs); err != nil {
-		return err
-	}
+	defer remove()
+	options.Binaries = binaries
 	failed := 0
 	for range options.seeds {
 		violated, err := soakSeed(ctx, out, options)
@@ -92,7 +85,7 @@
 
 // soakSeed runs one seed in its own folder, and keeps the folder if there are violations.
 func soakSeed(ctx context.Context, out io.Writer, options soakOptions) (violated bool, err error) {
-	dir, err := os.MkdirTemp(options.logsDir, fmt.Sprintf("ferrylab-soak-%d-", options.Seed))
+	dir, err := options.makeDir("soak", options.Seed)
 	if err != nil {
 		return false, err
 	}
--- a/cmd/ferrylab/soak_test.go
+++ b/cmd/ferrylab/soak_test.go
@@ -21,7 +21,7 @@
 	var out bytes.Buffer
 	options := soakOptions{
 		SoakOptions: cluster.SoakOptions{Seed: 2, Duration: 15 * time.Second, Members: 3, Proxies: 3, Clients: 6},
-		seeds:       soakSeeds,
+		seedOptions: seedOptions{seeds: soakSeeds},
 	}
 	require.NoError(t, runSoak(t.Context(), &out, options), "%s", &out)
 	require.Equal(t, soakSeeds, bytes.Count(out.Bytes(), []byte(" 0 violations\n")), "%s", &out)
@@ -35,7 +35,7 @@
 	var out bytes.Buffer
 	options := soakOptions{
 		SoakOptions: cluster.SoakOptions{Seed: 1, Duration: 15 * time.Second, Members: 5, Proxies: 3, Clients: 6, LoseDisks: true},
-		seeds:       1,
+		seedOptions: seedOptions{seeds: 1},
 	}
 	require.NoError(t, runSoak(t.Context(), &out, options), "%s", &out)
 	require.Equal(t, 1, bytes.Count(out.Bytes(), []byte(" 0 violations\n")), "%s", &out)
--- a/internal/proxy/statement_response.go
+++ b/internal/proxy/statement_response.go
@@ -102,8 +102,8 @@
 }
 
 // withdrawAcknowledgement answers a write that a primary acknowledged after it was revoked, or after the lease has expired, when it
-// may have been revoked. The next primary was chosen without regard to that write, which may be lost. Unlike after a lost response (commitInDoubt), the write is in doubt although the host
-// acknowledged it.
+// may have been revoked. The next primary was chosen without regard to that write, which may be lost. Unlike after a lost response
+// (commitInDoubt), the write is in doubt although the host acknowledged it.
 func (s *Server) withdrawAcknowledgement(conn *hostConn, stmt *statement) {
 	client := stmt.session
 	conn.session = nil
