Partition simulations play a seed the same way each time

Cause: a member that crashes closed the links of its proxies in the order of a map. Change: the links are a list, the oldest first. TestPartitionSimulationIsDeterministic plays seeds twice and compares faults, counts and the state of the generator.

--- a/internal/control/partition_cluster_test.go
+++ b/internal/control/partition_cluster_test.go
@@ -83,7 +83,7 @@
 	disk         memberdisk.Disk
 	checkedIndex uint64               // index of the state that checkApplied checked last
 	blocked      map[string]blockMode // by receiver address
-	links        map[*partitionLink]bool
+	links        []*partitionLink     // open connections of proxies, the oldest first
 }
 
 func newPartitionCluster(seed uint64, size, proxies int, drift float64, removedSafeguard safeguard) *partitionCluster {
@@ -132,7 +132,7 @@
 func (m *partitionMember) start() {
 	c := m.cluster
 	m.StartIncarnation()
-	m.links = map[*partitionLink]bool{}
+	m.links = nil
 	m.clockRate, m.startedAt, m.checkedIndex = c.clockRate(), c.Now, 0
 	nodeSettings := settingsAt(m.ip)
 	nodeSettings.FaultBudget.Machines = len(c.members) / 2
@@ -244,7 +244,7 @@
 func (m *partitionMember) crash(powerLoss bool) {
 	m.End()
 	m.disk.Crash(func() bool { return !powerLoss && !m.cluster.OneIn(2) })
-	for link := range m.links {
+	for _, link := range slices.Clone(m.links) { // closing a link removes it
 		link.close()
 	}
 }
--- a/internal/control/partition_proxy_test.go
+++ b/internal/control/partition_proxy_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"ferrypitch/internal/lease"
 	"ferrypitch/internal/rpc"
 	"ferrypitch/internal/statemachine"
@@ -62,7 +64,7 @@
 		c.After(30, link.close)
 		return
 	}
-	m.links[link] = true
+	m.links = append(m.links, link)
 	hello := &rpc.ProxyHello{Node: p.name, Incarnation: p.incarnation, Zone: "z", AppliedIndex: p.applied}
 	link.toMember(func() { link.conn = m.server.AcceptProxy(hello, p.name, link.send, func() { c.After(2, link.close) }) })
 	if c.OneIn(10) && !c.faultsDisabled { // a duplicate of the hello arrives on a delayed connection
@@ -174,7 +176,7 @@
 		return
 	}
 	l.closed = true
-	delete(l.member.links, l)
+	l.member.links = slices.DeleteFunc(l.member.links, func(other *partitionLink) bool { return other == l })
 	if conn := l.conn; conn != nil {
 		l.toMember(func() { l.member.server.ProxyDisconnected(conn) })
 	}
--- a/internal/control/partition_test.go
+++ b/internal/control/partition_test.go
@@ -81,3 +81,18 @@
 		t.Logf("%s: detected by %s", removed, detected)
 	}
 }
+
+func TestPartitionSimulationIsDeterministic(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(max(3, partitionSeedCount()/10)) {
+		play := func() string {
+			s := newSplitCluster(seed, 5)
+			s.After(1500, func() { s.injectFaults(s.StartTime + 8000) })
+			s.run(9000, true)
+			s.finish()
+			return fmt.Sprintf("%s\n%d confirmed, %d conflicts, %d reads, %d delayed, %d leases, next %d", strings.Join(s.FaultLog, "\n"),
+				s.confirmed, s.conflicts, s.reads, s.delayedResponses, s.leases, s.Rand.Uint64())
+		}
+		require.Equal(t, play(), play(), "seed %d", seed)
+	}
+}
