Plays and simulation of lost disks fail on messages that another process sent

Change: rule SENDER: in ferrylab losses and TestDisksLostInSuccessionLeaveNoSeatEmpty no member may have discarded a message since it did not come from its sender's address. Tests and laboratory only.

--- a/internal/control/partition_halves_test.go
+++ b/internal/control/partition_halves_test.go
@@ -261,6 +261,15 @@
 	s.RecordViolation("SEAT: no leader")
 }
 
+// checkSenders records a violation if a member had to discard a message that was sent by another process than its sender.
+func (s *splitCluster) checkSenders() {
+	for _, m := range s.members {
+		if discarded := m.server.Discarded[messageWrongSender].Load(); discarded > 0 {
+			s.RecordViolation("SENDER: %s discarded %d messages", m.identity.ID, discarded)
+		}
+	}
+}
+
 func TestDisksLostInSuccessionLeaveNoSeatEmpty(t *testing.T) {
 	t.Parallel()
 	sizes := []int{3, 5, 7}
@@ -278,6 +287,7 @@
 			}
 			s.RunFor(3000 + catchUpMs) // they are back after 3 s
 			s.checkSeats()
+			s.checkSenders()
 		}
 		s.finish()
 		if len(s.Violations) > 0 {
--- a/internal/simulation/cluster/losses_check.go
+++ b/internal/simulation/cluster/losses_check.go
@@ -148,6 +148,7 @@
 	if _, slowest := r.operator.summary(); slowest > r.ackMax {
 		r.violate("ACK: a change took %v while nothing was lost", roundMs(slowest))
 	}
+	r.checkSenders(ctx)
 	if len(waiting) > 0 {
 		r.logReports(ctx)
 		return 0
@@ -155,6 +156,15 @@
 	return recovered
 }
 
+// checkSenders checks that no member had to discard messages that were sent by another process than their sender.
+func (r *lossRun) checkSenders(ctx context.Context) {
+	for _, address := range r.addresses() {
+		if report := askMember(ctx, address); report != nil && report.Counters[wrongSenderCounter] > 0 {
+			r.violate("SENDER: %s discarded %d messages that did not come from their sender", address, report.Counters[wrongSenderCounter])
+		}
+	}
+}
+
 // readsBack reports whether a member answers with a configuration that is at least as new as the given one. It returns the answer.
 func (r *lossRun) readsBack(ctx context.Context, address string, newest int) (served bool, answer string) {
 	status, text, err := readConfig(ctx, address)
--- a/internal/simulation/cluster/seats.go
+++ b/internal/simulation/cluster/seats.go
@@ -22,8 +22,13 @@
 		HoldsLease bool
 	}
 	LeaderlessForMs int64
+	Counters        map[string]int64
 }
 
+// wrongSenderCounter is the counter of messages that a member discarded since they did not come from their sender's address. In a
+// system of one release each process sends only messages of its own.
+const wrongSenderCounter = "discarded_consensus_wrong_sender"
+
 func (m *memberReport) String() string {
 	c := m.Consensus
 	return fmt.Sprintf("%s: term %d, leader %q, index %d, members %v, learners %v, without a leader for %d ms", c.ID, c.Term, c.Leader,
