Host load is measured against the unloaded latency, not the response target

Cause: limit, share and load of a host were ratios of its latency to the response target of the command group. A target that is stated differently made the same host look crowded or idle, and an answer counted as lost when the target had passed, whether or not that was unusual for the work. Groups began with a third of the target as latency.

A host is crowded when its answers take twice as long on average; an answer is assumed lost after the mean and four deviations and six times the unloaded latency. Messages between routers and reports to planners carry the latency in halves of the unloaded one, in the fields and ranges that they had. Until there is a first answer, a host may be silent for a second, and no latency is assumed. Tests: routers in tests begin with known latencies (100 ms, deviation 50 ms), which gives the bound of 300 ms that was the target; ratios are multiples of the unloaded latency; "past its target" is now past six times 100 ms.

--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -90,21 +90,21 @@
 	if configured.Kind != config.KindLeader {
 		r.stalenessBound = millisecondsToTenths(configured.StalenessMs)
 	}
-	r.strongGroup = s.newGroup(r, policy.Strong, retry.Read)
-	r.writeGroup = s.newGroup(r, policy.Write, retry.Write)
+	r.strongGroup = newGroup(r, policy.Strong, retry.Read)
+	r.writeGroup = newGroup(r, policy.Write, retry.Write)
 	switch {
 	case r.stalenessBound == 0:
 		r.readGroup = r.strongGroup
 	case r.readsOwnWrites:
-		r.readGroup = s.newGroup(r, policy.ReadYourWrites, retry.Read)
+		r.readGroup = newGroup(r, policy.ReadYourWrites, retry.Read)
 	default:
-		r.readGroup = s.newGroup(r, policy.BoundedStaleness, retry.Read)
+		r.readGroup = newGroup(r, policy.BoundedStaleness, retry.Read)
 	}
 	return r
 }
 
 // newGroup creates the policy's command group for the statements of a route that need the same consistency.
-func (s *Server) newGroup(r *route, consistency policy.Consistency, operation retry.Operation) *policy.CommandGroup {
+func newGroup(r *route, consistency policy.Consistency, operation retry.Operation) *policy.CommandGroup {
 	idempotency := policy.NotIdempotent
 	if retry.Idempotent(operation) {
 		idempotency = policy.Idempotent
@@ -113,7 +113,7 @@
 	if target <= 0 {
 		target = millisecondsToTenths(r.DeadlineMs * defaultTargetShare)
 	}
-	return s.policy.InitGroup(&policy.CommandGroup{
+	return &policy.CommandGroup{
 		IdempotencyClass:    idempotency,
 		ConsistencyLevel:    consistency,
 		MaxStaleness:        r.stalenessBound,
@@ -121,5 +121,5 @@
 		Timeout:             millisecondsToTenths(r.DeadlineMs),
 		Benefit:             1 / (1 + max(0, r.Priority)),
 		LateBenefitFraction: lateShare,
-	})
+	}
 }
--- a/internal/router/routing/hosts.go
+++ b/internal/router/routing/hosts.go
@@ -14,8 +14,7 @@
 
 // Units and limits of a forwarder's reports to planners.
 const (
-	reportUnitsPerWork        = 1000 // work and lateness are reported in thousandths
-	maxReportedTargetFraction = 10   // caps the latency of one command, as a multiple of its latency target
+	reportUnitsPerWork = 1000 // work is reported in thousandths
 )
 
 // host is a database host: its entry in the host list, its connections, and the observations from its answers for the next
@@ -194,7 +193,7 @@
 	}
 	if outcome == policy.Answered {
 		h.report.Responses++
-		h.report.LatenessSum += uint32(min(maxReportedTargetFraction, c.TargetFraction(elapsed)) * reportUnitsPerWork)
+		h.report.LatenessSum += c.ReportedLatency(elapsed)
 	}
 }
 
--- a/internal/router/tier/link/messages.go
+++ b/internal/router/tier/link/messages.go
@@ -26,7 +26,7 @@
 type Observation struct {
 	view.Evidence
 	Responses   uint32 `cbor:"6,keyasint,omitempty"` // number of responses
-	LatenessSum uint32 `cbor:"7,keyasint,omitempty"` // sum of the response times, each in thousandths of the response target
+	LatenessSum uint32 `cbor:"7,keyasint,omitempty"` // sum of the response times, each in hundredths of half the unloaded latency
 	BootedAt    int64  `cbor:"8,keyasint,omitempty"` // start time of the host to which ColdWork refers
 	ColdWork    int64  `cbor:"9,keyasint,omitempty"` // work sent since that start, in thousandths of a command of average cost
 }
--- a/internal/router/tier/planner/forwarder.go
+++ b/internal/router/tier/planner/forwarder.go
@@ -14,7 +14,7 @@
 	silentIntervals = 4
 
 	// Limits on one host's values in a report: the number of responses, and the mean
-	// lateness of a response in thousandths of the response target.
+	// lateness of a response in hundredths of half the unloaded latency.
 	maxReportedResponses   = 1 << 16
 	maxLatenessPerResponse = 10000
 )
--- a/internal/router/tier/planner/publish.go
+++ b/internal/router/tier/planner/publish.go
@@ -12,9 +12,9 @@
 	// positionBytes is the approximate encoded size of one host's position in a frame.
 	positionBytes = 96
 
-	// Lateness is published in tenths of the response target, at most maxLateness, plus one.
-	maxLateness         = 12
-	thousandthsPerTenth = 100
+	// Lateness is published in halves of the unloaded latency, at most maxLateness, plus one.
+	maxLateness       = 12
+	hundredthsPerStep = 100
 )
 
 // reportInterval returns the interval at which each forwarder reports, so that all
@@ -82,7 +82,7 @@
 	lateness := uint8(0)
 	if responses := h.responses + h.previousResponses; responses > 0 {
 		mean := (h.latenessSum + h.previousLatenessSum) / responses
-		lateness = 1 + uint8(min(maxLateness, mean/thousandthsPerTenth))
+		lateness = 1 + uint8(min(maxLateness, mean/hundredthsPerStep))
 	}
 	if lateness != h.lateness {
 		h.lateness, h.unpublished = lateness, true
--- a/internal/router/tier/view/host.go
+++ b/internal/router/tier/view/host.go
@@ -47,7 +47,7 @@
 	RolePosition policy.TenthMs `cbor:"13,keyasint,omitempty"`
 	RoleChanges  uint32         `cbor:"14,keyasint,omitempty"`
 
-	// Lateness is the mean response time in tenths of the response target, plus one.
+	// Lateness is the mean response time in halves of the unloaded latency, plus one.
 	// 0 means that it is not known.
 	Lateness uint8 `cbor:"15,keyasint,omitempty"`
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -89,8 +89,7 @@
 	Benefit             float64     // value of an answer within the response target
 	LateBenefitFraction float64     `cbor:"LateShare"` // fraction of Benefit that an answer after the response target is worth
 
-	meanLatency         float64 // mean latency of answers, in tenths of a millisecond
-	latencySamples      float64 // number of samples in meanLatency, at most 500
+	latency             latencyStats
 	firstAttemptTimeout TenthMs // timeout that most clients set on a first attempt
 	firstAttemptVotes   int     // majority counter for firstAttemptTimeout
 }
@@ -154,12 +153,6 @@
 	ScheduleWakeUp(after TenthMs)
 }
 
-// InitGroup initializes the statistics of a command group. New does this for the groups in Deployment.Groups.
-func (r *Router) InitGroup(group *CommandGroup) *CommandGroup {
-	group.meanLatency, group.latencySamples = float64(group.ResponseTarget)/3, 1
-	return group
-}
-
 // SetPrimary records that, from now on, a host is or is not the primary of its replica set.
 func (h *Host) SetPrimary(isPrimary bool) {
 	role := Replica
@@ -173,7 +166,7 @@
 func (r *Router) ExpectPrimary(set int64, at TenthMs) { r.replicaSet(set).primaryExpectedAt = at }
 
 // PlannerLatency converts a latency as planners encode it to the form that Host.ApplyPlannerUpdate takes. Planners send 0 for
-// unknown, and otherwise the latency in tenths of the response target plus 1.
+// unknown, and otherwise the latency in steps of half the unloaded latency, plus 1.
 func PlannerLatency(encoded uint8) TenthMs {
 	if encoded == 0 {
 		return peerLatencyUnknown
@@ -206,9 +199,9 @@
 	return 0
 }
 
-// TargetFraction returns a latency as a fraction of the command's response target.
-func (c *Command) TargetFraction(latency TenthMs) float64 {
-	return float64(latency) / float64(max(1, c.group.ResponseTarget))
+// ReportedLatency returns a latency as reports to planners state it: in hundredths of the steps that PlannerLatency decodes.
+func (c *Command) ReportedLatency(latency TenthMs) uint32 {
+	return uint32(reportsPerLatencyStep * min(maxLatencyRatio, c.group.latency.ratio(latency)) * peerLatencySteps)
 }
 
 // NeededPosition returns the position that the command's last dispatch required, or 0 for none.
@@ -229,7 +222,7 @@
 	Role                Role
 	Position            TenthMs
 	InFlight            int     // number of commands in flight
-	LatencyRatio, Share float64 // mean latency as a fraction of the response target; fraction of offered commands accepted
+	LatencyRatio, Share float64 // mean latency as a multiple of the unloaded latency; fraction of offered commands accepted
 	Flags               int64   // 1: ejected, 2: unreachable, 4: cold, 8: position known, 16: treated as the primary
 }
 
--- a/policy/env_test.go
+++ b/policy/env_test.go
@@ -65,7 +65,14 @@
 	}
 )
 
-// newTestEnv creates a router with hosts a (primary), b, c... whose positions are known.
+// The latency of all command groups at the start of a test, and the time within which nearly all answers come, in tenths of a
+// millisecond.
+const (
+	usualLatency = 1000
+	usualBound   = usualLatency + boundDeviations*usualLatency/2
+)
+
+// newTestEnv creates a router with hosts a (primary), b, c... whose positions are known, as are the usual latencies.
 func newTestEnv(t *testing.T, hosts int, change func(*Deployment)) *testEnv {
 	env := &testEnv{t: t, now: 1000000, finalAnswer: map[*Command]string{}}
 	bounded, session, fresh, keyed, mutating := boundedRead, sessionRead, freshRead, keyedWrite, mutatingWrite
@@ -80,6 +87,12 @@
 		change(&deployment)
 	}
 	env.router = New(env, deployment, env.now)
+	env.router.meanLatency = usualLatency
+	for _, group := range deployment.Groups {
+		group.latency = latencyStats{
+			samples: 100, mean: usualLatency, deviation: usualLatency / 2, recent: usualLatency, unloaded: usualLatency, updatedAt: env.now,
+		}
+	}
 	for i := range hosts {
 		host := env.router.AddHost(string(rune('a'+i)), 1)
 		host.UpdateListing(Active, i == 0, "", "", 1, 0)
--- a/policy/hosts.go
+++ b/policy/hosts.go
@@ -127,7 +127,12 @@
 }
 
 // work returns the cost of a command relative to the average command.
-func (c *Command) work() float64 { return c.group.meanLatency / max(c.set.router.meanLatency, 1) }
+func (c *Command) work() float64 {
+	if c.group.latency.samples == 0 || c.set.router.meanLatency == 0 {
+		return 1
+	}
+	return c.group.latency.mean / c.set.router.meanLatency
+}
 
 // hasReached reports whether a host has reached a position. If hosts check it themselves, one that is expected to have
 // reached it, or is idle without a position update for a second, qualifies: a rejection costs one dispatch, and the
@@ -150,23 +155,23 @@
 // activeCount returns the number of commands in flight whose answers are not assumed lost.
 func (h *Host) activeCount() (active int) {
 	for _, c := range h.inFlight {
-		if !c.overdue || h.latencyRatio > overloadRatio && h.set.router.now < c.sentAt+2*c.group.ResponseTarget {
+		if !c.overdue || h.latencyRatio > overloadRatio && h.set.router.now < 2*c.overdueAt-c.sentAt {
 			active++
 		}
 	}
 	return active
 }
 
-// updateLoad records a latency as a fraction of the response target; a sample after a long gap has more weight. Late
+// updateLoad records a latency as a multiple of the unloaded latency; a sample after a long gap has more weight. Slow
 // answers reduce the limit or, if this router, one of hundreds, has few other commands in flight, the share.
 func (h *Host) updateLoad(ratio float64, sentAt TenthMs, othersInFlight int) {
 	now := h.set.router.now
 	weight := min(0.5, max(0.125, float64(now-h.latencyUpdatedAt)/float64(2*second)))
 	h.latencyUpdatedAt = now
-	if ratio < 0.5 {
+	if ratio < overloadRatio {
 		h.lastFastSentAt = max(h.lastFastSentAt, sentAt)
 	}
-	h.latencyRatio += (min(ratio, 1) - h.latencyRatio) * weight
+	h.latencyRatio += (min(ratio, maxLatencyRatio) - h.latencyRatio) * weight
 	if growth := 1 + weight*max(-1, 1-ratio/overloadRatio); growth > 1 || float64(othersInFlight) < h.limit/4 {
 		h.share = min(1, max(4/float64(h.set.router.RouterCount), h.share*growth))
 	}
@@ -177,7 +182,7 @@
 
 // backOff avoids a rejecting host, longer each time: with fast rejections it would attract more commands.
 func (h *Host) backOff() {
-	h.updateLoad(1, 0, len(h.inFlight))
+	h.updateLoad(maxLatencyRatio, 0, len(h.inFlight))
 	h.backoff = min(max(2*h.backoff, second/50), second/2)
 	h.retryAt = h.set.router.now + TenthMs((2+2*h.set.router.random())*float64(h.backoff)/3)
 }
--- a/policy/outcome.go
+++ b/policy/outcome.go
@@ -126,10 +126,13 @@
 // recordLatency updates the latency and load statistics from an answer.
 func (h *Host) recordLatency(c *Command, latency TenthMs) {
 	router, group := h.set.router, c.group
-	ratio := float64(latency) / float64(group.ResponseTarget)
-	h.backoff, group.latencySamples = 0, min(group.latencySamples+1, 500)
-	group.meanLatency += (float64(latency) - group.meanLatency) / group.latencySamples
-	router.meanLatency += (group.meanLatency - router.meanLatency) / 100
+	group.latency.record(latency, router.now)
+	if router.meanLatency == 0 {
+		router.meanLatency = group.latency.mean
+	}
+	router.meanLatency += (group.latency.mean - router.meanLatency) / 100
+	ratio := group.latency.ratio(latency)
+	h.backoff = 0
 	if !h.isCold() {
 		h.model.workDone += c.work()
 	}
--- a/policy/peer_message.go
+++ b/policy/peer_message.go
@@ -6,8 +6,12 @@
 	"strings"
 )
 
-// The latency in a peerUpdate is in tenths of the response target, or one of these values.
+// reportsPerLatencyStep is the number of units of Command.ReportedLatency in a step.
+const reportsPerLatencyStep = 100
+
+// The latency in a peerUpdate is in steps of a fraction of the unloaded latency, or one of these values.
 const (
+	peerLatencySteps   = 2 // steps in the unloaded latency
 	peerLatencyUnknown = 13
 	peerConnsExhausted = 14 // the host accepts no more connections
 	peerRejecting      = 15 // the host rejects commands
--- a/policy/peers.go
+++ b/policy/peers.go
@@ -13,7 +13,7 @@
 	}
 	canWait := ratio <= peerLatencyUnknown
 	if ratio < peerLatencyUnknown {
-		ratio = min(peerLatencyUnknown-1, 10*ratio+0.5)
+		ratio = min(peerLatencyUnknown-1, peerLatencySteps*ratio+0.5)
 	}
 	body := peerUpdate{h.peerID(), h.position, h.role, TenthMs(ratio)}.encode()
 	cost := float64(len(body) * (router.RouterCount - 1))
@@ -77,9 +77,9 @@
 	h.applyRemoteLatency(latency)
 }
 
-// applyRemoteLatency records a latency that another process measured, in tenths of the response target.
-func (h *Host) applyRemoteLatency(tenths TenthMs) {
-	if tenths < peerLatencyUnknown {
-		h.updateLoad(float64(tenths)/10, h.set.router.now-second/10, len(h.inFlight))
+// applyRemoteLatency records a latency that another process measured, in steps of peerUpdate.latency.
+func (h *Host) applyRemoteLatency(steps TenthMs) {
+	if steps < peerLatencyUnknown {
+		h.updateLoad(float64(steps)/peerLatencySteps, h.set.router.now-second/10, len(h.inFlight))
 	}
 }
--- a/policy/preview.go
+++ b/policy/preview.go
@@ -51,7 +51,7 @@
 	}
 	defer r.restore(replicas, *r, *replicas, replicas.copyMembers())
 	trial := *group
-	trial.meanLatency, trial.latencySamples = currentGroup.meanLatency, currentGroup.latencySamples
+	trial.latency = currentGroup.latency
 	trial.firstAttemptTimeout, trial.firstAttemptVotes = currentGroup.firstAttemptTimeout, currentGroup.firstAttemptVotes
 
 	settings, routerCount, positionEpoch := shadow.router, r.RouterCount, r.PositionEpoch
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -16,7 +16,7 @@
 }
 
 // priority returns the benefit of a command per unit of time that it occupies a host.
-func (c *Command) priority() float64 { return c.benefit / c.group.meanLatency }
+func (c *Command) priority() float64 { return c.benefit / max(1, c.group.latency.mean) }
 
 // serveQueue dispatches the commands that hosts can take now, and gives up those that waited too long.
 func (s *replicaSet) serveQueue() {
@@ -41,7 +41,7 @@
 	if group.ConsistencyLevel == Write {
 		return now < quarterOfTimeout && now+nextCheck < c.timeoutAt
 	}
-	return now+max(TenthMs(group.meanLatency), nextCheck) < min(c.targetAt, c.timeoutAt) &&
+	return now+max(TenthMs(group.latency.mean), nextCheck) < min(c.targetAt, c.timeoutAt) &&
 		(c.Attempts > 0 || now+nextCheck < (c.submittedAt+c.timeoutAt)/2)
 }
 
--- a/policy/route.go
+++ b/policy/route.go
@@ -166,11 +166,14 @@
 	host.peakInFlight = max(host.peakInFlight, len(host.inFlight))
 	c.Host, c.sentAt, c.neededPosition, c.SendBy = host, router.now, position, 0
 	c.Attempts, c.queued, c.overdue = c.Attempts+1, false, false
+	if c.overdueAt = c.timeoutAt; c.group.latency.samples > 0 {
+		c.overdueAt = router.now + c.group.latency.overdue()
+	}
 	if c.group.ConsistencyLevel == BoundedStaleness && host != c.set.primary && !router.HostsCheckPosition {
 		c.SendBy = host.position + router.PositionEpoch + c.group.MaxStaleness // connecting may delay it
 	}
 	timeout := (c.targetAt - router.now) / 2 // an answer this much slower than usual is assumed lost: try another host
-	if c.group.IdempotencyClass != Idempotent || timeout < TenthMs(5*c.group.meanLatency) {
+	if c.group.IdempotencyClass != Idempotent || timeout < TenthMs(5*c.group.latency.mean) {
 		timeout = 0
 	}
 	router.caller.Dispatch(c, host, timeout)
--- a/policy/router.go
+++ b/policy/router.go
@@ -11,11 +11,13 @@
 	queueCheckTicks    = 4           // interval between two passes over a queue, in ticks
 	slowConnectHold    = 2 * second  // no new connections to a host that is slow to accept them
 	connsExhaustedHold = 5 * second  // no idle connections to a host that has none left
+	firstAnswerTimeout = second      // how long a host may be silent while the usual latency is not known
 	warmRateWindow     = 10 * second // warmRate is a mean over this time; peaks over shorter times are random
 	recoveryLimit      = 2           // initial concurrency limit of a host that restarted or recovered
 	silenceDeviations  = 12.0        // standard deviations above the mean gap at which silence is unusual
 	silenceSamples     = 16          // minimum number of gaps for that estimate
-	overloadRatio      = 0.3         // mean latency that indicates overload, as a fraction of the response target
+	overloadRatio      = 2.0         // mean latency that indicates overload, as a multiple of the unloaded latency
+	maxLatencyRatio    = 6.0         // greatest latency that counts in a mean, as a multiple of the unloaded latency
 	spillProbability   = 0.125       // probability that a read goes to the primary if that has less load than the replica
 	maxSessionTokens   = 1 << 12
 	windowSeconds      = 8 // duration that a window covers
@@ -33,8 +35,6 @@
 		if group.ConsistencyLevel == BoundedStaleness {
 			r.positionTTL = min(r.positionTTL, group.MaxStaleness/2)
 		}
-		r.InitGroup(group)
-		r.meanLatency += group.meanLatency / float64(len(r.Groups))
 	}
 	r.StreamsPerConn, r.Tick = max(r.StreamsPerConn, 1), max(r.Tick, 10)
 	r.peerCredit = r.random() * float64(128*r.RouterCount)
@@ -111,6 +111,9 @@
 	if count, mean, deviation := r.answerGaps.summary(r.now); count >= silenceSamples {
 		return TenthMs(mean+silenceDeviations*deviation) + 2*r.Tick
 	}
+	if r.meanLatency == 0 {
+		return firstAnswerTimeout
+	}
 	return TenthMs((1 + silenceDeviations) * r.meanLatency)
 }
 
@@ -128,12 +131,12 @@
 	}
 	for _, command := range host.inFlight {
 		wasOverdue := command.overdue
-		command.overdue = r.now >= command.sentAt+command.group.ResponseTarget
+		command.overdue = r.now >= command.overdueAt
 		if wasOverdue || !command.overdue || command.sentAt <= host.lastFastSentAt {
 			continue // a later command was answered fast: this answer was lost and the host is healthy
 		}
-		host.updateLoad(1, 0, len(host.inFlight)-1)
-		host.publishState(1)
+		host.updateLoad(maxLatencyRatio, 0, len(host.inFlight)-1)
+		host.publishState(maxLatencyRatio)
 		if inFlight == 1 && silentSince <= command.sentAt && host != host.set.primary {
 			host.eject(second) // the only evidence about the host
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -97,7 +97,7 @@
 	backoff        TenthMs
 	retryAt        TenthMs // no commands are sent before this time
 	lastAnswerAt   TenthMs
-	lastFastSentAt TenthMs // send time of the latest command that was answered within half of its target
+	lastFastSentAt TenthMs // send time of the latest command that was answered as fast as by a host that is not overloaded
 
 	openConns           int     // estimated number of open connections
 	peakInFlight        int     // maximum number of commands in flight at once in the current interval
@@ -108,7 +108,7 @@
 	limit            float64 // maximum number of commands in flight
 	nextLimitCutAt   TenthMs // earliest time of the next reduction of the limit
 	share            float64 // fraction of offered commands that is accepted
-	latencyRatio     float64 // mean latency as a fraction of the response target, at most 1
+	latencyRatio     float64 // mean latency as a multiple of the unloaded latency, at most maxLatencyRatio
 	latencyUpdatedAt TenthMs // time of the last update of latencyRatio
 	lastPublishedAt  TenthMs // time of the last message of any router about this host
 
@@ -141,7 +141,8 @@
 	sentAt         TenthMs // time of the last dispatch
 	neededPosition TenthMs // position that the last dispatch required; 0: none
 	opensConn      bool    // the dispatch in flight opens a connection
-	overdue        bool    // the dispatch in flight is past the response target
+	overdueAt      TenthMs // time at which the answer of the dispatch in flight is assumed lost
+	overdue        bool    // overdueAt has passed
 	mayHaveRunAt   TenthMs // send time of the first dispatch that may have run; 0: none
 	faultPoints    int     // points for errors and resets; see faultLimit
 	probeCount     int     // number of probes sent for the command
