--- a/policy/route.go
+++ b/policy/route.go
@@ -29,7 +29,10 @@
 	if group.ConsistencyLevel == Strong || group.ConsistencyLevel == ReadYourWrites && sinceWrite > 0 { // 0: no write is known
 		c.minPosition = max(c.minPosition, r.now-r.PositionEpoch-sinceWrite)
 	}
-	if !c.route() {
+	switch {
+	case r.now+r.Tick >= deadline:
+		c.giveUp()
+	case !c.route():
 		c.enqueue()
 	}
 	return c
@@ -111,7 +114,8 @@
 	return false
 }
 
-// probeForRead probes a replica if none is known to have the position, and reports whether a probe is pending.
+// probeForRead probes a replica if none is known to have the position, and reports whether a probe is pending. The read waits for
+// it as long as an answer takes on average: the primary would have given one by then.
 // Otherwise hundreds of routers without shared updates would send nearly all reads to the primary.
 func (s *replicaSet) probeForRead(c *Command, position TenthMs) bool {
 	router := s.router
@@ -130,7 +134,7 @@
 	}
 	c.probeCount++
 	router.probeCredit--
-	c.lastProbedHost, s.probedReplica, s.probeWaitUntil = host, host, router.now+c.group.ResponseTarget/16
+	c.lastProbedHost, s.probedReplica, s.probeWaitUntil = host, host, router.now+max(TenthMs(c.group.latency.mean), router.Tick)
 	router.startProbe(host)
 	return true
 }
@@ -172,14 +176,21 @@
 	if c.group.ConsistencyLevel == BoundedStaleness && host != c.set.primary && !router.HostsCheckPosition {
 		c.SendBy = host.position + router.PositionEpoch + c.group.MaxStaleness // connecting may delay it
 	}
-	timeout := (c.targetAt - router.now) / 2 // an answer this much slower than usual is assumed lost: try another host
-	if c.group.IdempotencyClass != Idempotent || timeout < TenthMs(5*c.group.latency.mean) {
-		timeout = 0
-	}
-	router.caller.Dispatch(c, host, timeout)
+	router.caller.Dispatch(c, host, c.attemptTimeout())
 	return true
 }
 
+// attemptTimeout returns how long to wait for an answer: until another host can only just answer in the client's time. 0, the
+// whole time, if the command must not run twice, or if its answer could well come later than that.
+func (c *Command) attemptTimeout() TenthMs {
+	latency := &c.group.latency
+	timeout := c.timeoutAt - c.set.router.now - latency.bound()
+	if c.group.IdempotencyClass != Idempotent || latency.samples == 0 || timeout < latency.bound() {
+		return 0
+	}
+	return timeout
+}
+
 // recordWrite stores the highest write position of a session, in bounded memory.
 func (r *Router) recordWrite(session string, position TenthMs) {
 	if len(r.sessionTokens) >= maxSessionTokens {
