A client's retry is routed like its first attempt

Cause: the policy guessed by a majority of timeouts which commands were first attempts. What had another time counted its response target from an earlier attempt, was worth less, and past the target could use half of a host's limit. A statement of the proxy that had waited for a token, or a client that sets its own timeout, looked like a repeat.

Change: the guess, the target of a command and the half limit are gone; a command has the time that is left, which decides. The mark of a retry (r=1) is still read and stored in traces. That repeats don't sustain an overload rests on bounded queues, refusals at once with a time to come back, and work that can't end in time and is not begun.

--- a/internal/proxy/statement.go
+++ b/internal/proxy/statement.go
@@ -142,7 +142,7 @@
 	timeout := now + toTenths(stmt.deadline.Sub(s.clock.Time()))
 	stmt.commandID = formatID(s.nextID())
 	s.statements[stmt.commandID] = stmt
-	command := s.policy.Submit(stmt.commandID, stmt.group, route.service.policySet, stmt.session.policyKey, timeout, staleness, false)
+	command := s.policy.Submit(stmt.commandID, stmt.group, route.service.policySet, stmt.session.policyKey, timeout, staleness)
 	stmt.command = command
 	if command.IsQueued() {
 		s.counters.statementsQueued.Add(1)
--- a/internal/router/routing/commands.go
+++ b/internal/router/routing/commands.go
@@ -102,9 +102,9 @@
 	r.commands[parsed.ID], r.slots[slot] = c, c
 	r.Taken.Add(1)
 	timeout := now + policy.TenthMs(time.Until(deadline)/clock.Resolution)
-	previewed := r.preview.command(r.policy, group, parsed.ReplicaSet, parsed.Key, timeout, sinceWrite, parsed.IsRetry)
+	previewed := r.preview.command(r.policy, group, parsed.ReplicaSet, parsed.Key, timeout, sinceWrite)
 	r.trace.Submit(parsed.ID, r.groups[group], parsed.ReplicaSet, parsed.Key, timeout, sinceWrite, parsed.IsRetry)
-	c.handle = r.policy.Submit(parsed.ID, group, parsed.ReplicaSet, parsed.Key, timeout, sinceWrite, parsed.IsRetry)
+	c.handle = r.policy.Submit(parsed.ID, group, parsed.ReplicaSet, parsed.Key, timeout, sinceWrite)
 	r.trace.AssignHandle(c.handle)
 	previewed.compare(c.handle)
 	r.removeIfFinished(c.handle)
--- a/internal/router/routing/preview.go
+++ b/internal/router/routing/preview.go
@@ -56,12 +56,12 @@
 
 // command previews a command. It must be called before the command is submitted to the policy, with the same arguments.
 func (p *preview) command(router *policy.Router, group *policy.CommandGroup, replicaSet int64, key string,
-	timeout, sinceWrite policy.TenthMs, isRetry bool,
+	timeout, sinceWrite policy.TenthMs,
 ) previewedDisposition {
 	if p == nil {
 		return previewedDisposition{}
 	}
-	disposition, node := router.Preview(p.shadowSettings, p.groups[group], group, replicaSet, key, timeout, sinceWrite, isRetry)
+	disposition, node := router.Preview(p.shadowSettings, p.groups[group], group, replicaSet, key, timeout, sinceWrite)
 	return previewedDisposition{preview: p, disposition: disposition, node: node}
 }
 
--- a/internal/router/trace/replay/calls.go
+++ b/internal/router/trace/replay/calls.go
@@ -79,12 +79,12 @@
 // submit submits a new command.
 func (r *Replay) submit(event format.Event) error {
 	numbers := event.Ints
-	number, group, set, timeout, sinceWrite, isRetry := numbers[0], numbers[1], numbers[2], numbers[3], numbers[4], isSet(numbers[5])
+	number, group, set, timeout, sinceWrite := numbers[0], numbers[1], numbers[2], numbers[3], numbers[4]
 	if group < 0 || group >= int64(len(r.deployment.Groups)) {
 		return fmt.Errorf("event %d: command group %d is not one of %d groups", r.eventNumber, group, len(r.deployment.Groups))
 	}
 	r.pendingCommand = number
-	command := r.module.Submit(event.Texts[0], r.deployment.Groups[group], set, event.Texts[1], timeout, sinceWrite, isRetry)
+	command := r.module.Submit(event.Texts[0], r.deployment.Groups[group], set, event.Texts[1], timeout, sinceWrite)
 	r.pendingCommand = 0
 	if !command.IsFinished() {
 		r.commands[number], r.commandNumbers[command] = command, number
--- a/internal/simadapter/events.go
+++ b/internal/simadapter/events.go
@@ -63,7 +63,7 @@
 	}
 	name := event.Text("req")
 	i.commands[name] = i.policy.Submit(name, group, event.Integer("group_no"), event.OptionalText("user"),
-		setup.RoundDown(event.Number("give_up_at")), setup.RoundDown(event.OptionalNumber("since_write_ms")), event.Bool("is_retry"))
+		setup.RoundDown(event.Number("give_up_at")), setup.RoundDown(event.OptionalNumber("since_write_ms")))
 }
 
 // The layout of an attempt's stamp: the host's role in the low bits, its log position in milliseconds in the bits above.
--- a/internal/simulation/tiernet/command.go
+++ b/internal/simulation/tiernet/command.go
@@ -54,7 +54,7 @@
 	})
 	f.commands[id] = c
 	f.trace.Submit(id, slices.Index(f.groups, group), set.id, session, c.deadline, sinceWrite, false)
-	c.handle = f.module.Submit(id, group, set.id, session, c.deadline, sinceWrite, false)
+	c.handle = f.module.Submit(id, group, set.id, session, c.deadline, sinceWrite)
 	f.trace.AssignHandle(c.handle)
 	f.forgetFinished(c.handle)
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -89,9 +89,7 @@
 	Benefit             float64     // value of an answer within the response target
 	LateBenefitFraction float64     `cbor:"LateShare"` // fraction of Benefit that an answer after the response target is worth
 
-	latency             latencyStats
-	firstAttemptTimeout TenthMs // timeout that most clients set on a first attempt
-	firstAttemptVotes   int     // majority counter for firstAttemptTimeout
+	latency latencyStats
 }
 
 // Deployment is the configuration of a deployment, fixed when a router starts. Trace files store the fields under the names in
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -27,6 +27,5 @@
 //  3. Queueing: a command that no host accepts waits, highest priority first, as long as an answer is still useful.
 //  4. Cold start: a recently started host gets a limited fraction of the work of warm hosts.
 //  5. Peer updates: routers send each other what answers reveal about a host, within a byte budget.
-//  6. Retries: the response target of a client's retry counts from the first attempt, and a command that fails on two hosts
-//     is not sent to a third.
+//  6. Retries: a command that fails on two hosts is not sent to a third. A client's retry is a command like any other.
 package policy
--- a/policy/hosts.go
+++ b/policy/hosts.go
@@ -94,8 +94,6 @@
 		return false
 	case h.ejected: // single trial commands test whether it recovered
 		return (c.group.IdempotencyClass == Idempotent || router.ExplicitPrimary) && len(c.triedHosts) == 0
-	case router.now >= c.targetAt && c.group.LateBenefitFraction == 0:
-		limitFraction /= 2 // its answer has no value any more
 	}
 	return float64(h.activeCount()) < h.limit*limitFraction && (router.now >= h.slowConnectUntil || h.hasFreeStream())
 }
--- a/policy/preview.go
+++ b/policy/preview.go
@@ -43,7 +43,7 @@
 // settings, currentGroup the group in force, whose measurements are used; the other arguments are those of Submit. The preview runs
 // Submit with the random numbers that the real command will get, then restores the previous state. No method of the Caller runs.
 func (r *Router) Preview(
-	shadow *ShadowSettings, group, currentGroup *CommandGroup, set int64, session string, deadline, sinceWrite TenthMs, declaredRetry bool,
+	shadow *ShadowSettings, group, currentGroup *CommandGroup, set int64, session string, deadline, sinceWrite TenthMs,
 ) (Disposition, *Host) {
 	replicas := r.sets[set]
 	if replicas == nil {
@@ -52,14 +52,13 @@
 	defer r.restore(replicas, *r, *replicas, replicas.copyMembers())
 	trial := *group
 	trial.latency = currentGroup.latency
-	trial.firstAttemptTimeout, trial.firstAttemptVotes = currentGroup.firstAttemptTimeout, currentGroup.firstAttemptVotes
 
 	settings, routerCount, positionEpoch := shadow.router, r.RouterCount, r.PositionEpoch
 	r.Deployment, r.positionTTL = settings.Deployment, settings.positionTTL
 	r.probesForReads, r.probeBudget = settings.probesForReads, settings.probeBudget
 	r.RouterCount, r.PositionEpoch, r.caller = routerCount, positionEpoch, noopCaller{}
 	replicas.queue = slices.Clone(replicas.queue)
-	return r.Submit("", &trial, set, session, deadline, sinceWrite, declaredRetry).Disposition()
+	return r.Submit("", &trial, set, session, deadline, sinceWrite).Disposition()
 }
 
 func (s *replicaSet) copyMembers() []Host {
--- a/policy/route.go
+++ b/policy/route.go
@@ -6,19 +6,10 @@
 )
 
 // Submit dispatches, queues or rejects a new command. deadline is the client's deadline, sinceWrite the time since
-// the last write of its session (0: not known), declaredRetry whether the client marked the command as a retry.
-func (r *Router) Submit(
-	name string, group *CommandGroup, set int64, session string, deadline, sinceWrite TenthMs, declaredRetry bool,
-) *Command {
+// the last write of its session (0: not known). A client's retry is a command like any other, with the time that is left.
+func (r *Router) Submit(name string, group *CommandGroup, set int64, session string, deadline, sinceWrite TenthMs) *Command {
 	c := &Command{
-		Name: name, set: r.replicaSet(set), group: group, session: session, submittedAt: r.now,
-		targetAt: r.now + group.ResponseTarget, timeoutAt: deadline, benefit: group.Benefit, shareDraw: r.random(),
-	}
-	if group.isRetry(deadline-r.now, 2*r.Tick, declaredRetry) { // the target counts from the client's first attempt
-		c.targetAt = min(c.targetAt, deadline-group.Timeout+group.ResponseTarget)
-	}
-	if c.targetAt <= r.now {
-		c.benefit *= group.LateBenefitFraction
+		Name: name, set: r.replicaSet(set), group: group, session: session, timeoutAt: deadline, benefit: group.Benefit, shareDraw: r.random(),
 	}
 	r.meanPriority += (c.priority() - r.meanPriority) / 64
 	r.probeCredit = min(r.probeCredit+r.probeBudget/max(r.ProbeCost, r.probeBudget), 16)
@@ -38,20 +29,6 @@
 	return c
 }
 
-// isRetry reports whether a command is a client's retry, to prevent retries from sustaining an overload. First attempts
-// share one timeout, which is learned by majority vote; the timeout of a retry is what remains of the first attempt's.
-func (g *CommandGroup) isRetry(timeLeft, tolerance TenthMs, declaredRetry bool) bool {
-	if max(timeLeft-g.firstAttemptTimeout, g.firstAttemptTimeout-timeLeft) <= tolerance {
-		g.firstAttemptVotes = min(g.firstAttemptVotes+1, 64)
-		return false
-	}
-	if g.firstAttemptVotes--; g.firstAttemptVotes >= 0 || declaredRetry {
-		return true
-	}
-	g.firstAttemptTimeout, g.firstAttemptVotes = timeLeft, 0
-	return false
-}
-
 // route dispatches a command. It returns false if no host can take the command now.
 func (c *Command) route() bool {
 	switch c.group.ConsistencyLevel {
--- a/policy/state.go
+++ b/policy/state.go
@@ -128,8 +128,6 @@
 	group   *CommandGroup
 	session string
 
-	submittedAt TenthMs
-	targetAt    TenthMs // deadline of the response target
 	timeoutAt   TenthMs // deadline of the client
 	benefit     float64
 	shareDraw   float64 // random number in [0, 1), compared with the share of a host
