Queues serve the higher Priority first, then whoever has the least time

Cause: queued commands were ordered by benefit per latency, and among equals the newest went first; hosts that shed load favoured a higher benefit.

Worth, share of worth past the target, and arrival decide nothing, in queues or in what hosts shed. TestRejectingHostBacksOffForAllRouters restores the share of the host, which has a part in no assertion there.

--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -15,9 +15,6 @@
 	// defaultMaxConns is how many connections a host accepts from all proxies if the configuration does not say.
 	defaultMaxConns = 32
 
-	// lateShare is the value of an answer past its latency target, as a fraction of the value of one in time.
-	lateShare = 0.5
-
 	// defaultTargetShare is the fraction of a route's deadline that is its latency target if the configuration has none.
 	defaultTargetShare = 1.0 / 4
 )
@@ -113,13 +110,13 @@
 	if target <= 0 {
 		target = millisecondsToTenths(r.DeadlineMs * defaultTargetShare)
 	}
-	return &policy.CommandGroup{
-		IdempotencyClass:    idempotency,
-		ConsistencyLevel:    consistency,
-		MaxStaleness:        r.stalenessBound,
-		ResponseTarget:      target,
-		Timeout:             millisecondsToTenths(r.DeadlineMs),
-		Benefit:             1 / (1 + max(0, r.Priority)),
-		LateBenefitFraction: lateShare,
+	group := &policy.CommandGroup{
+		IdempotencyClass: idempotency,
+		ConsistencyLevel: consistency,
+		MaxStaleness:     r.stalenessBound,
+		ResponseTarget:   target,
+		Timeout:          millisecondsToTenths(r.DeadlineMs),
 	}
+	group.SetPriority(max(0, r.Priority))
+	return group
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -89,7 +89,8 @@
 	Benefit             float64     // value of an answer within the response target
 	LateBenefitFraction float64     `cbor:"LateShare"` // fraction of Benefit that an answer after the response target is worth
 
-	latency latencyStats
+	priority float64 // queued commands of a lower number are served first; 0 is the highest priority
+	latency  latencyStats
 }
 
 // Deployment is the configuration of a deployment, fixed when a router starts. Trace files store the fields under the names in
@@ -151,6 +152,10 @@
 	ScheduleWakeUp(after TenthMs)
 }
 
+// SetPriority sets the priority of a group's commands in queues; 0, as at the start, is the highest, and lower numbers are served first.
+// Trace files do not store it.
+func (g *CommandGroup) SetPriority(priority float64) { g.priority = priority }
+
 // SetPrimary records that, from now on, a host is or is not the primary of its replica set.
 func (h *Host) SetPrimary(isPrimary bool) {
 	role := Replica
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -24,7 +24,8 @@
 //     hundreds of routers each have too few commands in flight for that to work, they reduce the share of commands that the
 //     host accepts.
 //  2. Ejection: a host that is unreachable, or silent for unusually long, gets only single trial commands with backoff.
-//  3. Queueing: a command that no host accepts waits, highest priority first, as long as an answer is still useful.
+//  3. Queueing: a command that no host accepts waits as long as a host can still answer it in its client's time, the highest
+//     priority first, and among equals the one with the least time.
 //  4. Cold start: a recently started host gets a limited fraction of the work of warm hosts.
 //  5. Peer updates: routers send each other what answers reveal about a host, within a byte budget.
 //  6. Retries: a command that fails on two hosts is not sent to a third. A client's retry is a command like any other.
--- a/policy/hosts.go
+++ b/policy/hosts.go
@@ -101,10 +101,8 @@
 // hasFreeStream reports whether an open connection can carry one more command.
 func (h *Host) hasFreeStream() bool { return len(h.inFlight) < h.openConns*h.set.router.StreamsPerConn }
 
-// withinShare reports whether a host with that share takes the command, by its priority and random number.
-func (c *Command) withinShare(share float64) bool {
-	return share >= 1 || c.shareDraw*c.set.router.meanPriority <= share*c.priority()
-}
+// withinShare reports whether a host with that share takes the command, by its random number.
+func (c *Command) withinShare(share float64) bool { return c.shareDraw < share }
 
 // isCold reports whether the host started recently.
 func (h *Host) isCold() bool {
--- a/policy/peers_test.go
+++ b/policy/peers_test.go
@@ -9,6 +9,7 @@
 	env.advance(1000)
 	peer.advance(1000)
 	for range 3 {
+		env.hosts[0].share = 1 // the test is about the backoff alone
 		command := env.submit(Write, NotIdempotent, "s", 0)
 		command.EndDispatch(Overloaded, env.now-20, Primary, 20, false)
 		host := env.hosts[0]
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -5,6 +5,7 @@
 // enqueue queues a command, or gives it up if no host can answer it in its client's time.
 func (c *Command) enqueue() {
 	set := c.set
+	c.sendBefore = c.timeoutAt - c.group.latency.bound()
 	at := slices.IndexFunc(set.queue, c.precedes)
 	if at < 0 {
 		at = len(set.queue)
@@ -18,12 +19,14 @@
 	set.queue = slices.Insert(set.queue, at, c)
 }
 
-// precedes reports whether a command is served before one that is queued. Among equal priorities the newest is first, so that
-// old commands do not make all others late.
-func (c *Command) precedes(queued *Command) bool { return queued.priority() <= c.priority() }
-
-// priority returns the benefit of a command per unit of time that it occupies a host.
-func (c *Command) priority() float64 { return c.benefit / max(1, c.group.latency.mean) }
+// precedes reports whether a command is served before one that is queued: the one of the higher priority, and among equals
+// the one that must be sent sooner to be answered in its client's time.
+func (c *Command) precedes(queued *Command) bool {
+	if c.group.priority != queued.group.priority {
+		return c.group.priority < queued.group.priority
+	}
+	return c.sendBefore < queued.sendBefore
+}
 
 // serveQueue dispatches the commands that hosts can take now, and gives up those that can't be answered in time any more.
 func (s *replicaSet) serveQueue() {
--- a/policy/route.go
+++ b/policy/route.go
@@ -9,9 +9,8 @@
 // the last write of its session (0: not known). A client's retry is a command like any other, with the time that is left.
 func (r *Router) Submit(name string, group *CommandGroup, set int64, session string, deadline, sinceWrite TenthMs) *Command {
 	c := &Command{
-		Name: name, set: r.replicaSet(set), group: group, session: session, timeoutAt: deadline, benefit: group.Benefit, shareDraw: r.random(),
+		Name: name, set: r.replicaSet(set), group: group, session: session, timeoutAt: deadline, shareDraw: r.random(),
 	}
-	r.meanPriority += (c.priority() - r.meanPriority) / 64
 	r.probeCredit = min(r.probeCredit+r.probeBudget/max(r.ProbeCost, r.probeBudget), 16)
 	r.peerCredit = min(r.peerCredit+r.peerBytesPerCommand(), 128*float64(r.RouterCount))
 	if group.ConsistencyLevel == ReadYourWrites {
--- a/policy/state.go
+++ b/policy/state.go
@@ -28,7 +28,6 @@
 
 	answerGaps    window  // times between consecutive answers of the same host, in tenths of a millisecond
 	meanLatency   float64 // mean latency of answers, in tenths of a millisecond
-	meanPriority  float64 // mean priority of submitted commands
 	meanReportAge float64 // mean age of load reports, in tenths of a millisecond
 
 	probesForReads bool    // probes are sent only to find a replica for a waiting read
@@ -51,7 +50,7 @@
 	members           []*Host    // ordered by name
 	primary           *Host      // nil: not known
 	primaryExpectedAt TenthMs    // time at which a primary is expected; not known if in the past
-	queue             []*Command // highest priority first
+	queue             []*Command // in the order of Command.precedes
 
 	nextCandidate   int     // index of the member to try next as primary
 	nextCandidateAt TenthMs // earliest time to try nextCandidate
@@ -129,7 +128,7 @@
 	session string
 
 	timeoutAt   TenthMs // deadline of the client
-	benefit     float64
+	sendBefore  TenthMs // time before which a queued command must be sent for an answer before timeoutAt
 	shareDraw   float64 // random number in [0, 1), compared with the share of a host
 	minPosition TenthMs // position that a read requires, unless it is BoundedStaleness
 
