Budgets for probes and messages between routers no longer come from prices

A price five times as high changed what was known of hosts, and so where reads went.

Change: a command pays for a tenth of a probe, since probes take hosts' time from commands, and for as many bytes to all other routers as one message of the greatest size has. Prices, response target and benefit are still read and stored in traces under their names, and marked as used by no decision. The assertions of the tests of probes and messages are as they were; they state no price any more.

--- a/internal/proxy/policy_caller.go
+++ b/internal/proxy/policy_caller.go
@@ -48,7 +48,6 @@
 		MaxRetryAfter:      maxRetryAfter,
 		ColdOverloadFactor: 1e6, // large enough that a newly started host is never limited
 		ColdCapacity:       1,   // a host has its full capacity from its start
-		ProbeCost:          0.01,
 	}
 }
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -82,12 +82,12 @@
 	IdempotencyClass    Idempotency `cbor:"Effect"`
 	ConsistencyLevel    Consistency `cbor:"Need"`
 	MaxStaleness        TenthMs     `cbor:"Bound"`  // maximum staleness of a BoundedStaleness read
-	ResponseTarget      TenthMs     `cbor:"Target"` // response time that counts as good
+	ResponseTarget      TenthMs     `cbor:"Target"` // response time that counts as good; no decision uses it
 	Timeout             TenthMs     // client timeout, including the client's retries
 	KeyRetention        TenthMs     `cbor:"Memory"`   // how long a replica set retains the key of a Keyed command
 	DedupAcrossSets     bool        `cbor:"EverySet"` // all replica sets drop duplicates of a key, not only the one that got it first
-	Benefit             float64     // value of an answer within the response target
-	LateBenefitFraction float64     `cbor:"LateShare"` // fraction of Benefit that an answer after the response target is worth
+	Benefit             float64     // value of an answer within the response target; no decision uses it
+	LateBenefitFraction float64     `cbor:"LateShare"` // fraction of Benefit that a later answer is worth; no decision uses it
 
 	priority float64 // queued commands of a lower number are served first; 0 is the highest priority
 	latency  latencyStats
@@ -111,8 +111,8 @@
 	ExplicitPrimary    bool    `cbor:"Led"`        // the primary is set only by Host.SetPrimary, and writes go to no other host
 	UsesPlanners       bool    `cbor:"Told"`       // updates come from planners (Host.ApplyPlannerUpdate, SetRouterCount), not probes
 	PeerUpdatesEnabled bool    `cbor:"Peers"`      // routers send each other updates
-	PeerUpdateCost     float64 `cbor:"PeerPrice"`  // cost of a full message (256 bytes) per command, as a fraction of its value
-	ProbeCost          float64 `cbor:"ProbePrice"` // cost of a probe per command, as a fraction of its value
+	PeerUpdateCost     float64 `cbor:"PeerPrice"`  // cost of a full message (256 bytes) per command; no decision uses it
+	ProbeCost          float64 `cbor:"ProbePrice"` // cost of a probe per command; no decision uses it
 
 	StreamsPerConn     int     `cbor:"Streams"`    // concurrent commands per connection; at least 1
 	IdleConnTimeout    TenthMs `cbor:"IdleFor"`    // idle time after which a connection is closed
--- a/policy/peers.go
+++ b/policy/peers.go
@@ -17,15 +17,15 @@
 	}
 	body := peerUpdate{h.peerID(), h.position, h.role, TenthMs(ratio)}.encode()
 	cost := float64(len(body) * (router.RouterCount - 1))
-	paid := cost <= router.peerBytesPerCommand() || !canWait || router.now >= h.lastPublishedAt+router.positionTTL
+	paid := cost <= peerBytesPerCommand || !canWait || router.now >= h.lastPublishedAt+router.positionTTL
 	if paid && cost <= router.peerCredit {
 		router.peerCredit, h.lastPublishedAt = router.peerCredit-cost, router.now
 		router.caller.Broadcast(body)
 	}
 }
 
-// peerBytesPerCommand returns the number of bytes that a command pays for: 2.5% of the command's value.
-func (r *Router) peerBytesPerCommand() float64 { return 256 * 0.025 / max(r.PeerUpdateCost, 0.008) }
+// maxPeerCredit returns the number of bytes that are enough for half a message of the greatest size to each router.
+func (r *Router) maxPeerCredit() float64 { return peerBytesPerCommand / 2 * float64(r.RouterCount) }
 
 // ReceivePeerUpdate applies a message from another router. Malformed and implausible messages are ignored.
 func (r *Router) ReceivePeerUpdate(body string) {
--- a/policy/peers_test.go
+++ b/policy/peers_test.go
@@ -61,7 +61,7 @@
 
 func TestPeerUpdatesOfBusyHostLeaveRoomForOthers(t *testing.T) {
 	for _, routers := range []int{3, 300} {
-		env := newTestEnv(t, 2, func(d *Deployment) { d.PeerUpdatesEnabled, d.RouterCount, d.PeerUpdateCost = true, routers, 0.012 })
+		env := newTestEnv(t, 2, func(d *Deployment) { d.PeerUpdatesEnabled, d.RouterCount = true, routers })
 		env.router.peerCredit = 1e6
 		busy, rare := env.hosts[0], env.hosts[1]
 		env.advance(3000)
@@ -78,7 +78,7 @@
 }
 
 func TestRejectionsAreSharedAtOnce(t *testing.T) {
-	env := newTestEnv(t, 2, func(d *Deployment) { d.PeerUpdatesEnabled, d.RouterCount, d.PeerUpdateCost = true, 300, 0.012 })
+	env := newTestEnv(t, 2, func(d *Deployment) { d.PeerUpdatesEnabled, d.RouterCount = true, 300 })
 	env.router.peerCredit = 1e6
 	env.advance(3000)
 	for _, ratio := range []float64{0.1, peerConnsExhausted, peerRejecting} {
--- a/policy/preview.go
+++ b/policy/preview.go
@@ -55,7 +55,7 @@
 
 	settings, routerCount, positionEpoch := shadow.router, r.RouterCount, r.PositionEpoch
 	r.Deployment, r.positionTTL = settings.Deployment, settings.positionTTL
-	r.probesForReads, r.probeBudget = settings.probesForReads, settings.probeBudget
+	r.probesForReads = settings.probesForReads
 	r.RouterCount, r.PositionEpoch, r.caller = routerCount, positionEpoch, noopCaller{}
 	replicas.queue = slices.Clone(replicas.queue)
 	return r.Submit("", &trial, set, session, deadline, sinceWrite).Disposition()
--- a/policy/preview_test.go
+++ b/policy/preview_test.go
@@ -20,7 +20,7 @@
 // submitWithPreviews submits 300 commands, with previews or without. It returns the dispatches and the final state of the router,
 // and the number of commands whose disposition differed from their preview.
 func submitWithPreviews(t *testing.T, preview bool) (decisions string, differences int) {
-	env := newTestEnv(t, 4, func(d *Deployment) { d.RouterCount, d.ProbeCost = 120, 0.02 })
+	env := newTestEnv(t, 4, func(d *Deployment) { d.RouterCount = 120 })
 	deployment := shadowDeployment(env.router.Deployment)
 	shadow := NewShadowSettings(deployment, env.now)
 	for i := range 300 {
--- a/policy/probe_test.go
+++ b/policy/probe_test.go
@@ -43,7 +43,7 @@
 }
 
 func TestReplicaIsProbedBeforePrimaryTakesItsReads(t *testing.T) {
-	env := newTestEnv(t, 3, func(d *Deployment) { d.RouterCount, d.ProbeCost = 120, 0.02 })
+	env := newTestEnv(t, 3, func(d *Deployment) { d.RouterCount = 120 })
 	env.router.probeCredit = 8
 	env.advance(6000) // the known positions of replicas are past the staleness bound
 	env.probes = nil
@@ -67,7 +67,7 @@
 }
 
 func TestProbesForReadsArePaidFor(t *testing.T) {
-	env := newTestEnv(t, 3, func(d *Deployment) { d.RouterCount, d.ProbeCost = 120, 0.2 })
+	env := newTestEnv(t, 3, func(d *Deployment) { d.RouterCount = 120 })
 	env.probes = nil
 	for range 50 {
 		env.advance(6000)
--- a/policy/route.go
+++ b/policy/route.go
@@ -11,8 +11,8 @@
 	c := &Command{
 		Name: name, set: r.replicaSet(set), group: group, session: session, timeoutAt: deadline, shareDraw: r.random(),
 	}
-	r.probeCredit = min(r.probeCredit+r.probeBudget/max(r.ProbeCost, r.probeBudget), 16)
-	r.peerCredit = min(r.peerCredit+r.peerBytesPerCommand(), 128*float64(r.RouterCount))
+	r.probeCredit = min(r.probeCredit+probesPerCommand, maxProbeCredit)
+	r.peerCredit = min(r.peerCredit+peerBytesPerCommand, r.maxPeerCredit())
 	if group.ConsistencyLevel == ReadYourWrites {
 		c.minPosition = r.sessionToken(session)
 	}
--- a/policy/router.go
+++ b/policy/router.go
@@ -5,23 +5,26 @@
 import "slices"
 
 const (
-	second             = TenthMs(10000)
-	evaluationInterval = second / 20
-	stallThreshold     = second / 20 // a WakeUp that is overdue by more shows that this process was stalled
-	queueCheckTicks    = 4           // interval between two passes over a queue, in ticks
-	slowConnectHold    = 2 * second  // no new connections to a host that is slow to accept them
-	connsExhaustedHold = 5 * second  // no idle connections to a host that has none left
-	firstAnswerTimeout = second      // how long a host may be silent while the usual latency is not known
-	warmRateWindow     = 10 * second // warmRate is a mean over this time; peaks over shorter times are random
-	recoveryLimit      = 2           // initial concurrency limit of a host that restarted or recovered
-	silenceDeviations  = 12.0        // standard deviations above the mean gap at which silence is unusual
-	silenceSamples     = 16          // minimum number of gaps for that estimate
-	overloadRatio      = 2.0         // mean latency that indicates overload, as a multiple of the unloaded latency
-	maxLatencyRatio    = 6.0         // greatest latency that counts in a mean, as a multiple of the unloaded latency
-	spillProbability   = 0.125       // probability that a read goes to the primary if that has less load than the replica
-	maxSessionTokens   = 1 << 12
-	windowSeconds      = 8 // duration that a window covers
-	faultLimit         = 6 // fault points at which the command itself is assumed to cause the failures
+	second              = TenthMs(10000)
+	evaluationInterval  = second / 20
+	stallThreshold      = second / 20 // a WakeUp that is overdue by more shows that this process was stalled
+	queueCheckTicks     = 4           // interval between two passes over a queue, in ticks
+	slowConnectHold     = 2 * second  // no new connections to a host that is slow to accept them
+	connsExhaustedHold  = 5 * second  // no idle connections to a host that has none left
+	firstAnswerTimeout  = second      // how long a host may be silent while the usual latency is not known
+	warmRateWindow      = 10 * second // warmRate is a mean over this time; peaks over shorter times are random
+	recoveryLimit       = 2           // initial concurrency limit of a host that restarted or recovered
+	silenceDeviations   = 12.0        // standard deviations above the mean gap at which silence is unusual
+	silenceSamples      = 16          // minimum number of gaps for that estimate
+	overloadRatio       = 2.0         // mean latency that indicates overload, as a multiple of the unloaded latency
+	maxLatencyRatio     = 6.0         // greatest latency that counts in a mean, as a multiple of the unloaded latency
+	spillProbability    = 0.125       // probability that a read goes to the primary if that has less load than the replica
+	maxSessionTokens    = 1 << 12
+	probesPerCommand    = 0.1 // probes that a command pays for: they take hosts' time from commands
+	maxProbeCredit      = 16
+	peerBytesPerCommand = 256.0 // bytes to other routers that a command pays for: one message of the greatest size
+	windowSeconds       = 8     // duration that a window covers
+	faultLimit          = 6     // fault points at which the command itself is assumed to cause the failures
 )
 
 // New creates a router.
@@ -37,14 +40,11 @@
 		}
 	}
 	r.StreamsPerConn, r.Tick = max(r.StreamsPerConn, 1), max(r.Tick, 10)
-	r.peerCredit = r.random() * float64(128*r.RouterCount)
+	r.peerCredit = r.random() * r.maxPeerCredit()
 	if r.PeerUpdatesEnabled { // a few routers can publish all positions before commands have paid for probes
 		r.probeCredit = 4 * r.random()
 	}
-	if r.probeBudget = 0.005; r.ProbesEnabled && r.PositionsReported && !r.HostsCheckPosition &&
-		!r.PeerUpdatesEnabled && !r.UsesPlanners {
-		r.probesForReads, r.probeBudget = true, 0.02
-	}
+	r.probesForReads = r.ProbesEnabled && r.PositionsReported && !r.HostsCheckPosition && !r.PeerUpdatesEnabled && !r.UsesPlanners
 	if r.ListTimeout > 0 { // spread over a few seconds, since a late list does no harm
 		r.nextListRequestAt, r.listRetryDelay = now+1+TenthMs(r.random()*float64(r.ListTimeout/4)), r.ListTimeout/8
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,7 +32,6 @@
 
 	probesForReads bool    // probes are sent only to find a replica for a waiting read
 	probeCredit    float64 // number of probes that may be sent
-	probeBudget    float64 // allowed cost of probes per command, as a fraction of the command's value
 	peerCredit     float64 // number of bytes that may be sent to other routers
 }
 
