The rate of warm hosts is a mean over the time that a host is cold

Change: the mean covers as long as a host is cold (ColdDuration of the settings), since that is what it is compared with. The eight seconds stay, with their reason: at two answers a second they hold the sixteen samples that the silence of a host is judged by.

--- a/policy/hosts.go
+++ b/policy/hosts.go
@@ -26,7 +26,7 @@
 		h.model = &hostModel{}
 		router.models[model] = h.model
 		if router.UsesPlanners { // mean from 0: the sum over all routers does not depend on traffic shifts
-			h.model.measuredSpan = float64(warmRateWindow)
+			h.model.measuredSpan = router.warmRateSpan()
 		}
 	}
 	h.recordRestart(startedAt)
--- a/policy/router.go
+++ b/policy/router.go
@@ -12,7 +12,6 @@
 	slowConnectHold     = 2 * second  // no new connections to a host that is slow to accept them
 	connsExhaustedHold  = 5 * second  // no idle connections to a host that has none left
 	firstAnswerTimeout  = second      // how long a host may be silent while the usual latency is not known
-	warmRateWindow      = 10 * second // warmRate is a mean over this time; peaks over shorter times are random
 	recoveryLimit       = 2           // initial concurrency limit of a host that restarted or recovered
 	silenceDeviations   = 12.0        // standard deviations above the mean gap at which silence is unusual
 	silenceSamples      = 16          // minimum number of gaps for that estimate
@@ -22,9 +21,9 @@
 	maxSessionTokens    = 1 << 12
 	probesPerCommand    = 0.1 // probes that a command pays for: they take hosts' time from commands
 	maxProbeCredit      = 16
-	peerBytesPerCommand = 256.0 // bytes to other routers that a command pays for: one message of the greatest size
-	windowSeconds       = 8     // duration that a window covers
-	faultLimit          = 6     // fault points at which the command itself is assumed to cause the failures
+	peerBytesPerCommand = 256.0              // bytes to other routers that a command pays for: one message of the greatest size
+	windowSeconds       = silenceSamples / 2 // at two answers a second, a window holds enough samples
+	faultLimit          = 6                  // fault points at which the command itself is assumed to cause the failures
 )
 
 // New creates a router.
@@ -101,7 +100,7 @@
 		}
 	}
 	for _, model := range r.models {
-		model.update(span)
+		model.update(span, r.warmRateSpan())
 	}
 	r.probeHosts()
 }
@@ -143,10 +142,14 @@
 	}
 }
 
-// update adds the work of the last span, in tenths of a millisecond, to warmRate.
-func (m *hostModel) update(span float64) {
+// warmRateSpan returns the time over which hostModel.warmRate is a mean, in tenths of a millisecond: as long as hosts are cold, since
+// it is what a cold host's work is compared with.
+func (r *Router) warmRateSpan() float64 { return float64(max(r.ColdDuration, second)) }
+
+// update adds the work of the last span, in tenths of a millisecond, to warmRate, a mean over warmRateSpan.
+func (m *hostModel) update(span, warmRateSpan float64) {
 	if m.warmSize > 0 {
-		m.measuredSpan = min(m.measuredSpan+span, float64(warmRateWindow))
+		m.measuredSpan = min(m.measuredSpan+span, warmRateSpan)
 		m.warmRate += (m.workDone/m.warmSize/span - m.warmRate) * span / m.measuredSpan
 		m.workDone, m.warmSize = 0, 0
 	}
