A statement waits for a token of its tenant as long as it can be answered in time

Cause: a statement without a token was held for a quarter of its latency target, 60 ms at most, and the target was a quarter of the deadline where the configuration had none.

Change: it waits until a host could no longer answer before its deadline, by the latencies of its route (TimeToAnswer). Where the lender is lost, those that wait are told at once, as those that come later are: no answer can come, and another proxy may have a lender.

--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -10,15 +10,6 @@
 	"ferrypitch/internal/rpc"
 )
 
-const (
-	// maxAdmissionWait is the longest time that a statement waits for a token of its tenant. The lender, which is the leader of the
-	// control plane, answers within a few milliseconds.
-	maxAdmissionWait = 60 * time.Millisecond
-
-	// admissionWaitShare is the fraction of its latency target that a statement may wait for a token.
-	admissionWaitShare = 1.0 / 4
-)
-
 // admission enforces the rate limits of tenants. An operation, which costs one token, is a statement outside transactions that goes
 // to a host, or a whole transaction, which is charged at its BEGIN.
 type admission struct {
@@ -86,8 +77,8 @@
 	s.reject(stmt, errcode.QuotaExceeded, s.accounts.RetryAfterMs(stmt.tenant))
 }
 
-// awaitToken queues a statement until the lender answers or admissionWait ends. Without a lender the statement is rejected at once,
-// since it can't be known whether its tenant is at the limit.
+// awaitToken queues a statement until the lender answers, as long as a host can still answer the statement before its deadline. Without
+// a lender it is rejected at once, since it can't be known whether its tenant is at the limit.
 func (s *Server) awaitToken(stmt *statement) {
 	if !s.hasLender {
 		s.accounts.Abandon(stmt.tenant)
@@ -96,16 +87,17 @@
 	}
 	s.counters.quotaWaits.Add(1)
 	s.tokenWaiters = append(s.tokenWaiters, stmt)
-	stmt.quota.timer = s.timers.Add(s.clock.Time().Add(stmt.route.admissionWait()), func() { s.expireTokenWait(stmt) })
+	stmt.quota.timer = s.timers.Add(s.latestSubmission(stmt), func() { s.expireTokenWait(stmt) })
 	s.requestTokens()
 }
 
-func (r *route) admissionWait() time.Duration {
-	target := r.TargetMs
-	if target <= 0 {
-		target = r.DeadlineMs * defaultTargetShare
+// latestSubmission returns the time until which a statement can be submitted to the policy and still be answered before its deadline.
+func (s *Server) latestSubmission(stmt *statement) time.Time {
+	group := stmt.route.readGroup
+	if stmt.step.MayWrite {
+		group = stmt.route.writeGroup
 	}
-	return min(maxAdmissionWait, time.Duration(target*admissionWaitShare*float64(time.Millisecond)))
+	return stmt.deadline.Add(-toDuration(s.policy.TimeToAnswer(group)))
 }
 
 // expireTokenWait rejects a statement that has waited too long for a token.
@@ -202,8 +194,12 @@
 	s.accounts.HandleDisconnect() // requests to the previous leader get no response
 }
 
-// clearLender records that this proxy is no longer connected to a leader.
+// clearLender records that this proxy is no longer connected to a leader. No answer comes to the statements that wait for a token, so
+// their clients are told at once to try elsewhere.
 func (s *Server) clearLender() {
 	s.hasLender = false
 	s.accounts.HandleDisconnect()
+	for len(s.tokenWaiters) > 0 {
+		s.expireTokenWait(s.tokenWaiters[0])
+	}
 }
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -11,13 +11,8 @@
 	"ferrypitch/policy"
 )
 
-const (
-	// defaultMaxConns is how many connections a host accepts from all proxies if the configuration does not say.
-	defaultMaxConns = 32
-
-	// defaultTargetShare is the fraction of a route's deadline that is its latency target if the configuration has none.
-	defaultTargetShare = 1.0 / 4
-)
+// defaultMaxConns is how many connections a host accepts from all proxies if the configuration does not say.
+const defaultMaxConns = 32
 
 // primaryEpoch identifies the period during which one host is the primary of its service. It is the log index of the change that
 // appointed the host.
@@ -106,15 +101,10 @@
 	if retry.Idempotent(operation) {
 		idempotency = policy.Idempotent
 	}
-	target := millisecondsToTenths(r.TargetMs)
-	if target <= 0 {
-		target = millisecondsToTenths(r.DeadlineMs * defaultTargetShare)
-	}
 	group := &policy.CommandGroup{
 		IdempotencyClass: idempotency,
 		ConsistencyLevel: consistency,
 		MaxStaleness:     r.stalenessBound,
-		ResponseTarget:   target,
 		Timeout:          millisecondsToTenths(r.DeadlineMs),
 	}
 	group.SetPriority(max(0, r.Priority))
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -82,6 +82,11 @@
 	return c.set.router.now+wait+c.group.latency.bound() < c.timeoutAt
 }
 
+// TimeToAnswer returns how long before its deadline a command of the group must be submitted to be queued if no host is free.
+func (r *Router) TimeToAnswer(group *CommandGroup) TenthMs {
+	return queueCheckTicks*r.Tick + group.latency.bound()
+}
+
 // expectedWait returns how long a command waits until hosts have taken the commands ahead of it, as far as that is known.
 func (c *Command) expectedWait(ahead int) TenthMs {
 	set, router := c.set, c.set.router
