After SIGTERM the router serves as long as hosts can answer, by measured latencies

Cause: how long connections stay open after SIGTERM was the shutdown time less the longest response target of the settings.

Change: connections stay open for further commands while a host can still answer them before the shutdown time, by the latencies that the router has measured (TimeToAnswer of the slowest group); at least AcceptPeriod, as before. Asking the router's goroutine for a value stands once (ask).

--- a/internal/router/routing/hosts.go
+++ b/internal/router/routing/hosts.go
@@ -1,10 +1,13 @@
 package routing
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"ferrypitch/internal/eventloop"
 	"ferrypitch/internal/router/catalog"
+	"ferrypitch/internal/router/clock"
 	"ferrypitch/internal/router/setup"
 	"ferrypitch/internal/router/tier/link"
 	"ferrypitch/internal/router/tier/view"
@@ -160,17 +163,30 @@
 
 // TakeObservations returns the observations about hosts since the previous call and resets them; nil after Run has ended. It
 // may be called from any goroutine.
-func (r *Router) TakeObservations() []link.Observation {
-	result := make(chan []link.Observation, 1)
-	if !r.queue.Put(eventloop.PriorityControl, func() { result <- r.takeReports() }) {
-		return nil
+func (r *Router) TakeObservations() []link.Observation { return ask(r, r.takeReports) }
+
+// TimeToAnswer returns how long before its deadline a command must arrive to be answered, whatever its group; 0 after Run has ended. It
+// may be called from any goroutine.
+func (r *Router) TimeToAnswer() time.Duration { return ask(r, r.longestTimeToAnswer) }
+
+// ask computes a value in the router's goroutine; it returns the zero value after Run has ended.
+func ask[T any](r *Router, compute func() T) (result T) {
+	results := make(chan T, 1)
+	if !r.queue.Put(eventloop.PriorityControl, func() { results <- compute() }) {
+		return result
 	}
 	select {
-	case reports := <-result:
-		return reports
+	case result = <-results:
 	case <-r.queue.Closed:
-		return nil
 	}
+	return result
+}
+
+func (r *Router) longestTimeToAnswer() (longest time.Duration) {
+	for group := range r.groups {
+		longest = max(longest, time.Duration(r.policy.TimeToAnswer(group))*clock.Resolution)
+	}
+	return longest
 }
 
 // takeReports returns the observations of the hosts that have any, and resets their sums.
--- a/internal/router/setup/limits.go
+++ b/internal/router/setup/limits.go
@@ -46,7 +46,6 @@
 
 	// Shutdown, counted from SIGTERM.
 	AcceptPeriod    time.Duration // in which connections are still accepted after SIGTERM
-	DrainDelay      time.Duration // after which connections without pending commands are closed
 	ShutdownTimeout time.Duration // after which the process exits
 }
 
@@ -114,13 +113,10 @@
 
 		AcceptPeriod: 500 * time.Millisecond,
 	}
-	var longestTarget time.Duration
 	for _, class := range settings.Objects("classes") {
 		timeout := time.Duration(class.Number("give_up")) * time.Millisecond
-		longestTarget = max(longestTarget, time.Duration(class.Number("promise"))*time.Millisecond)
 		l.ShutdownTimeout = max(l.ShutdownTimeout, min(timeout, maxCommandWait)+l.AcceptPeriod)
 	}
-	l.DrainDelay = max(l.AcceptPeriod, l.ShutdownTimeout-longestTarget) // until then, clients may have no other router to connect to
 	return l
 }
 
