A host is not ejected for a few milliseconds of silence after three answers

Cause: since latencies are no longer assumed at the start, the silence at which a host with few known gaps is ejected (13 mean latencies) was 4 ms after three answers of 0.3 ms. TestCountersAgree showed it: one lost answer of 200 ms had the primary ejected, its next write waited for its whole time, and the test hung for 600 s.

Change: where few gaps are known, silence under 100 ms (the least span of an ejection) is not unusual. Test: TestFewFastAnswersDoNotMakeAHostSilent, which fails without the change.

--- a/policy/outcome_test.go
+++ b/policy/outcome_test.go
@@ -244,3 +244,18 @@
 	env.answer(env.submitUntilSentTo(env.hosts[1]), 100)
 	env.failIf(env.hosts[1].ejected, "a host that answers again is still ejected")
 }
+
+func TestFewFastAnswersDoNotMakeAHostSilent(t *testing.T) {
+	env := newTestEnv(t, 2, nil)
+	primary := env.hosts[0]
+	env.router.meanLatency = 0
+	for _, group := range env.router.Groups {
+		group.latency = latencyStats{}
+	}
+	for range 3 {
+		env.answer(env.submit(Write, NotIdempotent, "s", 0), 10)
+	}
+	env.submit(Write, NotIdempotent, "s", 0)
+	env.advance(2000)
+	env.failIf(primary.ejected, "a host that answered within a millisecond three times was ejected for 200 ms of silence")
+}
--- a/policy/router.go
+++ b/policy/router.go
@@ -14,6 +14,7 @@
 	firstAnswerTimeout  = second      // how long a host may be silent while the usual latency is not known
 	recoveryLimit       = 2           // initial concurrency limit of a host that restarted or recovered
 	silenceDeviations   = 12.0        // standard deviations above the mean gap at which silence is unusual
+	minSilence          = second / 10 // shorter silence is not unusual where few gaps are known
 	silenceSamples      = 16          // minimum number of gaps for that estimate
 	overloadRatio       = 2.0         // mean latency that indicates overload, as a multiple of the unloaded latency
 	maxLatencyRatio     = 6.0         // greatest latency that counts in a mean, as a multiple of the unloaded latency
@@ -113,7 +114,7 @@
 	if r.meanLatency == 0 {
 		return firstAnswerTimeout
 	}
-	return TenthMs((1 + silenceDeviations) * r.meanLatency)
+	return max(minSilence, TenthMs((1+silenceDeviations)*r.meanLatency))
 }
 
 // evaluate decays the load estimates of a host, and ejects the host if it has been silent for too long.
