The closing loss of a play of lost disks keeps to the fault budget

The play took more than FaultBudget: a member came back with an empty disk, its seat was filled 1.6 s later, and the closing loss took two more disks 20 ms after the commit of that seat. A machine counts as lost for CatchupS, so three of five were lost at once. Every other loss waits for that (awaitBudget); the closing one did not.

Change: applyClosing waits as the others do. Test: TestClosingLossStaysWithinTheFaultBudget, with a member that returned a moment ago and two other disks drawn; without the change it goes on to take them.

--- a/internal/simulation/cluster/losses.go
+++ b/internal/simulation/cluster/losses.go
@@ -273,8 +273,11 @@
 }
 
 // applyClosing takes the disks of as many members as the budget allows, right after a change was acknowledged, and ends all other
-// processes at the same moment.
+// processes at the same moment. It waits until members that have returned no longer count as lost.
 func (r *lossRun) applyClosing(ctx context.Context, closing faultplan.ClosingLoss) error {
+	if err := r.awaitBudget(ctx, closing.Disks); err != nil {
+		return err
+	}
 	if !r.operator.awaitChange(ctx, r.recovery) {
 		r.violate("ACK: no change was acknowledged within %v before the closing loss", r.recovery)
 	}
