--- a/internal/proxy/admission_test.go
+++ b/internal/proxy/admission_test.go
@@ -40,7 +40,7 @@
 	stmt := proxy.server.tokenWaiters[0]
 	timeToAnswer := toDuration(proxy.server.policy.TimeToAnswer(stmt.route.readGroup))
 	latest := stmt.deadline.Sub(proxy.server.clock.Time()) - timeToAnswer
-	sim.RunFor(int64(toTenths(latest)) - millisecond)
+	sim.RunFor(toTenths(latest) - millisecond)
 	require.Empty(t, conn.take())
 	sim.RunFor(2 * millisecond)
 	require.Contains(t, conn.take(), "ERROR RETRY")
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -13,6 +13,7 @@
 //	outcome.go  updates the command and its host from the outcome of a dispatch
 //	peers.go    messages between routers, load reports, planner updates
 //	probe.go    selects the hosts to probe and handles the results
+//	latency.go  measures how long answers take: usually, at most, and where no host is crowded
 //
 // They use peer_message.go, which encodes messages between routers, window.go, which aggregates the last seconds, and
 // random.go, which generates numbers from the seed. preview.go runs the decisions under settings that are not in force.
@@ -20,7 +21,7 @@
 // Reads observe the earlier writes of their session: each write returns its commit position, and a later read of the same
 // session goes to a replica known to have reached that position, or to the primary. In addition:
 //
-//  1. Concurrency limits and traffic shares: late answers reduce the number of commands that a host may have in flight. Where
+//  1. Concurrency limits and traffic shares: slow answers reduce the number of commands that a host may have in flight. Where
 //     hundreds of routers each have too few commands in flight for that to work, they reduce the share of commands that the
 //     host accepts.
 //  2. Ejection: a host that is unreachable, or silent for unusually long, gets only single trial commands with backoff.
